--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks in virtual and real time."""
--- /dev/null
+++ b/src/catkinspan/__init__.py
@@ -0,0 +1,1 @@
+"""A proxy fleet and coordination library for upstreams with gray failures."""
--- /dev/null
+++ b/src/catkinspan/coordination/outbox.py
@@ -0,0 +1,44 @@
+"""Output of the coordinators, collected for the task that owns them."""
+
+from catkinspan.coordination.models import Envelope, Event, PeerMessage
+from catkinspan.state.ids import HostId
+
+
+class Outbox:
+    """Collects peer messages, events and directives until they are drained.
+
+    Directives tell the owning task to act on the outside, for example to close the
+    connections of a withdrawn key. Each concern defines its own directive classes.
+    """
+
+    def __init__(self) -> None:
+        self._envelopes: list[Envelope] = []
+        self._events: list[Event] = []
+        self._directives: list[object] = []
+
+    def send(self, to: HostId, message: PeerMessage) -> None:
+        """Queue a message to a peer."""
+        self._envelopes.append(Envelope(to, message))
+
+    def emit(self, event: Event) -> None:
+        """Queue an event for the audit trail and the log."""
+        self._events.append(event)
+
+    def direct(self, directive: object) -> None:
+        """Queue a directive to the owning task."""
+        self._directives.append(directive)
+
+    def take_envelopes(self) -> list[Envelope]:
+        """Return and forget the queued messages."""
+        envelopes, self._envelopes = self._envelopes, []
+        return envelopes
+
+    def take_events(self) -> list[Event]:
+        """Return and forget the queued events."""
+        events, self._events = self._events, []
+        return events
+
+    def take_directives(self) -> list[object]:
+        """Return and forget the queued directives."""
+        directives, self._directives = self._directives, []
+        return directives
--- /dev/null
+++ b/src/catkinspan/coordination/rendezvous.py
@@ -0,0 +1,28 @@
+"""Highest random weight hashing (Thaler and Ravishankar, 1996)."""
+
+from collections.abc import Iterable, Sequence
+from functools import lru_cache
+from heapq import nlargest
+from typing import TypeVar
+
+import xxhash
+
+Member = TypeVar("Member", bound=str)
+
+_CACHED_WEIGHTS = 1 << 16
+
+
+@lru_cache(maxsize=_CACHED_WEIGHTS)
+def weight(name: str, member: str) -> int:
+    """Return the 64-bit weight of a member for a name."""
+    return xxhash.xxh64_intdigest(f"{name}\x00{member}".encode())
+
+
+def owner(name: str, members: Iterable[Member]) -> Member | None:
+    """Return the member with the highest weight, or None without members."""
+    return max(members, key=lambda member: (weight(name, member), member), default=None)
+
+
+def ranked(name: str, members: Sequence[Member], count: int) -> list[Member]:
+    """Return the `count` members with the highest weights, highest first."""
+    return nlargest(count, members, key=lambda member: (weight(name, member), member))
--- /dev/null
+++ b/src/catkinspan/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""Command line and composition of an entry host."""
--- /dev/null
+++ b/src/catkinspan/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""Codecs of messages and documents, HTTP semantics and settings checks."""
--- /dev/null
+++ b/src/catkinspan/standin/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform and for upstream servers, used by the demo and tests."""
--- /dev/null
+++ b/src/catkinspan/state/ids.py
@@ -0,0 +1,17 @@
+"""Identifiers that the layers share."""
+
+from typing import NewType
+
+HostId = NewType("HostId", str)
+DataCentre = NewType("DataCentre", str)
+ServiceId = NewType("ServiceId", str)
+ServerId = NewType("ServerId", str)
+RouteId = NewType("RouteId", str)
+WorkspaceId = NewType("WorkspaceId", str)
+KeyId = NewType("KeyId", str)
+RequestId = NewType("RequestId", str)
+Revision = NewType("Revision", int)
+
+NO_REVISION = Revision(0)
+OPEN_WORKSPACE = WorkspaceId("")
+"""Workspace of requests on routes that are open to all."""
--- /dev/null
+++ b/src/catkinspan/transport/__init__.py
@@ -0,0 +1,1 @@
+"""Sockets, TLS, h11 and grpclib, free of policy."""
--- /dev/null
+++ b/tests/test_layers.py
@@ -0,0 +1,62 @@
+"""Guards against imports that point up the layers."""
+
+import ast
+from pathlib import Path
+
+import pytest
+
+SOURCE = Path(__file__).parent.parent / "src" / "catkinspan"
+
+ALLOWED = {
+    "state": {"state"},
+    "coordination": {"coordination", "state"},
+    "protocol": {"protocol", "coordination", "state"},
+    "transport": {"transport", "protocol", "coordination", "state"},
+    "testing": {"testing", "coordination", "state"},
+    "standin": {"standin", "transport", "protocol", "coordination", "state"},
+}
+
+FORBIDDEN_IN_COORDINATION = {
+    "asyncio",
+    "cattrs",
+    "grpclib",
+    "h11",
+    "json",
+    "orjson",
+    "socket",
+    "ssl",
+    "time",
+}
+
+
+def imported_modules(path: Path) -> set[str]:
+    modules: set[str] = set()
+    for node in ast.walk(ast.parse(path.read_text())):
+        if isinstance(node, ast.Import):
+            modules.update(alias.name for alias in node.names)
+        if isinstance(node, ast.ImportFrom) and node.module:
+            modules.add(node.module)
+    return modules
+
+
+@pytest.mark.parametrize("layer", sorted(ALLOWED))
+def test_imports_point_down(layer: str) -> None:
+    faults = []
+    for path in sorted((SOURCE / layer).rglob("*.py")):
+        for module in imported_modules(path):
+            parts = module.split(".")
+            if parts[0] != "catkinspan" or len(parts) < 2:
+                continue
+            if parts[1] not in ALLOWED[layer]:
+                faults.append(f"{path.relative_to(SOURCE)} imports {module}")
+    assert not faults
+
+
+@pytest.mark.parametrize("layer", ["state", "coordination"])
+def test_decisions_do_no_io(layer: str) -> None:
+    faults = []
+    for path in sorted((SOURCE / layer).rglob("*.py")):
+        roots = {module.split(".")[0] for module in imported_modules(path)}
+        if forbidden := roots & FORBIDDEN_IN_COORDINATION:
+            faults.append(f"{path.relative_to(SOURCE)} imports {sorted(forbidden)}")
+    assert not faults
