--- /dev/null
+++ b/src/catkinspan/coordination/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Accepted configuration: revisions, deltas, snapshots and repair."""
