Add codecs, HTTP semantics and the callers' and upstreams' sides

Settings documents are checked whole and every fault names path and remedy. A connection task owns the caller's socket, an attempt task the upstream's, and the pool task the idle connections; they talk by messages only.

Not run yet end to end; the host task follows.

--- /dev/null
+++ b/src/catkinspan/coordination/requests/errors.py
@@ -0,0 +1,64 @@
+"""Refusals: the answers that the fleet makes itself."""
+
+from enum import StrEnum
+
+from attrs import frozen
+
+
+class Ran(StrEnum):
+    """Whether an upstream ran a request."""
+
+    NO = "no"
+    """The request provably did not run."""
+
+    MAYBE = "maybe"
+    YES = "yes"
+
+
+class RefusalKind(StrEnum):
+    """Stable names of the refusals."""
+
+    BAD_REQUEST = "bad_request"
+    HEADER_TOO_LARGE = "header_too_large"
+    BODY_TOO_LARGE = "body_too_large"
+    REQUEST_TIMEOUT = "request_timeout"
+    ROUTE_NOT_FOUND = "route_not_found"
+    METHOD_NOT_ALLOWED = "method_not_allowed"
+    KEY_MISSING = "key_missing"
+    KEY_UNKNOWN = "key_unknown"
+    KEY_WITHDRAWN = "key_withdrawn"
+    NOT_READY = "not_ready"
+    ISOLATED = "isolated"
+    OVERLOADED = "overloaded"
+    RATE_EXCEEDED = "rate_exceeded"
+    QUARANTINED = "quarantined"
+    DUPLICATE_RUNNING = "duplicate_running"
+    DUPLICATE_RAN = "duplicate_ran"
+    IDEMPOTENCY_KEY_REUSED = "idempotency_key_reused"
+    CLAIM_UNDECIDED = "claim_undecided"
+    NO_CAPACITY = "no_capacity"
+    UPSTREAM_UNREACHABLE = "upstream_unreachable"
+    UPSTREAM_SHED = "upstream_shed"
+    UPSTREAM_TIMEOUT = "upstream_timeout"
+    UPSTREAM_RESET = "upstream_reset"
+    UPSTREAM_TRUNCATED = "upstream_truncated"
+    UPSTREAM_CROSSED = "upstream_crossed"
+
+
+@frozen
+class Refusal:
+    """An answer of the fleet itself, with what the caller can do."""
+
+    kind: RefusalKind
+    message: str
+    remedy: str
+    ran: Ran = Ran.NO
+    retry_after: float | None = None
+    """Seconds after which a new try may succeed; None if unknown."""
+
+    allowed_methods: tuple[str, ...] = ()
+    """Methods of the route, for `METHOD_NOT_ALLOWED`."""
+
+    def __str__(self) -> str:
+        """Return the refusal on one line."""
+        return f"{self.kind}: {self.message}; {self.remedy} (ran: {self.ran})"
--- /dev/null
+++ b/src/catkinspan/coordination/requests/models.py
@@ -0,0 +1,125 @@
+"""Messages between a front end and the requests coordinator."""
+
+from collections.abc import Mapping
+from datetime import timedelta
+
+from attrs import Factory, field, frozen
+
+from catkinspan.coordination.outcomes import AttemptOutcome
+from catkinspan.coordination.requests.errors import Refusal
+from catkinspan.state.ids import RequestId, RouteId, ServerId, ServiceId, WorkspaceId
+from catkinspan.state.tree import Address
+
+NO_BODY_DIGEST = b""
+
+
+@frozen
+class RequestArrived:
+    """The head of a caller's request."""
+
+    request_id: RequestId
+    method: str
+    host: str
+    """Host name in lower case, without the port."""
+
+    path: str
+    query: Mapping[str, str] = field(factory=dict, repr=False)
+    presented_key: str | None = field(default=None, repr=False)
+    """Key from a header; a key in the query is found by the route's setting."""
+
+    idempotency_key: str | None = None
+    deadline: timedelta | None = None
+    """Time that the caller allows; None for the route's own limit."""
+
+    content_length: int | None = 0
+    """Announced size of the body in bytes; None for a chunked body."""
+
+
+@frozen
+class BodyReceived:
+    """The first part of a request body has arrived."""
+
+    request_id: RequestId
+    digest: bytes
+    """Digest of the first part and of the announced length."""
+
+
+@frozen
+class AttemptFinished:
+    """An attempt ended without a response that can be passed on, or with OK.
+
+    A 5xx response is reported before it is passed on, so that it can be retried.
+    """
+
+    outcome: AttemptOutcome
+    replayable: bool = True
+    """Whether the front end can still send the whole request again."""
+
+
+@frozen
+class RequestAbandoned:
+    """The caller went away."""
+
+    request_id: RequestId
+
+
+@frozen
+class RequestDirective:
+    """Base of the answers to the front end about one request."""
+
+    request_id: RequestId
+
+
+@frozen
+class BodyWanted(RequestDirective):
+    """Route and key are accepted; send the first part of the body."""
+
+    max_body_bytes: int
+
+
+@frozen
+class Assigned(RequestDirective):
+    """Run an attempt at a server."""
+
+    attempt: int
+    service: ServiceId
+    route: RouteId
+    workspace: WorkspaceId
+    server: ServerId
+    address: Address
+    deadline: float
+    """Monotonic seconds at which the caller's time is over."""
+
+    attempt_timeout: float
+    """Seconds to wait for the response head."""
+
+    hold_bytes: int
+    """Responses up to this size are held until whole."""
+
+    idempotent: bool
+    max_body_bytes: int
+    connection_limit: int
+    """Connections that this host may have to the server."""
+
+    key_query_parameter: str | None = None
+
+
+@frozen
+class Deliver(RequestDirective):
+    """Pass the held 5xx response of an attempt on; it is not retried."""
+
+    attempt: int
+
+
+@frozen
+class Refused(RequestDirective):
+    """Answer the caller with a refusal."""
+
+    refusal: Refusal
+
+
+@frozen
+class KeysWithdrawn:
+    """Close the connections whose last request used one of these keys."""
+
+    digests: frozenset[bytes] = Factory(frozenset)
--- /dev/null
+++ b/src/catkinspan/protocol/http/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP semantics of the callers' and the upstreams' side, without I/O."""
--- /dev/null
+++ b/src/catkinspan/protocol/http/const.py
@@ -0,0 +1,33 @@
+"""Header names and limits."""
+
+from typing import Final
+
+REQUEST_ID: Final = b"x-request-id"
+REQUEST_RAN: Final = b"x-request-ran"
+DEADLINE_MS: Final = b"x-deadline-ms"
+ATTEMPT: Final = b"x-attempt"
+DRAINING: Final = b"x-draining"
+API_KEY: Final = b"x-api-key"
+AUTHORIZATION: Final = b"authorization"
+IDEMPOTENCY_KEY: Final = b"idempotency-key"
+
+HOP_BY_HOP: Final = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"proxy-connection",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+    }
+)
+"""Headers that concern one connection only (RFC 9110, section 7.6.1)."""
+
+BODY_PREFIX_BYTES: Final = 64 * 1024
+"""Part of a request body that is read before admission and can be sent again."""
+
+MAX_IDEMPOTENCY_KEY_BYTES: Final = 256
+MAX_HEADERS: Final = 200
--- /dev/null
+++ b/src/catkinspan/protocol/http/heads.py
@@ -0,0 +1,162 @@
+"""Checks of a caller's request head."""
+
+import re
+from datetime import timedelta
+from urllib.parse import parse_qsl, urlsplit
+
+import h11
+from attrs import field, frozen
+from result import Err, Ok, Result
+
+from catkinspan.coordination.requests.errors import Refusal, RefusalKind
+from catkinspan.protocol.http.const import (
+    DEADLINE_MS,
+    IDEMPOTENCY_KEY,
+    MAX_HEADERS,
+    MAX_IDEMPOTENCY_KEY_BYTES,
+)
+from catkinspan.protocol.http.keys import presented_keys
+
+Headers = list[tuple[bytes, bytes]]
+
+_HOST = re.compile(rb"^(\[[0-9a-fA-F:.]+\]|[A-Za-z0-9._-]+)(:\d{1,5})?$")
+_MAX_DEADLINE_MS = 24 * 3600 * 1000
+
+
+@frozen
+class CallerHead:
+    """A checked request head."""
+
+    method: str
+    path: str
+    """Path as the caller wrote it, still percent-encoded."""
+
+    raw_query: str = field(repr=False)
+    query: dict[str, str] = field(repr=False)
+    host: str
+    headers: Headers = field(repr=False)
+    content_length: int | None
+    """Bytes of the body; None for a chunked body."""
+
+    expects_continue: bool
+    presented_key: str | None = field(repr=False)
+    idempotency_key: str | None
+    deadline: timedelta | None
+
+    @property
+    def has_body(self) -> bool:
+        """Return whether a body follows."""
+        return self.content_length != 0
+
+
+def bad_request(message: str, remedy: str) -> Refusal:
+    """Return the refusal of a malformed request."""
+    return Refusal(RefusalKind.BAD_REQUEST, message, remedy)
+
+
+def check_head(request: h11.Request) -> Result[CallerHead, Refusal]:
+    """Return the checked head, or the refusal to answer with."""
+    headers: Headers = list(request.headers)
+    if len(headers) > MAX_HEADERS:
+        message = f"more than {MAX_HEADERS} headers"
+        return Err(Refusal(RefusalKind.HEADER_TOO_LARGE, message, "send fewer headers"))
+    if request.method == b"CONNECT":
+        return Err(bad_request("CONNECT is not served", "send an ordinary request"))
+    target = _split_target(request.target)
+    if isinstance(target, Err):
+        return target
+    path, raw_query, authority = target.ok_value
+    host = _check_host(headers, authority)
+    if isinstance(host, Err):
+        return host
+    length = _body_length(headers)
+    if isinstance(length, Err):
+        return length
+    keys = presented_keys(headers)
+    if len(keys) > 1:
+        remedy = "send the key once, in Authorization or in X-Api-Key"
+        return Err(bad_request("two different keys in the headers", remedy))
+    idempotency_key = _single(headers, IDEMPOTENCY_KEY)
+    if len(idempotency_key or b"") > MAX_IDEMPOTENCY_KEY_BYTES:
+        remedy = f"send at most {MAX_IDEMPOTENCY_KEY_BYTES} bytes"
+        return Err(bad_request("Idempotency-Key is too long", remedy))
+    deadline = _deadline(headers)
+    if isinstance(deadline, Err):
+        return deadline
+    return Ok(
+        CallerHead(
+            method=request.method.decode("ascii"),
+            path=path,
+            raw_query=raw_query,
+            query=dict(parse_qsl(raw_query, keep_blank_values=True)),
+            host=host.ok_value,
+            headers=headers,
+            content_length=length.ok_value,
+            expects_continue=_expects_continue(headers, request.http_version),
+            presented_key=next(iter(keys), None),
+            idempotency_key=_decode_optional(idempotency_key),
+            deadline=deadline.ok_value,
+        )
+    )
+
+
+def _split_target(target: bytes) -> Result[tuple[str, str, bytes | None], Refusal]:
+    text = target.decode("ascii", "replace")
+    if text.startswith("/"):
+        path, _, query = text.partition("?")
+        return Ok((path, query, None))
+    if text == "*":
+        return Ok(("*", "", None))
+    try:
+        parts = urlsplit(text)
+    except ValueError:
+        parts = urlsplit("")
+    if parts.scheme not in {"http", "https"} or not parts.netloc:
+        return Err(bad_request("invalid request target", "send a path such as /parts"))
+    return Ok((parts.path or "/", parts.query, parts.netloc.encode()))
+
+
+def _check_host(headers: Headers, authority: bytes | None) -> Result[str, Refusal]:
+    host = authority if authority is not None else _single(headers, b"host") or b""
+    remedy = "send one Host header with a host name"
+    # HTTP/1.0 callers may leave Host out.
+    if host and not _HOST.match(host):
+        return Err(bad_request("invalid Host header", remedy))
+    name = host.decode("ascii").lower()
+    if name.startswith("["):
+        return Ok(name.partition("]")[0] + "]")
+    return Ok(name.partition(":")[0])
+
+
+def _body_length(headers: Headers) -> Result[int | None, Refusal]:
+    lengths = {value for name, value in headers if name == b"content-length"}
+    encodings = [value for name, value in headers if name == b"transfer-encoding"]
+    if lengths and encodings:
+        remedy = "send only one of Content-Length and Transfer-Encoding"
+        return Err(bad_request("ambiguous body length", remedy))
+    if encodings:
+        return Ok(None)
+    return Ok(int(next(iter(lengths))) if lengths else 0)
+
+
+def _deadline(headers: Headers) -> Result[timedelta | None, Refusal]:
+    value = _single(headers, DEADLINE_MS)
+    if value is None:
+        return Ok(None)
+    if not value.isdigit() or not 0 < int(value[:12]) <= _MAX_DEADLINE_MS:
+        remedy = f"send whole milliseconds from 1 to {_MAX_DEADLINE_MS}"
+        return Err(bad_request("invalid X-Deadline-Ms header", remedy))
+    return Ok(timedelta(milliseconds=int(value)))
+
+
+def _expects_continue(headers: Headers, version: bytes) -> bool:
+    expect = _single(headers, b"expect") or b""
+    return version >= b"1.1" and expect.lower() == b"100-continue"
+
+
+def _single(headers: Headers, name: bytes) -> bytes | None:
+    return next((value for key, value in headers if key == name), None)
+
+
+def _decode_optional(value: bytes | None) -> str | None:
+    return None if value is None else value.decode("latin-1")
--- /dev/null
+++ b/src/catkinspan/protocol/http/keys.py
@@ -0,0 +1,63 @@
+"""Where callers may put their key, and its removal from what goes upstream."""
+
+import hashlib
+from collections.abc import Iterable
+from urllib.parse import parse_qsl, unquote, urlencode
+
+from catkinspan.protocol.http.const import API_KEY, AUTHORIZATION
+
+_BEARER = b"bearer "
+
+
+def presented_keys(headers: Iterable[tuple[bytes, bytes]]) -> set[str]:
+    """Return the distinct keys in the headers that may carry one."""
+    keys = set()
+    for name, value in headers:
+        if name == API_KEY:
+            keys.add(value.strip().decode("latin-1"))
+        if name == AUTHORIZATION and value[: len(_BEARER)].lower() == _BEARER:
+            keys.add(value[len(_BEARER) :].strip().decode("latin-1"))
+    return keys
+
+
+def key_digest(key: str) -> bytes:
+    """Return the SHA-256 digest under which a key is published."""
+    return hashlib.sha256(key.encode()).digest()
+
+
+def without_key_headers(
+    headers: Iterable[tuple[bytes, bytes]], key: str | None
+) -> list[tuple[bytes, bytes]]:
+    """Return the headers without those that may carry a key.
+
+    A header with the presented key anywhere in its value, such as a cookie or a
+    referrer, is left out too.
+    """
+    secret = key.encode("latin-1", "replace") if key else None
+    return [
+        (name, value)
+        for name, value in headers
+        if name not in (API_KEY, AUTHORIZATION)
+        and (secret is None or secret not in value)
+    ]
+
+
+def query_without_key(raw_query: str, parameter: str | None, key: str | None) -> str:
+    """Return the query without the key's parameter and without the key's value.
+
+    The query stays byte for byte as it was if nothing is removed.
+    """
+    if not raw_query:
+        return raw_query
+    pairs = parse_qsl(raw_query, keep_blank_values=True)
+    kept = [
+        (name, value)
+        for name, value in pairs
+        if name != parameter and (not key or (key not in value and key not in name))
+    ]
+    return raw_query if len(kept) == len(pairs) else urlencode(kept)
+
+
+def path_holds_key(path: str, key: str | None) -> bool:
+    """Return whether a path contains the presented key, encoded or not."""
+    return bool(key) and (str(key) in path or str(key) in unquote(path))
--- /dev/null
+++ b/src/catkinspan/protocol/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Codec of the messages between hosts."""
--- /dev/null
+++ b/src/catkinspan/protocol/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Checks and decoding of JSON settings: the settings tree and node settings."""
--- /dev/null
+++ b/src/catkinspan/protocol/settings/node.py
@@ -0,0 +1,95 @@
+"""Decoding of a host's settings file."""
+
+from datetime import timedelta
+from pathlib import Path
+from typing import Any
+
+from attrs import fields
+from result import Err, Ok, Result
+
+from catkinspan.coordination.configuration.errors import SettingsFault
+from catkinspan.protocol.settings.reader import FaultList, ObjectReader, decode_json
+from catkinspan.state.ids import DataCentre, HostId
+from catkinspan.state.node import HttpLimits, NodeSettings, TlsFiles, node_json_name
+from catkinspan.state.tree import Address
+
+DEFAULT_OPERATORS = Address("127.0.0.1", 9900)
+_HIGHEST_LIMIT = 1 << 30
+
+
+def parse_node_settings(
+    text: str | bytes,
+) -> Result[NodeSettings, tuple[SettingsFault, ...]]:
+    """Return the checked settings of a host, or every fault found."""
+    decoded = decode_json(text, "(document)")
+    if isinstance(decoded, Err):
+        return Err((decoded.err_value,))
+    faults = FaultList()
+    reader = ObjectReader(decoded.ok_value, "", faults)
+    settings = _read_node(reader)
+    reader.close()
+    if faults.faults:
+        return Err(tuple(faults.faults))
+    return Ok(settings)
+
+
+def _read_node(reader: ObjectReader) -> NodeSettings:
+    peers = reader.address("peers")
+    return NodeSettings(
+        host_id=HostId(reader.string("host_id")),
+        data_centre=DataCentre(reader.string("data_centre")),
+        callers=reader.address("callers"),
+        operators=reader.address("operators", DEFAULT_OPERATORS),
+        peers=peers,
+        peer_address=reader.address("peer_address", peers),
+        platform=reader.address("platform"),
+        http=_read_http(reader.child("http")),
+        drain=reader.duration_ms("drain_ms", timedelta(seconds=30)),
+        drain_notice=reader.duration_ms("drain_notice_ms", timedelta(seconds=2)),
+        callers_tls=_read_tls(reader, "callers_tls"),
+        upstreams_tls=_read_tls(reader, "upstreams_tls"),
+        peers_tls=_read_tls(reader, "peers_tls"),
+        probe_interval=_read_probe_interval(reader),
+        seed=_read_seed(reader),
+    )
+
+
+def _read_http(reader: ObjectReader) -> HttpLimits:
+    values: dict[str, Any] = {}
+    for attribute in fields(HttpLimits):
+        name = node_json_name(attribute)
+        if isinstance(attribute.default, timedelta):
+            values[attribute.name] = reader.duration_ms(name, attribute.default)
+        else:
+            values[attribute.name] = reader.integer(
+                name, attribute.default, 1, _HIGHEST_LIMIT
+            )
+    reader.close()
+    return HttpLimits(**values)
+
+
+def _read_tls(reader: ObjectReader, name: str) -> TlsFiles | None:
+    if not reader.has(name):
+        return None
+    child = reader.child(name)
+    paths = {
+        part: Path(child.string(part)) if child.has(part) else None
+        for part in ("certificate", "key", "authority")
+    }
+    child.close()
+    if (paths["certificate"] is None) != (paths["key"] is None):
+        remedy = "name both `certificate` and `key`, or neither"
+        reader.fault(name, "only one of certificate and key is named", remedy)
+    return TlsFiles(**paths)
+
+
+def _read_probe_interval(reader: ObjectReader) -> timedelta | None:
+    if reader.has("probe_interval_ms") and reader.raw("probe_interval_ms") is None:
+        return None
+    return reader.duration_ms("probe_interval_ms", timedelta(seconds=5))
+
+
+def _read_seed(reader: ObjectReader) -> int | None:
+    if not reader.has("seed"):
+        return None
+    return reader.integer("seed", None, 0, 1 << 62)
--- /dev/null
+++ b/src/catkinspan/protocol/settings/tree.py
@@ -0,0 +1,387 @@
+"""Decoding of the published documents into the settings tree.
+
+Operators write one JSON file; `split_documents` cuts it into the documents that the
+platform's service publishes, each of which stays below the service's 1 MB:
+
+- ``root``: ``fleet`` limits and ``defaults``,
+- ``services/NAME``: settings, upstreams and routes of one service,
+- ``workspaces/SHARD``: workspaces with keys and limits,
+- ``hosts``: the entry hosts.
+"""
+
+from collections import Counter
+from collections.abc import Mapping
+from typing import Any
+
+import orjson
+import xxhash
+from attrs import frozen
+from result import Err, Ok, Result
+
+from catkinspan.coordination.configuration.errors import (
+    RejectedConfiguration,
+    SettingsFault,
+)
+from catkinspan.coordination.configuration.models import Document, ParsedDocuments
+from catkinspan.protocol.settings.policy import InheritedPolicy, read_policy
+from catkinspan.protocol.settings.reader import FaultList, ObjectReader, decode_json
+from catkinspan.state.hosts import HostList, ListedHost
+from catkinspan.state.ids import (
+    DataCentre,
+    HostId,
+    KeyId,
+    Revision,
+    RouteId,
+    ServerId,
+    ServiceId,
+    WorkspaceId,
+)
+from catkinspan.state.tree import (
+    FleetSettings,
+    KeyEntry,
+    Route,
+    RouteMatch,
+    Service,
+    SettingsTree,
+    Upstream,
+    Workspace,
+)
+
+ROOT = "root"
+HOSTS = "hosts"
+SERVICES_PREFIX = "services/"
+WORKSPACES_PREFIX = "workspaces/"
+WORKSPACE_DOCUMENTS = 16
+"""Documents that workspaces are split into: 26,000 workspaces of about 200 bytes
+make 16 documents of about 325 KB, below the service's limit of 1 MB."""
+
+DIGEST_BYTES = 32
+MAX_RATE = 1e9
+MAX_SLOTS = 10_000
+
+
+@frozen
+class _Root:
+    fleet: FleetSettings
+    defaults: InheritedPolicy
+
+
+@frozen
+class _ServiceContent:
+    service: Service
+    routes: tuple[Route, ...]
+
+
+def read_root(value: object, faults: FaultList) -> _Root:
+    """Read the ``root`` document."""
+    reader = ObjectReader(value, ROOT, faults)
+    fleet = _read_fleet(reader.child("fleet"))
+    defaults = read_policy(reader.child("defaults"), InheritedPolicy(), "root")
+    reader.close()
+    return _Root(fleet, defaults)
+
+
+def _read_fleet(reader: ObjectReader) -> FleetSettings:
+    standard = FleetSettings()
+    isolation = standard.isolation
+    if reader.has("isolation_ms") and reader.raw("isolation_ms") is None:
+        isolation = None
+    elif isolation is not None:
+        isolation = reader.duration_ms("isolation_ms", isolation)
+    fleet = FleetSettings(
+        max_hosts=reader.integer("max_hosts", standard.max_hosts, 1, 100_000),
+        isolation=isolation,
+        rate_shards=reader.integer("rate_shards", standard.rate_shards, 1, 4096),
+    )
+    reader.close()
+    return fleet
+
+
+def read_service(
+    name: str, value: object, defaults: InheritedPolicy, faults: FaultList
+) -> _ServiceContent:
+    """Read a ``services/NAME`` document."""
+    service_id = ServiceId(name)
+    reader = ObjectReader(value, SERVICES_PREFIX + name, faults)
+    inherited = read_policy(reader.child("settings"), defaults, f"service {name}")
+    upstreams = tuple(_read_upstream(item) for item in reader.items("upstreams"))
+    _check_unique(reader, "upstreams", [upstream.id for upstream in upstreams])
+    routes = tuple(
+        _read_route(service_id, key, child, inherited)
+        for key, child in reader.children("routes")
+    )
+    reader.close()
+    return _ServiceContent(Service(service_id, upstreams, inherited.policy), routes)
+
+
+def _read_upstream(reader: ObjectReader) -> Upstream:
+    upstream = Upstream(
+        id=ServerId(reader.string("id")),
+        address=reader.address("address"),
+        data_centre=DataCentre(reader.string("data_centre")),
+        slots=reader.integer("slots", None, 1, MAX_SLOTS),
+        max_connections=reader.integer("max_connections", 350, 1, 1_000_000),
+        leaving=reader.boolean("leaving", False),
+    )
+    reader.close()
+    return upstream
+
+
+def _read_route(
+    service: ServiceId, name: str, reader: ObjectReader, parent: InheritedPolicy
+) -> Route:
+    route_id = RouteId(f"{service}/{name}")
+    match = _read_match(reader.child("match"))
+    inherited = read_policy(reader.child("settings"), parent, f"route {route_id}")
+    reader.close()
+    return Route(route_id, service, match, inherited.policy, inherited.origins)
+
+
+def _read_match(reader: ObjectReader) -> RouteMatch:
+    prefix = reader.string("path_prefix")
+    if prefix and not prefix.startswith("/"):
+        reader.fault("path_prefix", "does not start with /", 'write "/path"')
+    host = reader.string("host").lower() if reader.has("host") else None
+    methods = frozenset(method.upper() for method in reader.strings("methods"))
+    reader.close()
+    return RouteMatch(prefix, methods, host)
+
+
+def read_workspaces(
+    name: str, value: object, faults: FaultList
+) -> dict[WorkspaceId, Workspace]:
+    """Read a ``workspaces/SHARD`` document: an object of workspaces by id."""
+    document = ObjectReader({name: value}, "", faults)
+    return {
+        WorkspaceId(key): _read_workspace(key, child)
+        for key, child in document.children(name)
+    }
+
+
+def _read_workspace(name: str, reader: ObjectReader) -> Workspace:
+    keys = tuple(_read_key(item) for item in reader.items("keys"))
+    _check_unique(reader, "keys", [key.id for key in keys])
+    workspace = Workspace(
+        id=WorkspaceId(name),
+        keys=keys,
+        rate=reader.number("rate", None, 0.0, MAX_RATE),
+        burst=reader.number("burst", None, 1.0, MAX_RATE),
+        weight=reader.number("weight", 1.0, 0.001, 1e6),
+        max_in_flight=reader.integer("max_in_flight", 1000, 1, 1_000_000),
+    )
+    reader.close()
+    return workspace
+
+
+def _read_key(reader: ObjectReader) -> KeyEntry:
+    remedy = "write the 64 hexadecimal digits that `catkinspan key hash` prints"
+    digest = reader.convert("sha256", b"", _digest, remedy)
+    if not digest:
+        reader.fault("sha256", "missing key hash", remedy)
+    entry = KeyEntry(KeyId(reader.string("id")), digest)
+    reader.close()
+    return entry
+
+
+def _digest(value: Any) -> bytes:
+    digest = bytes.fromhex(value)
+    if len(digest) != DIGEST_BYTES:
+        raise ValueError(value)
+    return digest
+
+
+def read_hosts(value: object, revision: Revision, faults: FaultList) -> HostList:
+    """Read the ``hosts`` document."""
+    reader = ObjectReader(value, HOSTS, faults)
+    hosts = [_read_host(item) for item in reader.items("hosts")]
+    _check_unique(reader, "hosts", [host.id for host in hosts])
+    reader.close()
+    return HostList(revision, {host.id: host for host in hosts})
+
+
+def _read_host(reader: ObjectReader) -> ListedHost:
+    host = ListedHost(
+        id=HostId(reader.string("id")),
+        data_centre=DataCentre(reader.string("data_centre")),
+        peer_address=reader.address("peer_address"),
+        leaving=reader.boolean("leaving", False),
+    )
+    reader.close()
+    return host
+
+
+def _check_unique(reader: ObjectReader, name: str, ids: list[Any]) -> None:
+    for repeated in (item for item, times in Counter(ids).items() if times > 1):
+        reader.fault(name, f"id {repeated!r} stands twice", "give each its own id")
+
+
+class TreeParser:
+    """Builds the settings tree; unchanged documents are not parsed again."""
+
+    def __init__(self) -> None:
+        self._root: tuple[Revision, _Root] | None = None
+        self._services: dict[str, tuple[Revision, _ServiceContent]] = {}
+        self._workspaces: dict[str, tuple[Revision, dict[WorkspaceId, Workspace]]] = {}
+        self._hosts: tuple[Revision, HostList] | None = None
+
+    def parse(
+        self, documents: Mapping[str, Document], revision: Revision
+    ) -> Result[ParsedDocuments, RejectedConfiguration]:
+        """Return the whole checked configuration, or every fault found.
+
+        A rejected configuration leaves the remembered documents as they were.
+        """
+        draft = self._copy()
+        faults = FaultList()
+        parsed = draft._build(documents, revision, faults)
+        if faults.faults:
+            return Err(RejectedConfiguration(revision, tuple(faults.faults)))
+        self._root, self._hosts = draft._root, draft._hosts
+        self._services, self._workspaces = draft._services, draft._workspaces
+        return Ok(parsed)
+
+    def _copy(self) -> "TreeParser":
+        copy = TreeParser()
+        copy._root, copy._hosts = self._root, self._hosts
+        copy._services = dict(self._services)
+        copy._workspaces = dict(self._workspaces)
+        return copy
+
+    def _build(
+        self,
+        documents: Mapping[str, Document],
+        revision: Revision,
+        faults: FaultList,
+    ) -> ParsedDocuments:
+        self._read_root_document(documents.get(ROOT), faults)
+        for name, document in documents.items():
+            self._read_document(name, document, faults)
+        self._services = {n: c for n, c in self._services.items() if n in documents}
+        self._workspaces = {n: c for n, c in self._workspaces.items() if n in documents}
+        return ParsedDocuments(self._assemble(revision, faults), self._host_list())
+
+    def _read_root_document(self, document: Document | None, faults: FaultList) -> None:
+        if document is None:
+            faults.add(ROOT, "document is missing", "publish the document `root`")
+            self._root = (Revision(0), read_root({}, FaultList()))
+            return
+        if self._root is not None and self._root[0] == document.revision:
+            return
+        value = _decode(document, faults)
+        self._root = (document.revision, read_root(value, faults))
+        # Services inherit from the root, so they are resolved again.
+        self._services.clear()
+
+    def _read_document(self, name: str, document: Document, faults: FaultList) -> None:
+        revision = document.revision
+        if name.startswith(SERVICES_PREFIX):
+            known = self._services.get(name)
+            if known is None or known[0] != revision:
+                assert self._root is not None
+                content = read_service(
+                    name.removeprefix(SERVICES_PREFIX),
+                    _decode(document, faults),
+                    self._root[1].defaults,
+                    faults,
+                )
+                self._services[name] = (revision, content)
+        elif name.startswith(WORKSPACES_PREFIX):
+            shard = self._workspaces.get(name)
+            if shard is None or shard[0] != revision:
+                value = _decode(document, faults)
+                self._workspaces[name] = (
+                    revision,
+                    read_workspaces(name, value, faults),
+                )
+        elif name == HOSTS:
+            if self._hosts is None or self._hosts[0] != revision:
+                value = _decode(document, faults)
+                self._hosts = (revision, read_hosts(value, revision, faults))
+        elif name != ROOT:
+            faults.add(name, "unknown document", "remove it or correct its name")
+
+    def _host_list(self) -> HostList:
+        return HostList() if self._hosts is None else self._hosts[1]
+
+    def _assemble(self, revision: Revision, faults: FaultList) -> SettingsTree:
+        assert self._root is not None
+        contents = [content for _, content in self._services.values()]
+        workspaces: dict[WorkspaceId, Workspace] = {}
+        for name, (_, shard) in self._workspaces.items():
+            for repeated in workspaces.keys() & shard.keys():
+                message = f"workspace {repeated!r} stands in another document too"
+                faults.add(name, message, "remove one of the two")
+            workspaces.update(shard)
+        _check_keys(workspaces, faults)
+        return SettingsTree(
+            revision=revision,
+            fleet=self._root[1].fleet,
+            services={content.service.id: content.service for content in contents},
+            routes={route.id: route for c in contents for route in c.routes},
+            workspaces=workspaces,
+        )
+
+
+def _decode(document: Document, faults: FaultList) -> object:
+    decoded = decode_json(document.text, document.name)
+    if isinstance(decoded, Ok):
+        return decoded.ok_value
+    faults.faults.append(decoded.err_value)
+    return {}
+
+
+def _check_keys(workspaces: Mapping[WorkspaceId, Workspace], faults: FaultList) -> None:
+    """Refuse one key hash in two workspaces: a key must name one workspace."""
+    owners: dict[bytes, WorkspaceId] = {}
+    for workspace in workspaces.values():
+        for key in workspace.keys:
+            first = owners.setdefault(key.digest, workspace.id)
+            if first != workspace.id:
+                message = f"key {key.id!r} is also a key of workspace {first!r}"
+                remedy = "give each workspace keys of its own"
+                faults.add(f"workspaces/{workspace.id}/keys", message, remedy)
+
+
+def split_documents(tree: object) -> Result[dict[str, str], tuple[SettingsFault, ...]]:
+    """Split an operators' settings file into the documents to publish."""
+    faults = FaultList()
+    reader = ObjectReader(tree, "", faults)
+    documents: dict[str, object] = {
+        ROOT: {
+            "fleet": reader.raw("fleet") or {},
+            "defaults": reader.raw("defaults") or {},
+        },
+        HOSTS: {"hosts": reader.raw("hosts") or []},
+    }
+    services = reader.child("services")
+    for name in services.names():
+        documents[SERVICES_PREFIX + name] = services.raw(name)
+    workspaces = reader.child("workspaces")
+    shards: dict[str, dict[str, object]] = {}
+    for name in workspaces.names():
+        shard = xxhash.xxh64_intdigest(name.encode()) % WORKSPACE_DOCUMENTS
+        shards.setdefault(f"{WORKSPACES_PREFIX}{shard}", {})[name] = workspaces.raw(
+            name
+        )
+    documents.update(shards)
+    reader.close()
+    if faults.faults:
+        return Err(tuple(faults.faults))
+    return Ok({name: orjson.dumps(value).decode() for name, value in documents.items()})
+
+
+def check_tree(text: str | bytes) -> Result[ParsedDocuments, tuple[SettingsFault, ...]]:
+    """Check an operators' settings file, as `catkinspan check` does."""
+    decoded = decode_json(text, "(document)")
+    if isinstance(decoded, Err):
+        return Err((decoded.err_value,))
+    split = split_documents(decoded.ok_value)
+    if isinstance(split, Err):
+        return split
+    revision = Revision(1)
+    documents = {
+        name: Document(name, revision, content)
+        for name, content in split.ok_value.items()
+    }
+    parsed = TreeParser().parse(documents, revision)
+    return parsed.map_err(lambda rejected: rejected.faults)
--- /dev/null
+++ b/src/catkinspan/transport/callers/__init__.py
@@ -0,0 +1,1 @@
+"""The callers' listener and its connections."""
--- /dev/null
+++ b/src/catkinspan/transport/callers/connection.py
@@ -0,0 +1,168 @@
+"""The task that owns one caller's connection."""
+
+import asyncio
+import ssl
+from collections.abc import Callable
+from typing import Any
+
+import h11
+from loguru import logger
+from result import Err
+
+from catkinspan.coordination.clock import Clock
+from catkinspan.coordination.requests.errors import Refusal, RefusalKind
+from catkinspan.coordination.requests.models import KeysWithdrawn
+from catkinspan.protocol.http.heads import CallerHead, bad_request, check_head
+from catkinspan.protocol.http.responses import refusal_response
+from catkinspan.state.ids import RequestId
+from catkinspan.state.node import HttpLimits
+from catkinspan.transport.callers.exchange import Exchange
+from catkinspan.transport.callers.messages import Drain, RequestRecord
+from catkinspan.transport.callers.stream import CallerStream
+from catkinspan.transport.mailbox import Mailbox
+from catkinspan.transport.socket_port import SocketClosed, SocketData, SocketPort
+from catkinspan.transport.upstreams.pool import PoolMessage
+
+
+class ConnectionClosedError(Exception):
+    """The caller's connection is closed."""
+
+
+class CallerConnection:
+    """Reads requests one after another and runs an `Exchange` for each."""
+
+    def __init__(
+        self,
+        port: SocketPort,
+        mailbox: Mailbox[Any],
+        host: Mailbox[Any],
+        pool: Mailbox[PoolMessage],
+        limits: HttpLimits,
+        clock: Clock,
+        new_request_id: Callable[[], RequestId],
+        tls: ssl.SSLContext | None = None,
+    ) -> None:
+        self._port = port
+        self._mailbox = mailbox
+        self._host = host
+        self._pool = pool
+        self._limits = limits
+        self._clock = clock
+        self._new_request_id = new_request_id
+        self._tls = tls
+        self._stream = CallerStream(port, limits.header_bytes)
+        self._draining = False
+        self._last_key_digest: bytes | None = None
+
+    async def async_run(self) -> None:
+        """Serve the connection until it ends."""
+        try:
+            while await self._async_serve_one():
+                self._stream.start_next_cycle()
+        except ConnectionClosedError:
+            pass
+        except asyncio.CancelledError:
+            self._port.abort()
+            raise
+        finally:
+            self._port.close()
+
+    async def _async_serve_one(self) -> bool:
+        """Serve one request; return whether another may follow."""
+        try:
+            request = await self._async_read_head()
+        except h11.RemoteProtocolError as error:
+            self._refuse_malformed(error)
+            return False
+        if request is None:
+            return False
+        request_id = self._new_request_id()
+        checked = check_head(request)
+        if isinstance(checked, Err):
+            self._refuse(request_id, checked.err_value)
+            return False
+        return await self._async_exchange(request_id, checked.ok_value)
+
+    async def _async_read_head(self) -> h11.Request | None:
+        idle_end = self._clock.monotonic() + self._limits.idle_timeout.total_seconds()
+        head_end: float | None = None
+        while True:
+            event = self._stream.next_event()
+            if isinstance(event, h11.Request):
+                return event
+            if event is not h11.NEED_DATA:
+                return None
+            if head_end is None and self._stream.has_begun:
+                timeout = self._limits.header_timeout.total_seconds()
+                head_end = self._clock.monotonic() + timeout
+            if self._draining and head_end is None:
+                return None
+            message = await self._mailbox.async_get_until(head_end or idle_end)
+            if message is None:
+                self._refuse_slow_head(head_end)
+                return None
+            self._handle_idle(message)
+
+    def _handle_idle(self, message: object) -> None:
+        match message:
+            case SocketData():
+                self._stream.receive(message)
+            case SocketClosed():
+                raise ConnectionClosedError
+            case Drain():
+                self._draining = True
+            case KeysWithdrawn(digests):
+                if self._last_key_digest in digests:
+                    raise ConnectionClosedError
+            case _:
+                # Late messages of the last exchange, such as the end of a hedge.
+                pass
+
+    async def _async_exchange(self, request_id: RequestId, head: CallerHead) -> bool:
+        exchange = Exchange(
+            request_id=request_id,
+            head=head,
+            stream=self._stream,
+            mailbox=self._mailbox,
+            host=self._host,
+            pool=self._pool,
+            limits=self._limits,
+            clock=self._clock,
+            tls=self._tls,
+            draining=self._draining,
+        )
+        with logger.contextualize(request_id=request_id):
+            record = await exchange.async_run()
+        self._host.force(record)
+        self._draining = exchange.is_draining
+        self._last_key_digest = exchange.key_digest
+        return exchange.can_continue
+
+    def _refuse_malformed(self, error: h11.RemoteProtocolError) -> None:
+        refusal = bad_request(f"malformed request: {error}", "send valid HTTP/1.1")
+        if error.error_status_hint == 431:
+            limit = f"the head is larger than {self._limits.header_bytes} bytes"
+            remedy = "send fewer or shorter headers"
+            refusal = Refusal(RefusalKind.HEADER_TOO_LARGE, limit, remedy)
+        self._refuse(self._new_request_id(), refusal)
+
+    def _refuse_slow_head(self, head_end: float | None) -> None:
+        if head_end is None:
+            return
+        refusal = Refusal(
+            RefusalKind.REQUEST_TIMEOUT,
+            "the request head did not arrive in time",
+            "send the whole head at once",
+        )
+        self._refuse(self._new_request_id(), refusal)
+
+    def _refuse(self, request_id: RequestId, refusal: Refusal) -> None:
+        """Answer before the request reached the host task, and close."""
+        if self._stream.http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
+            return
+        response, body = refusal_response(refusal, request_id, close=True)
+        self._stream.send(response, h11.Data(data=body), h11.EndOfMessage())
+        record = RequestRecord(
+            request_id, "", "", response.status_code, refusal.kind, 0.0, 0
+        )
+        self._host.force(record)
--- /dev/null
+++ b/src/catkinspan/transport/callers/const.py
@@ -0,0 +1,7 @@
+"""Constants of the callers' side."""
+
+CONNECTION_INBOX = 16
+"""Messages in a connection's inbox before attempts wait with response data."""
+
+HOLD_SECONDS = 1.0
+"""Time after which a held response is streamed, so that event streams flow."""
--- /dev/null
+++ b/src/catkinspan/transport/callers/messages.py
@@ -0,0 +1,50 @@
+"""Messages between the connection tasks and the host task."""
+
+from typing import Any
+
+from attrs import frozen
+
+from catkinspan.coordination.requests.models import (
+    AttemptFinished,
+    BodyReceived,
+    RequestAbandoned,
+    RequestArrived,
+)
+from catkinspan.transport.mailbox import Mailbox
+
+RequestMessage = RequestArrived | BodyReceived | AttemptFinished | RequestAbandoned
+
+
+@frozen
+class Submit:
+    """A request, with the inbox for the directives about it."""
+
+    arrived: RequestArrived
+    reply: Mailbox[Any]
+
+
+@frozen
+class Progress:
+    """A later message about a submitted request."""
+
+    message: BodyReceived | AttemptFinished | RequestAbandoned
+
+
+@frozen
+class Drain:
+    """Finish the running request, answer `Connection: close`, then close."""
+
+
+@frozen
+class RequestRecord:
+    """One finished exchange with a caller, for metrics and the access log."""
+
+    request_id: str
+    service: str
+    workspace: str
+    status: int
+    kind: str
+    """Kind of the refusal, or `passed`, or `cut` for a truncated answer."""
+
+    seconds: float
+    attempts: int
--- /dev/null
+++ b/src/catkinspan/transport/callers/stream.py
@@ -0,0 +1,73 @@
+"""A caller's connection as a stream of HTTP events."""
+
+from collections import deque
+
+import h11
+
+from catkinspan.transport.socket_port import SocketData, SocketPort
+
+_ServerEvent = h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]
+
+
+class CallerStream:
+    """Feeds received bytes to h11 only when it needs them.
+
+    Bytes that nobody asked for stay unacknowledged, so that the socket stops reading.
+    """
+
+    def __init__(self, port: SocketPort, max_head_bytes: int) -> None:
+        self._port = port
+        self._http = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=max_head_bytes
+        )
+        self._received: deque[SocketData] = deque()
+        self._begun = False
+
+    @property
+    def port(self) -> SocketPort:
+        """Return the socket."""
+        return self._port
+
+    @property
+    def http(self) -> h11.Connection:
+        """Return the HTTP state."""
+        return self._http
+
+    @property
+    def has_begun(self) -> bool:
+        """Return whether bytes of the next request have arrived."""
+        return self._begun or bool(self._received)
+
+    @property
+    def can_continue(self) -> bool:
+        """Return whether another request may follow on the connection."""
+        states = (self._http.our_state, self._http.their_state)
+        return states == (h11.DONE, h11.DONE)
+
+    def receive(self, message: SocketData) -> None:
+        """Keep received bytes until they are needed."""
+        self._received.append(message)
+
+    def next_event(self) -> _ServerEvent:
+        """Return the next event, or NEED_DATA if more bytes must arrive.
+
+        Raises h11.RemoteProtocolError on malformed input.
+        """
+        while True:
+            event = self._http.next_event()
+            if event is not h11.NEED_DATA or not self._received:
+                return event
+            message = self._received.popleft()
+            self._begun = True
+            self._port.consumed(len(message.data))
+            self._http.receive_data(message.data)
+
+    def send(self, *events: h11.Event) -> None:
+        """Write events to the socket."""
+        parts = [self._http.send(event) or b"" for event in events]
+        self._port.write(b"".join(parts))
+
+    def start_next_cycle(self) -> None:
+        """Prepare for the next request."""
+        self._begun = bool(self._http.trailing_data[0])
+        self._http.start_next_cycle()
--- /dev/null
+++ b/src/catkinspan/transport/upstreams/attempt.py
@@ -0,0 +1,352 @@
+"""The task that runs one attempt of a request at an upstream server."""
+
+import asyncio
+import ssl
+from typing import Any
+
+import h11
+from attrs import frozen
+
+from catkinspan.coordination.clock import Clock
+from catkinspan.coordination.outcomes import AttemptOutcome, OutcomeKind
+from catkinspan.coordination.requests.models import Assigned
+from catkinspan.protocol.http.upstream import ResponseSigns, UpstreamRequest
+from catkinspan.transport.mailbox import Mailbox
+from catkinspan.transport.socket_port import SocketClosed, SocketData
+from catkinspan.transport.upstreams.connection import (
+    UpstreamConnection,
+    async_open_connection,
+)
+from catkinspan.transport.upstreams.const import (
+    ATTEMPT_INBOX,
+    CONNECT_SECONDS,
+    FRESH_IDLE_SECONDS,
+    IDLE_SECONDS,
+)
+from catkinspan.transport.upstreams.pool import (
+    ConnectionGone,
+    ConnectionLimitReached,
+    GiveBack,
+    OpenPermit,
+    PoolMessage,
+    PoolReply,
+    TakeConnection,
+)
+
+
+@frozen
+class BodyChunk:
+    """The next piece of a request body."""
+
+    data: bytes
+    last: bool
+
+
+@frozen
+class AttemptEvent:
+    """Base of what an attempt reports to its request."""
+
+    attempt: int
+
+
+@frozen
+class BodyDemand(AttemptEvent):
+    """The attempt has sent all it has and wants the next piece of the body."""
+
+
+@frozen
+class AttemptHead(AttemptEvent):
+    """The response head arrived."""
+
+    response: h11.Response
+    outcome: AttemptOutcome
+    """OK or SERVER_ERROR, with the latency of the head."""
+
+
+@frozen
+class AttemptData(AttemptEvent):
+    """A piece of the response body arrived."""
+
+    data: bytes
+
+
+@frozen
+class AttemptEnd(AttemptEvent):
+    """The response is whole."""
+
+    outcome: AttemptOutcome
+
+
+@frozen
+class AttemptFailed(AttemptEvent):
+    """The attempt ended without a whole response."""
+
+    outcome: AttemptOutcome
+
+
+@frozen
+class AttemptSpec:
+    """What an attempt sends."""
+
+    assigned: Assigned
+    request: UpstreamRequest
+    body_prefix: bytes
+    body_complete: bool
+    """Whether the prefix is the whole body."""
+
+    idempotent: bool
+
+
+class AttemptError(Exception):
+    """An attempt failed; carries the kind of its outcome."""
+
+    def __init__(self, kind: OutcomeKind) -> None:
+        super().__init__(kind)
+        self.kind = kind
+
+
+class AttemptTask:
+    """Takes a connection, sends the request and reports the response.
+
+    Cancelling the task closes the connection, which cancels the request at the
+    upstream.
+    """
+
+    def __init__(
+        self,
+        spec: AttemptSpec,
+        events: Mailbox[Any],
+        pool: Mailbox[PoolMessage],
+        clock: Clock,
+        tls: ssl.SSLContext | None = None,
+    ) -> None:
+        self._spec = spec
+        self._events = events
+        self._pool = pool
+        self._clock = clock
+        self._tls = tls
+        self._inbox: Mailbox[Any] = Mailbox(ATTEMPT_INBOX)
+        self._connection: UpstreamConnection | None = None
+        self._started = 0.0
+        self._head_latency: float | None = None
+        self._bytes_written = False
+        self._body_sent = False
+        self._draining = False
+        self._server_error = False
+        self._closes = False
+
+    @property
+    def inbox(self) -> Mailbox[Any]:
+        """Return the inbox for `BodyChunk` messages."""
+        return self._inbox
+
+    @property
+    def _attempt(self) -> int:
+        return self._spec.assigned.attempt
+
+    async def async_run(self) -> None:
+        """Run the attempt and report its end."""
+        try:
+            self._started = self._clock.monotonic()
+            self._connection = await self._async_connect()
+            await self._async_exchange(self._connection)
+        except AttemptError as error:
+            self._report_failure(error.kind)
+        except h11.ProtocolError:
+            self._report_failure(self._broken_kind())
+        finally:
+            self._close()
+
+    def _report_failure(self, kind: OutcomeKind) -> None:
+        self._events.force(AttemptFailed(self._attempt, self._outcome(kind)))
+
+    async def _async_connect(self) -> UpstreamConnection:
+        assigned = self._spec.assigned
+        reply: asyncio.Future[PoolReply] = asyncio.get_running_loop().create_future()
+        max_idle = IDLE_SECONDS if self._spec.idempotent else FRESH_IDLE_SECONDS
+        self._pool.force(
+            TakeConnection(
+                assigned.server,
+                assigned.connection_limit,
+                max_idle,
+                self._inbox,
+                reply,
+            )
+        )
+        try:
+            answer = await reply
+        except asyncio.CancelledError:
+            self._return_unused(reply)
+            raise
+        match answer:
+            case ConnectionLimitReached():
+                raise AttemptError(OutcomeKind.CONNECT_ERROR)
+            case OpenPermit(server):
+                return await self._async_open(server)
+            case UpstreamConnection():
+                return answer
+
+    def _return_unused(self, reply: "asyncio.Future[PoolReply]") -> None:
+        if not reply.done() or reply.cancelled():
+            return
+        answer = reply.result()
+        if isinstance(answer, UpstreamConnection):
+            self._connection = answer
+        if isinstance(answer, OpenPermit):
+            self._pool.force(ConnectionGone(answer.server))
+
+    async def _async_open(self, server: Any) -> UpstreamConnection:
+        try:
+            async with asyncio.timeout(CONNECT_SECONDS):
+                return await async_open_connection(
+                    server, self._spec.assigned.address, self._inbox, self._tls
+                )
+        except (OSError, TimeoutError, ssl.SSLError) as error:
+            self._pool.force(ConnectionGone(server))
+            raise AttemptError(OutcomeKind.CONNECT_ERROR) from error
+        except asyncio.CancelledError:
+            self._pool.force(ConnectionGone(server))
+            raise
+
+    async def _async_exchange(self, connection: UpstreamConnection) -> None:
+        self._send_head(connection)
+        if not self._spec.body_complete:
+            self._events.force(BodyDemand(self._attempt))
+        while True:
+            event = connection.http.next_event()
+            if event is h11.NEED_DATA:
+                await self._async_receive(connection)
+                continue
+            if isinstance(event, h11.InformationalResponse):
+                continue
+            if isinstance(event, h11.Response):
+                await self._async_report_head(event)
+            elif isinstance(event, h11.Data):
+                data = AttemptData(self._attempt, bytes(event.data))
+                await self._events.async_post(data)
+            elif isinstance(event, h11.EndOfMessage):
+                self._finish(connection)
+                return
+            else:
+                raise AttemptError(self._broken_kind())
+
+    def _send_head(self, connection: UpstreamConnection) -> None:
+        assigned = self._spec.assigned
+        remaining = assigned.deadline - self._clock.monotonic()
+        if remaining <= 0:
+            raise AttemptError(OutcomeKind.TIMEOUT)
+        if connection.port.is_closed:
+            raise AttemptError(OutcomeKind.CONNECT_ERROR)
+        head = self._spec.request.event(assigned.attempt, int(remaining * 1000))
+        parts = [connection.http.send(head)]
+        if self._spec.body_prefix:
+            parts.append(connection.http.send(h11.Data(data=self._spec.body_prefix)))
+        if self._spec.body_complete:
+            parts.append(connection.http.send(h11.EndOfMessage()))
+            self._body_sent = True
+        self._started = self._clock.monotonic()
+        self._bytes_written = True
+        connection.port.write(b"".join(part for part in parts if part))
+
+    async def _async_receive(self, connection: UpstreamConnection) -> None:
+        message = await self._inbox.async_get_until(self._wait_until())
+        match message:
+            case None:
+                raise AttemptError(self._late_kind())
+            case SocketData(port, data):
+                port.consumed(len(data))
+                self._receive_data(connection, data)
+            case SocketClosed(_, clean):
+                if not clean:
+                    raise AttemptError(self._broken_kind())
+                self._receive_data(connection, b"")
+            case BodyChunk():
+                await self._async_send_body(connection, message)
+
+    def _receive_data(self, connection: UpstreamConnection, data: bytes) -> None:
+        try:
+            connection.http.receive_data(data)
+            if not data and connection.http.their_state is not h11.SEND_BODY:
+                raise AttemptError(self._broken_kind())
+        except h11.RemoteProtocolError as error:
+            raise AttemptError(self._broken_kind()) from error
+
+    async def _async_send_body(
+        self, connection: UpstreamConnection, chunk: BodyChunk
+    ) -> None:
+        if connection.port.is_closed:
+            return
+        if chunk.data:
+            data = connection.http.send(h11.Data(data=chunk.data))
+            connection.port.write(data or b"")
+        if chunk.last:
+            connection.port.write(connection.http.send(h11.EndOfMessage()) or b"")
+            self._body_sent = True
+            return
+        await connection.port.async_drain()
+        self._events.force(BodyDemand(self._attempt))
+
+    async def _async_report_head(self, response: h11.Response) -> None:
+        assigned = self._spec.assigned
+        self._head_latency = self._clock.monotonic() - self._started
+        signs = ResponseSigns.of(list(response.headers))
+        self._draining = signs.draining
+        self._closes = signs.closes
+        if signs.echoed_id not in (None, assigned.request_id):
+            raise AttemptError(OutcomeKind.CROSSED)
+        if signs.did_not_run and response.status_code >= 400:
+            kind = OutcomeKind.DRAINING if signs.draining else OutcomeKind.SHED
+            raise AttemptError(kind)
+        self._server_error = response.status_code >= 500
+        outcome = self._outcome(self._end_kind())
+        await self._events.async_post(AttemptHead(self._attempt, response, outcome))
+
+    def _finish(self, connection: UpstreamConnection) -> None:
+        reusable = self._body_sent and not self._draining and not self._closes
+        if reusable and connection.reset_cycle(self._clock.monotonic()):
+            self._connection = None
+            self._pool.force(GiveBack(connection))
+        self._events.force(AttemptEnd(self._attempt, self._outcome(self._end_kind())))
+
+    def _wait_until(self) -> float:
+        assigned = self._spec.assigned
+        if self._head_latency is not None or not self._body_sent:
+            return assigned.deadline
+        return min(assigned.deadline, self._started + assigned.attempt_timeout)
+
+    def _end_kind(self) -> OutcomeKind:
+        return OutcomeKind.SERVER_ERROR if self._server_error else OutcomeKind.OK
+
+    def _broken_kind(self) -> OutcomeKind:
+        if self._head_latency is None:
+            return OutcomeKind.RESET
+        return OutcomeKind.TRUNCATED
+
+    def _late_kind(self) -> OutcomeKind:
+        if self._head_latency is None:
+            return OutcomeKind.TIMEOUT
+        return OutcomeKind.TRUNCATED
+
+    def _outcome(self, kind: OutcomeKind) -> AttemptOutcome:
+        assigned = self._spec.assigned
+        latency = self._head_latency
+        if latency is None:
+            latency = self._clock.monotonic() - self._started
+        return AttemptOutcome(
+            request_id=assigned.request_id,
+            attempt=assigned.attempt,
+            service=assigned.service,
+            server=assigned.server,
+            workspace=assigned.workspace,
+            kind=kind,
+            latency=latency,
+            bytes_written=self._bytes_written,
+            server_draining=self._draining,
+        )
+
+    def _close(self) -> None:
+        connection, self._connection = self._connection, None
+        if connection is None:
+            return
+        connection.port.abort()
+        self._pool.force(ConnectionGone(connection.server))
