--- /dev/null
+++ b/src/catkinspan/coordination/claims/__init__.py
@@ -0,0 +1,1 @@
+"""Claims on idempotency keys, so that a resent request runs at most once."""
--- /dev/null
+++ b/src/catkinspan/coordination/quarantine/__init__.py
@@ -0,0 +1,1 @@
+"""Quarantine of requests that crash each upstream that runs them."""
--- /dev/null
+++ b/src/catkinspan/coordination/quarantine/const.py
@@ -0,0 +1,40 @@
+"""Constants of the quarantine."""
+
+CRASHES_TO_QUARANTINE = 2
+INCIDENT_SECONDS = 2.0
+"""Connections of one server that die within this time died of one cause."""
+
+MAX_FINGERPRINTS_PER_INCIDENT = 4
+"""With more different requests on the server, it died by itself. A server has few
+slots, so that a request which crashes it takes few others along."""
+
+MAX_SERVERS_AT_ONCE = 3
+"""With more servers of other requests dying at once, a rack or switch failed; crashes
+of a request within that time then count as one."""
+
+QUARANTINE_SECONDS = 60.0
+MAX_QUARANTINE_SECONDS = 600.0
+CRASH_MEMORY_SECONDS = 900.0
+"""Time that a crash counts; longer than the longest quarantine, so that a single
+crash after it quarantines the request again."""
+
+MAX_FINGERPRINTS = 2_000
+MAX_FINGERPRINTS_PER_WORKSPACE = 100
+MAX_CRASHES_PER_FINGERPRINT = 8
+MAX_SEEN_REPORTS = 8_192
+MAX_RECENT_CRASHES = 256
+
+FANOUT = 4
+"""Peers that get each report in one round."""
+
+ROUNDS = 3
+"""Rounds in which a host passes a report on: one at once, then one each tick."""
+
+MAX_REPORTS_PER_MESSAGE = 16
+MAX_QUEUED_REPORTS = 64
+GREETERS = 2
+"""Hosts that send their crash reports to a newly started host."""
+
+MAX_REPORTS_FOR_NEW_HOST = 64
+DIGEST_BYTES = 16
+"""Size of a fingerprint's digest."""
--- /dev/null
+++ b/src/catkinspan/coordination/quarantine/coordinator.py
@@ -0,0 +1,233 @@
+"""Crash reports of the fleet and the quarantine that follows from them."""
+
+from collections import Counter, OrderedDict, deque
+from random import Random
+from typing import ClassVar
+
+from attrs import define
+from result import Err, Ok, Result
+
+from catkinspan.coordination.concern import BaseConcern
+from catkinspan.coordination.models import Origin, PeerMessage
+from catkinspan.coordination.outbox import Outbox
+from catkinspan.coordination.quarantine.const import (
+    CRASH_MEMORY_SECONDS,
+    CRASHES_TO_QUARANTINE,
+    FANOUT,
+    GREETERS,
+    MAX_CRASHES_PER_FINGERPRINT,
+    MAX_FINGERPRINTS,
+    MAX_FINGERPRINTS_PER_WORKSPACE,
+    MAX_QUARANTINE_SECONDS,
+    MAX_QUEUED_REPORTS,
+    MAX_REPORTS_FOR_NEW_HOST,
+    MAX_REPORTS_PER_MESSAGE,
+    MAX_SEEN_REPORTS,
+    QUARANTINE_SECONDS,
+    ROUNDS,
+)
+from catkinspan.coordination.quarantine.errors import Quarantined
+from catkinspan.coordination.quarantine.incidents import IncidentLog
+from catkinspan.coordination.quarantine.models import (
+    MESSAGES,
+    Crash,
+    CrashId,
+    CrashNews,
+    CrashReport,
+    Fingerprint,
+    QuarantineEnded,
+    RequestQuarantined,
+    Suspect,
+)
+from catkinspan.coordination.rendezvous import ranked
+from catkinspan.state.hosts import FleetView
+from catkinspan.state.ids import HostId, ServerId, WorkspaceId
+
+
+@define
+class _Queued:
+    crash: Crash
+    rounds: int = ROUNDS
+
+
+class QuarantineCoordinator(BaseConcern):
+    """Refuses requests that crashed two upstream connections anywhere in the fleet.
+
+    Every host hears each crash report and decides by itself, so that no role has to
+    move when a host fails.
+    """
+
+    handles: ClassVar[tuple[type[PeerMessage], ...]] = MESSAGES
+
+    def __init__(self, self_id: HostId, outbox: Outbox, rng: Random) -> None:
+        self._self_id = self_id
+        self._outbox = outbox
+        self._rng = rng
+        self._life = rng.getrandbits(48)
+        self._serial = 0
+        self._peers: tuple[HostId, ...] = ()
+        self._incarnations: dict[HostId, int] = {}
+        self._log = IncidentLog()
+        self._suspects: OrderedDict[Fingerprint, Suspect] = OrderedDict()
+        self._by_workspace: Counter[WorkspaceId] = Counter()
+        self._seen: OrderedDict[CrashId, None] = OrderedDict()
+        self._queue: deque[_Queued] = deque(maxlen=MAX_QUEUED_REPORTS)
+
+    @property
+    def suspect_count(self) -> int:
+        """Return the number of fingerprints with crashes on record."""
+        return len(self._suspects)
+
+    def check(self, fingerprint: Fingerprint, now: float) -> Result[None, Quarantined]:
+        """Return an error while the request is quarantined."""
+        suspect = self._suspects.get(fingerprint)
+        if suspect is None or suspect.until <= now:
+            return Ok(None)
+        return Err(Quarantined(suspect.until - now, len(suspect.crashes)))
+
+    def record_crash(
+        self, fingerprint: Fingerprint, server: ServerId, now: float
+    ) -> None:
+        """Record that an upstream connection died while it ran the request.
+
+        Call it once for each attempt, and not for connections that the host closed.
+        """
+        self._serial += 1
+        crash_id = CrashId(self._self_id, self._life, self._serial)
+        self._add(Crash(crash_id, fingerprint, server, now), now)
+        self._send_round(now)
+
+    def apply_view(self, view: FleetView, now: float) -> None:
+        """Take over the peers, and tell newly started ones what is known."""
+        self._peers = tuple(host for host in view.usable if host != self._self_id)
+        for host in self._peers:
+            incarnation = view.hosts[host].incarnation if host in view.hosts else 0
+            if self._incarnations.get(host) == incarnation:
+                continue
+            self._incarnations[host] = incarnation
+            self._greet(host, incarnation, now)
+        for host in self._incarnations.keys() - set(self._peers):
+            del self._incarnations[host]
+
+    def handle(self, message: PeerMessage, origin: Origin, now: float) -> None:
+        """Take over crash reports and pass new ones on at once."""
+        if not isinstance(message, CrashNews):
+            return
+        known = len(self._seen), self._newest_seen()
+        for report in message.reports:
+            at = now - report.age_ms / 1000
+            self._add(Crash(report.id, report.fingerprint, report.server, at), now)
+        if (len(self._seen), self._newest_seen()) != known:
+            self._send_round(now)
+
+    def tick(self, now: float) -> None:
+        """Repeat young reports, and end quarantines and forget crashes when due."""
+        self._send_round(now)
+        for fingerprint, suspect in list(self._suspects.items()):
+            if suspect.until and suspect.until <= now:
+                self._end(fingerprint, suspect)
+            if suspect.crashes[-1].at + CRASH_MEMORY_SECONDS <= now:
+                self._remove(fingerprint)
+
+    def _newest_seen(self) -> CrashId | None:
+        return next(reversed(self._seen), None)
+
+    def _add(self, crash: Crash, now: float) -> None:
+        if crash.id in self._seen or crash.at + CRASH_MEMORY_SECONDS <= now:
+            return
+        self._seen[crash.id] = None
+        if len(self._seen) > MAX_SEEN_REPORTS:
+            self._seen.popitem(last=False)
+        self._queue.append(_Queued(crash))
+        self._log.add(crash)
+        self._suspect(crash)
+        self._evaluate(crash.fingerprint, now)
+
+    def _suspect(self, crash: Crash) -> None:
+        suspect = self._suspects.get(crash.fingerprint)
+        if suspect is None:
+            self._make_room(crash.fingerprint.workspace)
+            suspect = self._suspects[crash.fingerprint] = Suspect()
+            self._by_workspace[crash.fingerprint.workspace] += 1
+        self._suspects.move_to_end(crash.fingerprint)
+        suspect.crashes.append(crash)
+        suspect.crashes.sort(key=lambda c: c.at)
+        del suspect.crashes[:-MAX_CRASHES_PER_FINGERPRINT]
+
+    def _make_room(self, workspace: WorkspaceId) -> None:
+        """Evict the fingerprint that crashed longest ago, the workspace's own first."""
+        if self._by_workspace[workspace] >= MAX_FINGERPRINTS_PER_WORKSPACE:
+            own = (f for f in self._suspects if f.workspace == workspace)
+            self._remove(next(own))
+        elif len(self._suspects) >= MAX_FINGERPRINTS:
+            self._remove(next(iter(self._suspects)))
+
+    def _remove(self, fingerprint: Fingerprint) -> None:
+        del self._suspects[fingerprint]
+        self._by_workspace[fingerprint.workspace] -= 1
+        if not self._by_workspace[fingerprint.workspace]:
+            del self._by_workspace[fingerprint.workspace]
+
+    def _evaluate(self, fingerprint: Fingerprint, now: float) -> None:
+        """Start, extend or lift the quarantine of a request after a report."""
+        suspect = self._suspects[fingerprint]
+        incidents = self._log.count(suspect.crashes)
+        if incidents < CRASHES_TO_QUARANTINE:
+            return
+        doublings = incidents - CRASHES_TO_QUARANTINE
+        seconds = min(QUARANTINE_SECONDS * 2**doublings, MAX_QUARANTINE_SECONDS)
+        until = suspect.crashes[-1].at + seconds
+        if until <= now or until <= suspect.until:
+            return
+        is_new = suspect.until <= now
+        suspect.until = until
+        if not is_new:
+            return
+        servers = tuple(sorted({crash.server for crash in suspect.crashes}))
+        self._outbox.emit(
+            RequestQuarantined(
+                fingerprint.workspace,
+                fingerprint.digest.hex(),
+                servers,
+                len(suspect.crashes),
+                round(until - now, 3),
+            )
+        )
+
+    def _end(self, fingerprint: Fingerprint, suspect: Suspect) -> None:
+        suspect.until = 0.0
+        self._outbox.emit(
+            QuarantineEnded(fingerprint.workspace, fingerprint.digest.hex())
+        )
+
+    def _send_round(self, now: float) -> None:
+        """Send the queued reports to a few random peers."""
+        if not self._queue or not self._peers:
+            return
+        batch = [
+            self._queue.popleft()
+            for _ in range(min(len(self._queue), MAX_REPORTS_PER_MESSAGE))
+        ]
+        reports = tuple(_report(queued.crash, now) for queued in batch)
+        for host in self._rng.sample(self._peers, min(FANOUT, len(self._peers))):
+            self._outbox.send(host, CrashNews(reports))
+        for queued in batch:
+            queued.rounds -= 1
+            if queued.rounds > 0:
+                self._queue.append(queued)
+
+    def _greet(self, host: HostId, incarnation: int, now: float) -> None:
+        name = f"quarantine/{host}/{incarnation}"
+        candidates = tuple(p for p in (*self._peers, self._self_id) if p != host)
+        if self._self_id not in ranked(name, candidates, GREETERS):
+            return
+        crashes = [c for suspect in self._suspects.values() for c in suspect.crashes]
+        reports = [_report(c, now) for c in crashes[-MAX_REPORTS_FOR_NEW_HOST:]]
+        for first in range(0, len(reports), MAX_REPORTS_PER_MESSAGE):
+            batch = tuple(reports[first : first + MAX_REPORTS_PER_MESSAGE])
+            self._outbox.send(host, CrashNews(batch))
+
+
+def _report(crash: Crash, now: float) -> CrashReport:
+    age_ms = max(0, int((now - crash.at) * 1000))
+    return CrashReport(crash.id, crash.fingerprint, crash.server, age_ms)
--- /dev/null
+++ b/src/catkinspan/coordination/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of the route for a request."""
--- /dev/null
+++ b/src/catkinspan/coordination/routing/coordinator.py
@@ -0,0 +1,26 @@
+"""The route index of the settings in force."""
+
+from result import Result
+
+from catkinspan.coordination.concern import BaseConcern
+from catkinspan.coordination.routing.errors import RouteRefusal
+from catkinspan.coordination.routing.index import RouteIndex
+from catkinspan.state.tree import Route, SettingsTree
+
+
+class RoutingCoordinator(BaseConcern):
+    """Matches requests against the routes of the newest tree."""
+
+    def __init__(self, tree: SettingsTree | None = None) -> None:
+        self._tree = tree or SettingsTree()
+        self._index = RouteIndex(self._tree)
+
+    def apply_tree(self, tree: SettingsTree, now: float) -> None:
+        """Build the index anew when the routes changed."""
+        if tree.routes != self._tree.routes:
+            self._index = RouteIndex(tree)
+        self._tree = tree
+
+    def match(self, method: str, host: str, path: str) -> Result[Route, RouteRefusal]:
+        """Return the route of a request, or why there is none."""
+        return self._index.match(method, host, path)
