--- a/src/catkinspan/coordination/requests/errors.py
+++ b/src/catkinspan/coordination/requests/errors.py
@@ -4,15 +4,7 @@
 
 from attrs import frozen
 
-
-class Ran(StrEnum):
-    """Whether an upstream ran a request."""
-
-    NO = "no"
-    """The request provably did not run."""
-
-    MAYBE = "maybe"
-    YES = "yes"
+from catkinspan.coordination.claims.models import Ran
 
 
 class RefusalKind(StrEnum):
@@ -62,3 +54,6 @@
     def __str__(self) -> str:
         """Return the refusal on one line."""
         return f"{self.kind}: {self.message}; {self.remedy} (ran: {self.ran})"
+
+
+__all__ = ["Ran", "Refusal", "RefusalKind"]
--- a/src/catkinspan/coordination/requests/models.py
+++ b/src/catkinspan/coordination/requests/models.py
@@ -111,6 +111,13 @@
     attempt: int
 
 
+@frozen
+class Discard(RequestDirective):
+    """Drop the held 5xx response of an attempt; another attempt follows."""
+
+    attempt: int
+
+
 @frozen
 class Refused(RequestDirective):
     """Answer the caller with a refusal."""
--- /dev/null
+++ b/src/catkinspan/protocol/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Answers of the platform's configuration service."""
--- /dev/null
+++ b/src/catkinspan/standin/upstream.py
@@ -0,0 +1,233 @@
+"""A stand-in for an upstream server with slots and faults.
+
+``POST /operators/fault`` with a JSON body of `UpstreamFaults` members switches faults
+while it runs; ``GET /operators/runs`` tells how often each request ran.
+"""
+
+import asyncio
+from collections import Counter
+from random import Random
+
+import cattrs
+import orjson
+from attrs import field, frozen
+
+from catkinspan.standin.http_server import (
+    CutConnectionError,
+    StandinRequest,
+    StandinResponse,
+    StandinServer,
+)
+from catkinspan.state.tree import Address
+
+HANG_SECONDS = 3600.0
+COLD_FACTOR = 10.0
+"""Slowdown of a server that has just started, until `cold_requests` have run."""
+
+
+@frozen
+class UpstreamFaults:
+    """Faults that are switched on; the default has none."""
+
+    slow_factor: float = 1.0
+    error_share: float = 0.0
+    """Share of requests that get a 500 response."""
+
+    truncate_share: float = 0.0
+    cross_share: float = 0.0
+    """Share of responses that carry another request's id."""
+
+    late_bytes_share: float = 0.0
+    """Share of responses followed by bytes that belong to no response."""
+
+    reset_share: float = 0.0
+    """Share of requests that run and then lose their connection."""
+
+    hang: bool = False
+    """Accept requests and never answer; the health endpoint still answers."""
+
+    shed_all: bool = False
+    draining: bool = False
+    cold_requests: int = 0
+    crash_on: str = ""
+    """Close all connections when a request's path contains this text."""
+
+
+@frozen
+class UpstreamOptions:
+    """How a stand-in server behaves without faults."""
+
+    name: str
+    service: str
+    slots: int = 3
+    queue: int = 2
+    """Requests that wait for a slot before the server sheds load."""
+
+    service_seconds: float = 0.01
+    body_bytes: int = 200
+    seed: int = 1
+
+
+@frozen
+class Run:
+    """A request that the server ran."""
+
+    request_id: str
+    method: str
+    target: str
+    headers: dict[str, str] = field(repr=False)
+    body_bytes: int
+
+
+class StandinUpstream:
+    """Runs requests in its slots and records each run."""
+
+    def __init__(self, options: UpstreamOptions) -> None:
+        self._options = options
+        self._faults = UpstreamFaults()
+        self._rng = Random(options.seed)
+        self._slots = asyncio.Semaphore(options.slots)
+        self._waiting = 0
+        self._runs: list[Run] = []
+        self._cancelled = 0
+        self._shed = 0
+        self._server = StandinServer(self._async_handle)
+
+    @property
+    def options(self) -> UpstreamOptions:
+        """Return how the server behaves without faults."""
+        return self._options
+
+    @property
+    def runs(self) -> tuple[Run, ...]:
+        """Return all requests that ran, in their order."""
+        return tuple(self._runs)
+
+    @property
+    def run_counts(self) -> Counter[str]:
+        """Return how often each request id ran."""
+        return Counter(run.request_id for run in self._runs)
+
+    @property
+    def cancelled(self) -> int:
+        """Return the number of requests that were cancelled while they ran."""
+        return self._cancelled
+
+    @property
+    def shed(self) -> int:
+        """Return the number of requests refused for want of a slot."""
+        return self._shed
+
+    @property
+    def connections(self) -> int:
+        """Return the number of open connections."""
+        return self._server.connections
+
+    def set_faults(self, faults: UpstreamFaults) -> None:
+        """Replace the faults that are switched on."""
+        self._faults = faults
+
+    async def async_start(self, address: Address) -> Address:
+        """Listen and return the address in use."""
+        return await self._server.async_start(address)
+
+    async def async_stop(self) -> None:
+        """Stop at once, as a crash does."""
+        await self._server.async_stop()
+
+    async def _async_handle(self, request: StandinRequest) -> StandinResponse:
+        if request.path.startswith("/operators/"):
+            return self._operate(request)
+        if request.path == "/healthz":
+            return StandinResponse(200, b"ok\n")
+        if self._faults.draining:
+            headers = {"X-Draining": "1", "X-Request-Ran": "no", "Connection": "close"}
+            return StandinResponse(503, b"draining\n", headers)
+        full = self._slots.locked() and self._waiting >= self._options.queue
+        if full or self._faults.shed_all:
+            self._shed += 1
+            return StandinResponse(503, b"no free slot\n", {"X-Request-Ran": "no"})
+        self._waiting += 1
+        try:
+            await self._slots.acquire()
+        finally:
+            self._waiting -= 1
+        try:
+            return await self._async_run(request)
+        except asyncio.CancelledError:
+            self._cancelled += 1
+            raise
+        finally:
+            self._slots.release()
+
+    async def _async_run(self, request: StandinRequest) -> StandinResponse:
+        faults = self._faults
+        request_id = request.headers.get("x-request-id", "")
+        run = Run(
+            request_id,
+            request.method,
+            request.target,
+            request.headers,
+            len(request.body),
+        )
+        self._runs.append(run)
+        if faults.crash_on and faults.crash_on in request.path:
+            await self._server.async_stop()
+            raise CutConnectionError
+        if faults.hang:
+            await asyncio.sleep(HANG_SECONDS)
+        await asyncio.sleep(self._service_seconds(faults))
+        if self._rng.random() < faults.reset_share:
+            raise CutConnectionError
+        return self._respond(request, request_id, faults)
+
+    def _service_seconds(self, faults: UpstreamFaults) -> float:
+        seconds = self._options.service_seconds * faults.slow_factor
+        if len(self._runs) <= faults.cold_requests:
+            seconds *= COLD_FACTOR
+        return seconds
+
+    def _respond(
+        self, request: StandinRequest, request_id: str, faults: UpstreamFaults
+    ) -> StandinResponse:
+        if self._rng.random() < faults.error_share:
+            return StandinResponse(500, b"fault\n", {"X-Request-Id": request_id})
+        echoed = request_id
+        if self._rng.random() < faults.cross_share:
+            echoed = "another-request"
+        body = self._body(request, request_id)
+        cut = len(body) // 2 if self._rng.random() < faults.truncate_share else None
+        late = self._rng.random() < faults.late_bytes_share
+        return StandinResponse(
+            200,
+            body,
+            {"X-Request-Id": echoed, "X-Server": self._options.name},
+            chunked="chunked" in request.target,
+            cut_after=cut,
+            late_bytes=b"HTTP/1.1 200 OK\r\n\r\n" if late else b"",
+        )
+
+    def _body(self, request: StandinRequest, request_id: str) -> bytes:
+        answer = {
+            "service": self._options.service,
+            "server": self._options.name,
+            "request_id": request_id,
+            "method": request.method,
+            "target": request.target,
+            "received_bytes": len(request.body),
+        }
+        text = orjson.dumps(answer) + b"\n"
+        return text + b"." * max(0, self._options.body_bytes - len(text))
+
+    def _operate(self, request: StandinRequest) -> StandinResponse:
+        if request.path == "/operators/fault" and request.method == "POST":
+            try:
+                self._faults = cattrs.structure(
+                    orjson.loads(request.body), UpstreamFaults
+                )
+            except Exception as error:  # noqa: BLE001 - cattrs raises many kinds
+                return StandinResponse(400, f"{error}\n".encode())
+            return StandinResponse(200, orjson.dumps(cattrs.unstructure(self._faults)))
+        if request.path == "/operators/runs":
+            return StandinResponse(200, orjson.dumps(dict(self.run_counts)))
+        return StandinResponse(404, b"unknown operators' request\n")
--- a/src/catkinspan/transport/callers/exchange.py
+++ b/src/catkinspan/transport/callers/exchange.py
@@ -17,6 +17,7 @@
     BodyReceived,
     BodyWanted,
     Deliver,
+    Discard,
     KeysWithdrawn,
     Refused,
     RequestAbandoned,
@@ -206,6 +207,8 @@
                 self._respond_refusal(message.refusal)
             case Deliver(request_id=self._request_id):
                 await self._async_deliver(message.attempt)
+            case Discard(request_id=self._request_id):
+                self._discard(message.attempt)
             case AttemptEvent():
                 await self._async_on_attempt(message)
             case _:
@@ -462,6 +465,11 @@
             logger.info("caller reads too slowly; closing the connection")
             self._cut()
 
+    def _discard(self, number: int) -> None:
+        running = self._attempts.pop(number, None)
+        if running is not None:
+            running.task.cancel()
+
     def _drop_losers(self, winner: int) -> None:
         for number, running in list(self._attempts.items()):
             if number == winner:
--- /dev/null
+++ b/src/catkinspan/transport/http_client.py
@@ -0,0 +1,87 @@
+"""A small HTTP client for the platform, health endpoints and the command line."""
+
+import asyncio
+import ssl
+
+import h11
+from attrs import frozen
+
+from catkinspan.state.tree import Address
+
+MAX_BODY_BYTES = 16 * 1024 * 1024
+_READ_BYTES = 64 * 1024
+
+
+@frozen
+class Answer:
+    """A whole response."""
+
+    status: int
+    body: bytes
+
+
+class FetchError(Exception):
+    """A request that got no whole answer; the message names the remedy."""
+
+
+async def async_fetch(
+    address: Address,
+    target: str,
+    timeout: float,
+    tls: ssl.SSLContext | None = None,
+    method: str = "GET",
+    body: bytes = b"",
+) -> Answer:
+    """Send one request on a new connection and return the whole answer.
+
+    `timeout` is in seconds. Raises FetchError if there is no whole answer in time.
+    """
+    try:
+        async with asyncio.timeout(timeout):
+            return await _async_exchange(address, target, tls, method, body)
+    except (OSError, TimeoutError, h11.ProtocolError) as error:
+        reason = str(error) or type(error).__name__
+        remedy = "check that the address is right and the process runs"
+        raise FetchError(f"no answer from {address}: {reason}; {remedy}") from error
+
+
+async def _async_exchange(
+    address: Address, target: str, tls: ssl.SSLContext | None, method: str, body: bytes
+) -> Answer:
+    reader, writer = await asyncio.open_connection(address.ip, address.port, ssl=tls)
+    try:
+        http = h11.Connection(h11.CLIENT)
+        headers = [("Host", str(address)), ("Connection", "close")]
+        if body:
+            headers.append(("Content-Length", str(len(body))))
+        request = h11.Request(method=method, target=target, headers=headers)
+        writer.write(http.send(request) or b"")
+        if body:
+            writer.write(http.send(h11.Data(data=body)) or b"")
+        writer.write(http.send(h11.EndOfMessage()) or b"")
+        return await _async_read_answer(http, reader)
+    finally:
+        writer.close()
+
+
+async def _async_read_answer(
+    http: h11.Connection, reader: asyncio.StreamReader
+) -> Answer:
+    status = 0
+    parts: list[bytes] = []
+    size = 0
+    while True:
+        event = http.next_event()
+        if event is h11.NEED_DATA:
+            http.receive_data(await reader.read(_READ_BYTES))
+        elif isinstance(event, h11.Response):
+            status = event.status_code
+        elif isinstance(event, h11.Data):
+            parts.append(bytes(event.data))
+            size += len(event.data)
+            if size > MAX_BODY_BYTES:
+                raise FetchError(f"answer is over {MAX_BODY_BYTES} bytes; ask for less")
+        elif isinstance(event, h11.EndOfMessage):
+            return Answer(status, b"".join(parts))
+        elif isinstance(event, h11.ConnectionClosed):
+            raise FetchError("connection closed early; try again")
--- a/src/catkinspan/transport/mailbox.py
+++ b/src/catkinspan/transport/mailbox.py
@@ -66,19 +66,20 @@
                 await self._reader
             finally:
                 self._reader = None
-        return self._take()
+        return self.take()
 
     async def async_get_until(self, when: float) -> M | None:
         """Return the next message, or None at a time on the loop's clock."""
         if self._messages:
-            return self._take()
+            return self.take()
         try:
             async with asyncio.timeout_at(when):
                 return await self.async_get()
         except TimeoutError:
             return None
 
-    def _take(self) -> M:
+    def take(self) -> M:
+        """Return the next message at once; raises IndexError if there is none."""
         message = self._messages.popleft()
         while self._writers:
             writer = self._writers.popleft()
--- /dev/null
+++ b/src/catkinspan/transport/peers/__init__.py
@@ -0,0 +1,1 @@
+"""grpclib streams between hosts."""
--- /dev/null
+++ b/src/catkinspan/transport/peers/link.py
@@ -0,0 +1,154 @@
+"""The task that owns the outgoing stream to one peer."""
+
+import asyncio
+import ssl
+from collections.abc import Callable
+from random import Random
+
+from attrs import frozen
+from grpclib.client import Channel, StreamStreamMethod
+from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
+from loguru import logger
+
+from catkinspan.coordination.clock import Clock
+from catkinspan.coordination.models import PeerMessage
+from catkinspan.state.ids import HostId
+from catkinspan.state.tree import Address
+from catkinspan.transport.mailbox import InboxFullError, Mailbox
+from catkinspan.transport.peers.const import (
+    BATCH_SECONDS,
+    CONNECT_SECONDS,
+    FRAME_MESSAGES,
+    LINK_IDLE_SECONDS,
+    LINK_INBOX,
+    LINK_METHOD,
+    RETRY_MAX_SECONDS,
+    RETRY_MIN_SECONDS,
+)
+from catkinspan.transport.peers.raw_codec import RawCodec
+
+Encode = Callable[[list[PeerMessage]], bytes]
+
+LINK_ERRORS = (
+    OSError,
+    TimeoutError,
+    GRPCError,
+    ProtocolError,
+    StreamTerminatedError,
+)
+
+
+@frozen
+class LinkEnded:
+    """A link had no messages for a while, or its peer cannot be reached."""
+
+    peer: HostId
+
+
+class PeerLink:
+    """Sends the messages for one peer in frames, in their order.
+
+    Messages are lost while the peer cannot be reached; every peer protocol tolerates
+    that. The task ends after `LINK_IDLE_SECONDS` without messages.
+    """
+
+    def __init__(
+        self,
+        peer: HostId,
+        address: Address,
+        encode: Encode,
+        clock: Clock,
+        rng: Random,
+        tls: ssl.SSLContext | None,
+    ) -> None:
+        self._peer = peer
+        self._address = address
+        self._encode = encode
+        self._clock = clock
+        self._rng = rng
+        self._tls = tls
+        self._inbox: Mailbox[PeerMessage] = Mailbox(LINK_INBOX)
+        self._failures = 0
+        self._retry_at = 0.0
+        self._dropped = 0
+        self._sent_bytes = 0
+
+    @property
+    def address(self) -> Address:
+        """Return the peer's address."""
+        return self._address
+
+    @property
+    def dropped(self) -> int:
+        """Return the number of messages that could not be sent."""
+        return self._dropped
+
+    @property
+    def sent_bytes(self) -> int:
+        """Return the bytes of the frames sent."""
+        return self._sent_bytes
+
+    def post(self, message: PeerMessage) -> None:
+        """Queue a message; it is dropped if the queue is full."""
+        try:
+            self._inbox.post(message)
+        except InboxFullError:
+            self._dropped += 1
+
+    async def async_run(self) -> None:
+        """Send messages until the link is idle."""
+        while True:
+            first = await self._inbox.async_get_until(self._idle_end())
+            if first is None:
+                return
+            if self._clock.monotonic() < self._retry_at:
+                self._dropped += 1
+                continue
+            try:
+                await self._async_stream(first)
+                return
+            except LINK_ERRORS as error:
+                self._back_off(error)
+
+    async def _async_stream(self, first: PeerMessage) -> None:
+        channel = Channel(
+            self._address.ip,
+            self._address.port,
+            codec=RawCodec(),
+            ssl=self._tls,
+        )
+        try:
+            method = StreamStreamMethod[bytes, bytes](
+                channel, LINK_METHOD, bytes, bytes
+            )
+            async with method.open() as stream:
+                async with asyncio.timeout(CONNECT_SECONDS):
+                    await stream.send_request()
+                message: PeerMessage | None = first
+                while message is not None:
+                    await asyncio.sleep(BATCH_SECONDS)
+                    frame = self._encode(self._batch(message))
+                    async with asyncio.timeout(CONNECT_SECONDS):
+                        await stream.send_message(frame)
+                    self._failures = 0
+                    self._sent_bytes += len(frame)
+                    message = await self._inbox.async_get_until(self._idle_end())
+                await stream.cancel()
+        finally:
+            channel.close()
+
+    def _batch(self, first: PeerMessage) -> list[PeerMessage]:
+        batch = [first]
+        while len(self._inbox) and len(batch) < FRAME_MESSAGES:
+            batch.append(self._inbox.take())
+        return batch
+
+    def _idle_end(self) -> float:
+        return self._clock.monotonic() + LINK_IDLE_SECONDS
+
+    def _back_off(self, error: BaseException) -> None:
+        self._failures += 1
+        self._dropped += 1
+        delay = min(RETRY_MAX_SECONDS, RETRY_MIN_SECONDS * 2**self._failures)
+        self._retry_at = self._clock.monotonic() + delay * self._rng.uniform(0.5, 1.0)
+        logger.debug("no link to peer {}: {!r}", self._peer, error)
--- /dev/null
+++ b/src/catkinspan/transport/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The client of the platform's configuration service."""
