Add slot leases, fair queues and retry budgets

A dispatcher for each service and data centre leases slots ahead of demand, queues asks by deficit round robin and lends slots to the dispatchers of the other data centres. Hosts fall back to direct choice when it is unreachable.

--- /dev/null
+++ b/src/catkinspan/coordination/retries/__init__.py
@@ -0,0 +1,1 @@
+"""Budgets and waiting times of retries and hedges."""
--- /dev/null
+++ b/src/catkinspan/coordination/retries/models.py
@@ -0,0 +1,30 @@
+"""State of the retry budgets for operators."""
+
+from collections.abc import Mapping
+
+from attrs import Factory, frozen
+
+from catkinspan.state.ids import ServiceId
+
+
+@frozen
+class RetryBudget:
+    """The retries and hedges of one service on this host."""
+
+    ratio: float
+    first_tries: int
+    spent: int
+    """Retries and hedges since the start of the host."""
+
+    refused: int
+    """Retries and hedges that the budget did not allow."""
+
+    left: float
+    """Retries and hedges that the budget allows now."""
+
+
+@frozen
+class RetriesSnapshot:
+    """The retry budgets of all services that a host uses."""
+
+    services: Mapping[ServiceId, RetryBudget] = Factory(dict)
--- /dev/null
+++ b/src/catkinspan/coordination/slots/__init__.py
@@ -0,0 +1,1 @@
+"""Slots of the upstream servers: leases, dispatchers, fair queues and fallback."""
--- /dev/null
+++ b/src/catkinspan/coordination/slots/client.py
@@ -0,0 +1,576 @@
+"""The slots of one service as a host uses them."""
+
+from collections import Counter
+from collections.abc import Callable, Sequence
+from functools import partial
+from random import Random
+
+from attrs import define
+
+from catkinspan.coordination.const import TICK_SECONDS
+from catkinspan.coordination.outcomes import Candidate
+from catkinspan.coordination.slots.budget import AskBudget
+from catkinspan.coordination.slots.const import (
+    ANSWER_SECONDS,
+    FALLBACK_SECONDS,
+    FIRST_LEASE_SECONDS,
+    IDLE_SECONDS,
+    LEASE_SECONDS,
+    REASK_SECONDS,
+    RENEW_SHARE,
+    TICKETS_PER_WORKSPACE,
+    UNANSWERED_LIMIT,
+)
+from catkinspan.coordination.slots.direct import choose
+from catkinspan.coordination.slots.fairness import FairQueue
+from catkinspan.coordination.slots.mailbox import Mailbox
+from catkinspan.coordination.slots.models import (
+    QUEUED,
+    Ask,
+    Grant,
+    Held,
+    ServiceSlots,
+    SlotAnswer,
+    SlotAsk,
+    SlotLease,
+    SlotRefusal,
+    SlotRenew,
+    SlotRenewed,
+    SlotRequest,
+    SlotReturn,
+    SlotSettled,
+    SlotStatus,
+    SlotVerdict,
+)
+from catkinspan.state.ids import HostId, RequestId, ServerId, ServiceId, WorkspaceId
+
+AttemptKey = tuple[RequestId, int]
+
+
+@define(eq=False)
+class Pending:
+    """A request that waits on this host."""
+
+    request: SlotRequest
+    ticket: int = 0
+    """Number of the ask; 0 while the dispatcher was not asked."""
+
+    asked_at: float = 0.0
+    sent_at: float = 0.0
+    answered: bool = False
+
+    @property
+    def workspace(self) -> WorkspaceId:
+        """Return the workspace of the request."""
+        return self.request.workspace
+
+    @property
+    def weight(self) -> float:
+        """Return the weight of the workspace."""
+        return self.request.weight
+
+    @property
+    def key(self) -> AttemptKey:
+        """Return the request and the attempt."""
+        return self.request.request_id, self.request.attempt
+
+
+@define(eq=False)
+class HeldLease:
+    """A leased slot."""
+
+    id: int
+    server: ServerId
+    expires: float
+    life: float
+    keep: bool
+    busy: AttemptKey | None = None
+    idle_since: float = 0.0
+    renewed_at: float = 0.0
+    """Time of the last request to renew."""
+
+
+class SlotClient:
+    """Obtains slots of one service for the requests of this host.
+
+    A request takes an idle leased slot, else it waits for one from the dispatcher.
+    Without an answer, or beyond the ask budget, a server is chosen directly.
+    """
+
+    def __init__(
+        self,
+        service: ServiceId,
+        mailbox: Mailbox,
+        rng: Random,
+        budget: AskBudget,
+        candidates: Callable[[ServiceId, float], Sequence[Candidate]],
+    ) -> None:
+        self._service = service
+        self._mailbox = mailbox
+        self._rng = rng
+        self._budget = budget
+        self._candidates = candidates
+        self._queue: FairQueue[Pending] = FairQueue()
+        self._pending: dict[AttemptKey, Pending] = {}
+        self._tickets: dict[int, Pending] = {}
+        self._asked: Counter[WorkspaceId] = Counter()
+        self._leases: dict[int, HeldLease] = {}
+        self._by_key: dict[AttemptKey, HeldLease] = {}
+        self._direct: dict[AttemptKey, ServerId] = {}
+        self._load: Counter[ServerId] = Counter()
+        self._direct_load: Counter[ServerId] = Counter()
+        self._next_ticket = rng.getrandbits(24) << 6
+        self._unanswered = 0
+        self._fallback_until = float("-inf")
+        self._dispatcher: HostId | None = None
+        self._new_asks: list[Ask] = []
+        self._new_returns: list[int] = []
+        self._withdrawn: list[int] = []
+        self._settled: list[SlotSettled] = []
+        self._refusals: Counter[SlotRefusal] = Counter()
+        self._draining = False
+        self._grant_gap: dict[WorkspaceId, tuple[float, float]] = {}
+        self.max_queue = 0
+
+    @property
+    def idle(self) -> bool:
+        """Return whether nothing is leased, running or waiting."""
+        return not (self._leases or self._pending or self._direct)
+
+    def snapshot(self, now: float) -> ServiceSlots:
+        """Return the state for operators."""
+        idle = sum(1 for lease in self._leases.values() if lease.busy is None)
+        return ServiceSlots(
+            dispatcher=self._dispatcher,
+            fallback=self._in_fallback(now),
+            waiting=self._queue.lengths,
+            leases=len(self._leases),
+            idle_leases=idle,
+            direct=len(self._direct),
+            refusals=dict(self._refusals),
+        )
+
+    def take_settled(self) -> list[SlotSettled]:
+        """Return and forget the ends of waits."""
+        settled, self._settled = self._settled, []
+        return settled
+
+    def acquire(self, request: SlotRequest, now: float) -> SlotVerdict:
+        """Grant, queue or refuse a request."""
+        pending = Pending(request)
+        usable = self._usable(request, now)
+        if not usable:
+            return self._refused(SlotRefusal.NO_SERVER)
+        if not len(self._queue) and (lease := self._take_idle(pending, usable)):
+            return self._granted(pending, lease, usable)
+        if self._asks_dispatcher(now):
+            return self._wait(pending, now)
+        chosen = self._choose(usable)
+        if chosen and not self._has_waiting_without_ticket():
+            return self._run_direct(pending, chosen)
+        return self._wait(pending, now)
+
+    def release(self, key: AttemptKey, now: float) -> None:
+        """End an attempt and use its slot for the next request, or hand it back."""
+        if server := self._direct.pop(key, None):
+            self._uncount(self._load, server)
+            self._uncount(self._direct_load, server)
+        lease = self._by_key.pop(key, None)
+        if lease is not None:
+            self._uncount(self._load, lease.server)
+            lease.busy = None
+            lease.idle_since = now
+            if not lease.keep or self._draining or lease.expires <= now:
+                self._return(lease)
+        self.pump(now)
+
+    def cancel(self, key: AttemptKey, now: float) -> None:
+        """Forget a waiting request, or end its attempt."""
+        pending = self._pending.get(key)
+        if pending is None:
+            self.release(key, now)
+            return
+        self._forget(pending)
+        self.pump(now)
+
+    def answer(self, message: SlotAnswer, host: HostId, now: float) -> None:
+        """Use granted slots, and settle denied requests."""
+        if host != self._dispatcher:
+            return
+        self._unanswered = 0
+        self._fallback_until = float("-inf")
+        for ticket in message.queued:
+            if pending := self._tickets.get(ticket):
+                pending.answered = True
+        for denial in message.denials:
+            if pending := self._tickets.get(denial.ticket):
+                self._settle_refused(pending, denial.reason)
+        for grant in message.grants:
+            self._take_grant(grant, now)
+        self.pump(now)
+
+    def recall(self) -> None:
+        """Hand back idle slots now and the others after their requests."""
+        for lease in list(self._leases.values()):
+            lease.keep = False
+            if lease.busy is None:
+                self._return(lease)
+
+    def renewed(self, message: SlotRenewed) -> None:
+        """Extend leases; their life counts from the request to renew."""
+        for id_ in message.leases:
+            if lease := self._leases.get(id_):
+                lease.life = LEASE_SECONDS
+                lease.expires = lease.renewed_at + LEASE_SECONDS
+
+    def use_dispatcher(self, dispatcher: HostId | None, now: float) -> None:
+        """Report leases to a new dispatcher and ask it for the waiting requests."""
+        if dispatcher == self._dispatcher:
+            return
+        self.flush()
+        self._dispatcher = dispatcher
+        self._unanswered = 0
+        self._fallback_until = float("-inf")
+        self._renew(list(self._leases.values()), now)
+        self._withdraw_tickets()
+        self.pump(now)
+
+    def not_dispatcher(self, host: HostId, now: float) -> None:
+        """Choose directly until the views of the fleet agree on a dispatcher."""
+        if host == self._dispatcher:
+            self._fall_back(now)
+
+    def forget_leases(self, now: float) -> None:
+        """Drop all leases after a pause; running requests go on without one."""
+        for lease in list(self._leases.values()):
+            if lease.busy is not None:
+                self._direct[lease.busy] = lease.server
+                self._direct_load[lease.server] += 1
+        self._leases.clear()
+        self._by_key.clear()
+        self._withdraw_tickets()
+        self._drop_late(now)
+        self.pump(now)
+
+    def drain(self, now: float) -> None:
+        """Hand back idle slots; the others follow as their requests end."""
+        self._draining = True
+        self.recall()
+
+    def tick(self, now: float) -> None:
+        """Renew, expire, ask again and refuse what cannot be served in time."""
+        self._drop_late(now)
+        self._check_answers(now)
+        self._check_leases(now)
+        self.pump(now)
+
+    def pump(self, now: float) -> None:
+        """Serve waiting requests from idle slots or directly, and ask for the rest."""
+        if len(self._queue):
+            self._serve_idle(now)
+        if len(self._queue):
+            if self._asks_dispatcher(now):
+                self._ask_more(now)
+            else:
+                self._serve_direct(now)
+
+    def flush(self) -> None:
+        """Put the collected asks and returns into the mailbox."""
+        if not self._dispatcher:
+            self._new_asks.clear()
+        elif self._new_asks:
+            asks, self._new_asks = tuple(self._new_asks), []
+            self._mailbox.post(self._dispatcher, SlotAsk(self._service, asks))
+        if self._dispatcher and (self._new_returns or self._withdrawn):
+            message = SlotReturn(
+                self._service, tuple(self._new_returns), tuple(self._withdrawn)
+            )
+            self._mailbox.post(self._dispatcher, message)
+        self._new_returns.clear()
+        self._withdrawn.clear()
+
+    def _usable(self, request: SlotRequest, now: float) -> list[Candidate]:
+        usable = [
+            c
+            for c in self._candidates(self._service, now)
+            if c.upstream.id not in request.exclude
+            and (request.idempotent or not c.trial)
+        ]
+        preferred = [c for c in usable if not c.avoided]
+        return preferred or usable
+
+    def _in_fallback(self, now: float) -> bool:
+        return self._dispatcher is None or now < self._fallback_until
+
+    def _asks_dispatcher(self, now: float) -> bool:
+        return not self._in_fallback(now) and self._budget.available(now)
+
+    def _has_waiting_without_ticket(self) -> bool:
+        return len(self._queue) > len(self._tickets)
+
+    def _take_idle(
+        self, pending: Pending, usable: Sequence[Candidate]
+    ) -> HeldLease | None:
+        if not self._leases:
+            return None
+        servers = {c.upstream.id for c in usable if not c.trial}
+        for lease in self._leases.values():
+            if lease.busy is None and lease.server in servers:
+                return lease
+        return None
+
+    def _choose(self, usable: Sequence[Candidate]) -> Candidate | None:
+        return choose(usable, self._direct_load, self._load, self._rng)
+
+    def _granted(
+        self, pending: Pending, lease: HeldLease, usable: Sequence[Candidate]
+    ) -> SlotVerdict:
+        upstream = next(c.upstream for c in usable if c.upstream.id == lease.server)
+        lease.busy = pending.key
+        self._by_key[pending.key] = lease
+        self._load[lease.server] += 1
+        slot = SlotLease(lease.id, lease.server, upstream)
+        return SlotVerdict(SlotStatus.GRANTED, slot)
+
+    def _run_direct(self, pending: Pending, chosen: Candidate) -> SlotVerdict:
+        server = chosen.upstream.id
+        self._direct[pending.key] = server
+        self._load[server] += 1
+        self._direct_load[server] += 1
+        slot = SlotLease(0, server, chosen.upstream)
+        return SlotVerdict(SlotStatus.GRANTED, slot)
+
+    def _refused(self, reason: SlotRefusal) -> SlotVerdict:
+        self._refusals[reason] += 1
+        return SlotVerdict(SlotStatus.REFUSED, reason=reason)
+
+    def _wait(self, pending: Pending, now: float) -> SlotVerdict:
+        if self._too_late(pending, now) or self._expected_wait(pending) > (
+            pending.request.wait_until - now
+        ):
+            return self._refused(SlotRefusal.NO_CAPACITY_BEFORE_DEADLINE)
+        if len(self._queue) >= self.max_queue and not self._make_room(pending):
+            return self._refused(SlotRefusal.QUEUE_FULL)
+        self._queue.push(pending)
+        self._pending[pending.key] = pending
+        if self._asks_dispatcher(now):
+            self._ask_more(now)
+        return QUEUED
+
+    def _make_room(self, pending: Pending) -> bool:
+        longest = self._queue.newest_of_longest()
+        length = self._queue.length
+        if length(longest.workspace) <= length(pending.workspace) + 1:
+            return False
+        self._settle_refused(longest, SlotRefusal.QUEUE_FULL)
+        return True
+
+    def _too_late(self, pending: Pending, now: float) -> bool:
+        # The next look is one tick away, and the refusal must come before the end.
+        return pending.request.wait_until - now <= TICK_SECONDS
+
+    def _expected_wait(self, pending: Pending) -> float:
+        ahead = self._queue.length(pending.workspace)
+        if ahead < TICKETS_PER_WORKSPACE:
+            return 0.0
+        gap = self._grant_gap.get(pending.workspace)
+        return gap[1] * (ahead + 1) if gap else 0.0
+
+    def _note_grant(self, workspace: WorkspaceId, now: float) -> None:
+        """Average the time between grants while the workspace waits."""
+        if self._queue.length(workspace) < TICKETS_PER_WORKSPACE:
+            self._grant_gap.pop(workspace, None)
+            return
+        last = self._grant_gap.get(workspace)
+        if last is None:
+            self._grant_gap[workspace] = (now, 0.0)
+            return
+        at, gap = last
+        gap = gap + 0.1 * (now - at - gap) if gap else now - at
+        self._grant_gap[workspace] = (now, gap)
+
+    def _ask_more(self, now: float) -> None:
+        for pending in self._queue:
+            if pending.ticket or self._asked[pending.workspace] >= (
+                TICKETS_PER_WORKSPACE
+            ):
+                continue
+            if not self._budget.take(now):
+                break
+            self._next_ticket += 1
+            pending.ticket = self._next_ticket
+            pending.asked_at = now
+            pending.answered = False
+            self._tickets[pending.ticket] = pending
+            self._asked[pending.workspace] += 1
+            self._send_ask(pending, now)
+
+    def _send_ask(self, pending: Pending, now: float) -> None:
+        request = pending.request
+        pending.sent_at = now
+        avoided = {
+            c.upstream.id for c in self._candidates(self._service, now) if c.avoided
+        }
+        usable = {c.upstream.id for c in self._usable(request, now)}
+        exclude = tuple(sorted(request.exclude | (avoided - usable)))
+        left_ms = int((request.wait_until - now) * 1000)
+        ask = Ask(
+            pending.ticket,
+            request.workspace,
+            request.weight,
+            left_ms,
+            request.idempotent,
+            exclude,
+        )
+        self._new_asks.append(ask)
+
+    def _take_grant(self, grant: Grant, now: float) -> None:
+        if grant.lease in self._leases:
+            return
+        pending = self._tickets.get(grant.ticket)
+        # The life counts from the ask, which is earlier than the grant.
+        start = pending.asked_at if pending else now - ANSWER_SECONDS
+        start = max(start, now - FIRST_LEASE_SECONDS / 2)
+        expires = start + FIRST_LEASE_SECONDS
+        lease = HeldLease(
+            grant.lease, grant.server, expires, FIRST_LEASE_SECONDS, grant.keep
+        )
+        lease.idle_since = now
+        self._leases[lease.id] = lease
+        if pending is None or not self._serve_with(pending, lease, now):
+            self._serve_idle(now)
+        if lease.busy is None:
+            self._return(lease)
+
+    def _serve_with(self, pending: Pending, lease: HeldLease, now: float) -> bool:
+        usable = self._usable(pending.request, now)
+        if all(c.upstream.id != lease.server for c in usable):
+            return False
+        self._note_grant(pending.workspace, now)
+        self._forget(pending, withdraw=False)
+        self._settle(pending, self._granted(pending, lease, usable))
+        return True
+
+    def _serve_idle(self, now: float) -> None:
+        for lease in list(self._leases.values()):
+            if lease.busy is not None or lease.expires <= now:
+                continue
+            pending = self._queue.pop(partial(self._fits, lease.server, now))
+            if pending is None:
+                continue
+            self._forget(pending)
+            usable = self._usable(pending.request, now)
+            self._settle(pending, self._granted(pending, lease, usable))
+
+    def _fits(self, server: ServerId, now: float, pending: Pending) -> bool:
+        usable = self._usable(pending.request, now)
+        return any(c.upstream.id == server for c in usable)
+
+    def _serve_direct(self, now: float) -> None:
+        fallback = self._in_fallback(now)
+
+        def fits(pending: Pending) -> bool:
+            if pending.ticket and not fallback:
+                return False
+            return self._choose(self._usable(pending.request, now)) is not None
+
+        while len(self._queue):
+            pending = self._queue.pop(fits)
+            if pending is None:
+                return
+            self._forget(pending)
+            chosen = self._choose(self._usable(pending.request, now))
+            if chosen:
+                self._settle(pending, self._run_direct(pending, chosen))
+
+    def _settle(self, pending: Pending, verdict: SlotVerdict) -> None:
+        request = pending.request
+        settled = SlotSettled(request.request_id, request.attempt, verdict)
+        self._settled.append(settled)
+
+    def _settle_refused(self, pending: Pending, reason: SlotRefusal) -> None:
+        self._forget(pending)
+        self._settle(pending, self._refused(reason))
+
+    def _forget(self, pending: Pending, *, withdraw: bool = True) -> None:
+        self._queue.remove(pending)
+        self._pending.pop(pending.key, None)
+        if self._tickets.pop(pending.ticket, None) is None:
+            return
+        self._asked[pending.workspace] -= 1
+        if not self._asked[pending.workspace]:
+            del self._asked[pending.workspace]
+        if withdraw:
+            self._withdrawn.append(pending.ticket)
+
+    def _withdraw_tickets(self) -> None:
+        for pending in self._tickets.values():
+            pending.ticket = 0
+        self._tickets.clear()
+        self._asked.clear()
+
+    def _drop_late(self, now: float) -> None:
+        for pending in list(self._pending.values()):
+            if self._too_late(pending, now):
+                reason = SlotRefusal.NO_CAPACITY_BEFORE_DEADLINE
+                self._settle_refused(pending, reason)
+            elif not self._usable(pending.request, now):
+                self._settle_refused(pending, SlotRefusal.NO_SERVER)
+
+    def _check_answers(self, now: float) -> None:
+        late = False
+        for pending in list(self._tickets.values()):
+            if not pending.answered and now - pending.sent_at >= ANSWER_SECONDS:
+                late = True
+                self._send_ask(pending, now)
+            elif pending.answered and now - pending.sent_at >= REASK_SECONDS:
+                pending.answered = False
+                self._send_ask(pending, now)
+        self._unanswered = self._unanswered + 1 if late else 0
+        if self._unanswered >= UNANSWERED_LIMIT:
+            self._fall_back(now)
+
+    def _fall_back(self, now: float) -> None:
+        self._fallback_until = now + FALLBACK_SECONDS
+        self._unanswered = UNANSWERED_LIMIT - 1
+        self._new_asks.clear()
+        self._withdrawn.extend(self._tickets)
+        self._withdraw_tickets()
+        self.pump(now)
+
+    def _check_leases(self, now: float) -> None:
+        due = []
+        for lease in list(self._leases.values()):
+            if lease.expires <= now:
+                self._lose(lease)
+            elif lease.busy is None and now - lease.idle_since >= IDLE_SECONDS:
+                self._return(lease)
+            elif lease.expires - now <= lease.life * RENEW_SHARE:
+                due.append(lease)
+        due = [d for d in due if now - d.renewed_at >= FIRST_LEASE_SECONDS / 5]
+        self._renew(due, now)
+
+    def _renew(self, leases: Sequence[HeldLease], now: float) -> None:
+        if not leases or self._dispatcher is None:
+            return
+        for lease in leases:
+            lease.renewed_at = now
+        held = tuple(Held(lease.id, lease.server) for lease in leases)
+        self._mailbox.post(self._dispatcher, SlotRenew(self._service, held))
+
+    def _lose(self, lease: HeldLease) -> None:
+        """Drop an expired lease; its request goes on without one."""
+        del self._leases[lease.id]
+        if lease.busy is not None:
+            del self._by_key[lease.busy]
+            self._direct[lease.busy] = lease.server
+            self._direct_load[lease.server] += 1
+
+    def _return(self, lease: HeldLease) -> None:
+        del self._leases[lease.id]
+        self._new_returns.append(lease.id)
+
+    def _uncount(self, counter: Counter[ServerId], server: ServerId) -> None:
+        counter[server] -= 1
+        if counter[server] <= 0:
+            del counter[server]
--- /dev/null
+++ b/src/catkinspan/coordination/slots/const.py
@@ -0,0 +1,76 @@
+"""Constants of the slots concern."""
+
+FIRST_LEASE_SECONDS = 0.5
+"""Life of a new lease until the holder renews it. It is short because a grant may be
+lost on a one-way path, and its slot would stay idle for this time."""
+
+LEASE_SECONDS = 5.0
+"""Life of a renewed lease on the dispatcher's clock."""
+
+RENEW_SHARE = 0.5
+"""Share of a lease's life after which the holder renews it."""
+
+IDLE_SECONDS = 1.0
+"""Time for which a host keeps an idle leased slot ahead of demand."""
+
+KEEP_SHARE = 0.25
+"""Share of the slots that must be free for a host to keep a slot after its request."""
+
+ANSWER_SECONDS = 0.04
+"""Longest wait for the dispatcher's first answer to an ask."""
+
+UNANSWERED_LIMIT = 2
+"""Unanswered asks in a row after which a host falls back to direct choice."""
+
+FALLBACK_SECONDS = 1.0
+"""Time in fallback between two probes of the dispatcher."""
+
+REASK_SECONDS = 0.25
+"""Time between repeated asks for a queued request, in case an answer was lost."""
+
+TICKETS_PER_WORKSPACE = 4
+"""Requests of one workspace for which a host asks at once. The rest waits on the host,
+so that one workspace cannot flood the dispatcher's inbox."""
+
+FLEET_ASKS_PER_SECOND = 12000.0
+"""Asks a second over all hosts; each host gets its part of them."""
+
+MIN_ASKS_PER_SECOND = 3.0
+"""Asks a second for each host of a large fleet: about 1 KB/s with their answers."""
+
+CAREFUL_SECONDS = 0.5
+"""Time in which a new dispatcher uses half of the slots, because leases of its
+predecessor may still be in use."""
+
+TRIAL_SECONDS = 0.25
+"""Least time between two requests to a server on trial."""
+
+LOAN_SECONDS = 1.0
+"""Life of a loan between dispatchers."""
+
+LOAN_MARGIN_SECONDS = 0.2
+"""Rest of a loan's life in which no new request starts on it."""
+
+LOAN_GAP_SECONDS = 0.005
+"""Least time between two requests for a loan to one dispatcher."""
+
+LOAN_BACKOFF_SECONDS = 0.1
+"""Time before a dispatcher that had nothing to lend is asked again."""
+
+MAX_LOAN = 8
+"""Most slots in one loan."""
+
+MAX_PARTNERS = 3
+"""Dispatchers of other data centres that one dispatcher borrows from."""
+
+MAX_REPORTED_WORKSPACES = 16
+"""Workspaces named in a request for a loan; the smaller ones are left out."""
+
+MIN_CONNECTIONS = 2
+"""Least connections to a server for each host that uses it."""
+
+REFUSALS_KEPT_SECONDS = 60.0
+"""Time over which a snapshot counts refusals."""
+
+DEFAULT_MAX_QUEUE = 200
+"""Queue bound for a service without settings."""
--- /dev/null
+++ b/src/catkinspan/coordination/slots/dispatcher.py
@@ -0,0 +1,500 @@
+"""The dispatcher of one service in one data centre."""
+
+from collections.abc import Callable, Collection, Mapping
+from random import Random
+
+from attrs import define, field
+
+from catkinspan.coordination.outcomes import Candidate
+from catkinspan.coordination.slots.const import (
+    CAREFUL_SECONDS,
+    FIRST_LEASE_SECONDS,
+    KEEP_SHARE,
+    LEASE_SECONDS,
+    LOAN_BACKOFF_SECONDS,
+    LOAN_SECONDS,
+    MAX_LOAN,
+)
+from catkinspan.coordination.slots.fairness import FairQueue
+from catkinspan.coordination.slots.lending import (
+    Partner,
+    Partners,
+    fair_capacity,
+    largest,
+    loan_end,
+)
+from catkinspan.coordination.slots.mailbox import Mailbox
+from catkinspan.coordination.slots.models import (
+    Ask,
+    Denial,
+    DispatcherSlots,
+    Grant,
+    Held,
+    LoanAsk,
+    LoanGrant,
+    SlotAnswer,
+    SlotAsk,
+    SlotRecall,
+    SlotRefusal,
+    SlotRenew,
+    SlotRenewed,
+    SlotReturn,
+    WorkspaceDemand,
+)
+from catkinspan.coordination.slots.pool import Borrowed, PoolServer, SlotPool
+from catkinspan.state.ids import HostId, ServerId, ServiceId, WorkspaceId
+
+_HOLD_SMOOTHING = 0.05
+_RECALL_GAP_SECONDS = 0.02
+
+
+@define(eq=False)
+class Waiting:
+    """An ask in the dispatcher's queue."""
+
+    host: HostId
+    ask: Ask
+    expires: float
+
+    @property
+    def workspace(self) -> WorkspaceId:
+        """Return the workspace of the request."""
+        return self.ask.workspace
+
+    @property
+    def weight(self) -> float:
+        """Return the weight of the workspace."""
+        return self.ask.weight
+
+
+@define(eq=False)
+class Lease:
+    """A slot in the hands of a host, or of another dispatcher as a loan."""
+
+    id: int
+    host: HostId
+    server: ServerId
+    expires: float
+    granted_at: float
+    ticket: int = 0
+    workspace: WorkspaceId = WorkspaceId("")
+    weight: float = 1.0
+    keep: bool = False
+    loan: bool = False
+    timed: bool = False
+    """Whether the lease serves one request, so that its length can be measured."""
+
+    borrowed: tuple[HostId, int] | None = None
+    """Key of the loan that the slot comes from; None for an own slot."""
+
+
+@define
+class _Answers:
+    """Answers of one call, merged into one message for each host."""
+
+    grants: dict[HostId, list[Grant]] = field(factory=dict)
+    denials: dict[HostId, list[Denial]] = field(factory=dict)
+    queued: dict[HostId, list[int]] = field(factory=dict)
+    loans: dict[HostId, list[Held]] = field(factory=dict)
+
+
+class Dispatcher:
+    """Leases the slots of its servers and queues asks fairly when none is free."""
+
+    def __init__(
+        self,
+        service: ServiceId,
+        mailbox: Mailbox,
+        rng: Random,
+        allowed: Callable[[HostId], Collection[ServerId] | None],
+        now: float,
+    ) -> None:
+        self._service = service
+        self._mailbox = mailbox
+        self._rng = rng
+        self._allowed = allowed
+        self._pool = SlotPool(careful_until=now + CAREFUL_SECONDS)
+        self._queue: FairQueue[Waiting] = FairQueue()
+        self._tickets: dict[tuple[HostId, int], Waiting] = {}
+        self._leases: dict[tuple[HostId, int], Lease] = {}
+        self._by_ticket: dict[tuple[HostId, int], Lease] = {}
+        self._partners = Partners()
+        self._answers = _Answers()
+        self._next_lease = rng.getrandbits(24) << 8
+        self._hold_seconds: float | None = None
+        self._recalled_at = float("-inf")
+        self.max_queue = 0
+
+    @property
+    def idle(self) -> bool:
+        """Return whether nothing is leased, lent, borrowed or waiting."""
+        return not (self._leases or self._pool.borrowed or len(self._queue))
+
+    def snapshot(self, now: float) -> DispatcherSlots:
+        """Return the state for operators."""
+        return DispatcherSlots(
+            capacity=self._pool.capacity,
+            used=self._pool.used,
+            borrowed=len(self._pool.borrowed),
+            lent=sum(1 for lease in self._leases.values() if lease.loan),
+            careful=now < self._pool.careful_until,
+            waiting=self._queue.lengths,
+        )
+
+    def update(self, own: Mapping[ServerId, Candidate], now: float) -> None:
+        """Take over the servers that may get new work, and serve the queue."""
+        self._pool.update(own)
+        self._serve(now)
+        self._send()
+
+    def replace_partners(self, hosts: Collection[HostId]) -> None:
+        """Take over the dispatchers of the other data centres."""
+        self._partners.replace(hosts)
+        for loan in list(self._pool.borrowed.values()):
+            if loan.lender not in hosts:
+                loan.ended = True
+
+    def forget_host(self, host: HostId, now: float) -> None:
+        """Free what a dead or restarted host held."""
+        for key in [key for key in self._leases if key[0] == host]:
+            self._end_lease(key, now, measured=False)
+        for key in [key for key in self._tickets if key[0] == host]:
+            self._queue.remove(self._tickets.pop(key))
+
+    def ask(self, message: SlotAsk, host: HostId, now: float) -> None:
+        """Grant, queue or deny each ask."""
+        for ask in message.asks:
+            self._ask(ask, host, now)
+        self._serve(now)
+        self._send()
+
+    def give_back(self, message: SlotReturn, host: HostId, now: float) -> None:
+        """Take back leases and drop withdrawn asks."""
+        for ticket in message.tickets:
+            waiting = self._tickets.pop((host, ticket), None)
+            if waiting:
+                self._queue.remove(waiting)
+        for lease in message.leases:
+            self._end_lease((host, lease), now, measured=True)
+        self._serve(now)
+        self._send()
+
+    def renew(self, message: SlotRenew, host: HostId, now: float) -> None:
+        """Extend leases, and adopt those that a predecessor granted."""
+        for held in message.held:
+            lease = self._leases.get((host, held.lease)) or self._adopt(held, host, now)
+            lease.expires = now + LEASE_SECONDS
+        leases = tuple(held.lease for held in message.held)
+        self._mailbox.post(host, SlotRenewed(self._service, leases))
+
+    def lend(self, message: LoanAsk, host: HostId, now: float) -> None:
+        """Renew loans that are still fair, and lend what is free or owed."""
+        partner = self._partners.get(host)
+        if partner is None:
+            return
+        partner.demand, partner.demand_at = message.demand, now
+        fair = self._fair_for(message)
+        renewed = self._renew_loans(message, host, fair, now)
+        wants = min(message.wants, MAX_LOAN)
+        if len(self._queue):
+            owed = int(fair) - message.capacity
+            partner.owed = max(0, min(wants, owed))
+            partner.owed_until = now + LOAN_BACKOFF_SECONDS
+            wants = 0
+        else:
+            partner.owed = 0
+        for _ in range(min(wants, self._pool.free(now) - self._reserve())):
+            if not self._lend_one(partner, now):
+                break
+        loans = tuple(self._answers.loans.pop(host, ()))
+        self._mailbox.post(host, LoanGrant(self._service, loans, renewed))
+
+    def borrow(self, message: LoanGrant, lender: HostId, now: float) -> None:
+        """Take loans into the pool and serve the queue with them."""
+        partner = self._partners.get(lender)
+        if partner is None:
+            return
+        partner.answered = True
+        partner.not_before = now if message.loans else now + LOAN_BACKOFF_SECONDS
+        for id_ in message.renewed:
+            if loan := self._pool.borrowed.get((lender, id_)):
+                loan.expires = loan_end(loan.asked_at)
+        for held in message.loans:
+            # A promised slot comes later than the answer, so its life counts from the
+            # arrival; LOAN_MARGIN_SECONDS covers the time on the way.
+            loan = Borrowed(held.lease, held.server, lender, loan_end(now))
+            self._pool.borrowed[loan.key] = loan
+        self._serve(now)
+        self._send()
+
+    def tick(self, now: float) -> None:
+        """Expire leases and asks, return idle loans and renew busy ones."""
+        for key in [k for k, lease in self._leases.items() if lease.expires <= now]:
+            self._end_lease(key, now, measured=False)
+        for waiting in [w for w in self._queue if w.expires <= now]:
+            self._drop(waiting)
+        self._return_loans(now)
+        self._renew_borrowed(now)
+        self._serve(now)
+        self._send()
+
+    def stop(self) -> None:
+        """Hand back loans, and let hosts ask the next dispatcher."""
+        for loan in self._pool.borrowed.values():
+            self._post_return(loan)
+        self._pool.borrowed.clear()
+
+    def _ask(self, ask: Ask, host: HostId, now: float) -> None:
+        key = (host, ask.ticket)
+        if lease := self._by_ticket.get(key):
+            # The answer to the first ask was lost or is on its way.
+            grant = Grant(lease.id, ask.ticket, lease.server, lease.keep)
+            self._answers.grants.setdefault(host, []).append(grant)
+            return
+        if key in self._tickets:
+            self._answers.queued.setdefault(host, []).append(ask.ticket)
+            return
+        waiting = Waiting(host, ask, now + ask.left_ms / 1000)
+        if not len(self._queue) and self._grant(waiting, now):
+            return
+        self._enqueue(waiting, now)
+
+    def _enqueue(self, waiting: Waiting, now: float) -> None:
+        if self._expected_wait(waiting) > waiting.expires - now:
+            self._deny(waiting, SlotRefusal.NO_CAPACITY_BEFORE_DEADLINE)
+            return
+        if len(self._queue) >= self.max_queue:
+            longest = self._queue.newest_of_longest()
+            length = self._queue.length
+            if length(longest.workspace) <= length(waiting.workspace) + 1:
+                self._deny(waiting, SlotRefusal.QUEUE_FULL)
+                return
+            self._drop(longest)
+            self._deny(longest, SlotRefusal.QUEUE_FULL)
+        self._queue.push(waiting)
+        self._tickets[waiting.host, waiting.ask.ticket] = waiting
+        queued = self._answers.queued.setdefault(waiting.host, [])
+        queued.append(waiting.ask.ticket)
+
+    def _expected_wait(self, waiting: Waiting) -> float:
+        capacity = self._pool.capacity
+        if self._hold_seconds is None or not capacity:
+            return 0.0
+        ahead = self._queue.length(waiting.workspace) + 1
+        others = self._queue.total_weight(besides=waiting.workspace)
+        by_share = ahead * (others + waiting.weight) / max(waiting.weight, 1e-3)
+        turns = min(by_share, len(self._queue) + 1)
+        return turns * self._hold_seconds / capacity
+
+    def _deny(self, waiting: Waiting, reason: SlotRefusal) -> None:
+        denial = Denial(waiting.ask.ticket, reason)
+        self._answers.denials.setdefault(waiting.host, []).append(denial)
+
+    def _drop(self, waiting: Waiting) -> None:
+        self._queue.remove(waiting)
+        self._tickets.pop((waiting.host, waiting.ask.ticket), None)
+
+    def _serve(self, now: float) -> None:
+        while partner := self._partners.owed(now):
+            if not self._lend_one(partner, now):
+                break
+            partner.owed -= 1
+        while len(self._queue) and self._pool.has_free(now):
+            waiting = self._queue.pop(lambda w: self._find(w, now) is not None)
+            if waiting is None:
+                break
+            del self._tickets[waiting.host, waiting.ask.ticket]
+            self._grant(waiting, now)
+        if len(self._queue):
+            self._recall(now)
+            self._ask_partner(now)
+
+    def _find(self, waiting: Waiting, now: float) -> PoolServer | Borrowed | None:
+        ask = waiting.ask
+        allowed = self._allowed(waiting.host)
+        return self._pool.find(ask.exclude, ask.idempotent, allowed, now, self._rng)
+
+    def _grant(self, waiting: Waiting, now: float) -> bool:
+        found = self._find(waiting, now)
+        if found is None:
+            return False
+        lease = self._lease(found, waiting.host, now)
+        lease.ticket = waiting.ask.ticket
+        lease.workspace = waiting.workspace
+        lease.weight = waiting.weight
+        lease.keep = self._may_keep(found, now)
+        lease.timed = not lease.keep
+        self._by_ticket[waiting.host, lease.ticket] = lease
+        grant = Grant(lease.id, lease.ticket, lease.server, lease.keep)
+        self._answers.grants.setdefault(waiting.host, []).append(grant)
+        return True
+
+    def _lease(self, found: PoolServer | Borrowed, host: HostId, now: float) -> Lease:
+        self._next_lease += 1
+        if isinstance(found, Borrowed):
+            found.busy = True
+            server = found.server
+        else:
+            found.used += 1
+            found.trial_at = now
+            server = found.id
+        lease = Lease(
+            self._next_lease,
+            host,
+            server,
+            expires=now + FIRST_LEASE_SECONDS,
+            granted_at=now,
+            borrowed=found.key if isinstance(found, Borrowed) else None,
+        )
+        self._leases[host, lease.id] = lease
+        return lease
+
+    def _may_keep(self, found: PoolServer | Borrowed, now: float) -> bool:
+        if isinstance(found, Borrowed) or found.trial or len(self._queue):
+            return False
+        return self._pool.free(now) > self._pool.capacity * KEEP_SHARE
+
+    def _adopt(self, held: Held, host: HostId, now: float) -> Lease:
+        lease = Lease(held.lease, host, held.server, now + LEASE_SECONDS, now)
+        lease.keep = True
+        self._leases[host, held.lease] = lease
+        if server := self._pool.servers.get(held.server):
+            server.used += 1
+        return lease
+
+    def _end_lease(
+        self, key: tuple[HostId, int], now: float, *, measured: bool
+    ) -> None:
+        lease = self._leases.pop(key, None)
+        if lease is None:
+            return
+        self._by_ticket.pop((lease.host, lease.ticket), None)
+        if measured and lease.timed:
+            self._measure(now - lease.granted_at)
+        if lease.borrowed:
+            self._free_loan(lease.borrowed)
+        elif server := self._pool.servers.get(lease.server):
+            server.used = max(0, server.used - 1)
+
+    def _measure(self, seconds: float) -> None:
+        last = self._hold_seconds
+        self._hold_seconds = (
+            seconds if last is None else last + _HOLD_SMOOTHING * (seconds - last)
+        )
+
+    def _recall(self, now: float) -> None:
+        if now - self._recalled_at < _RECALL_GAP_SECONDS:
+            return
+        kept = [lease for lease in self._leases.values() if lease.keep]
+        for lease in kept:
+            lease.keep = False
+        for host in sorted({lease.host for lease in kept}):
+            self._mailbox.post(host, SlotRecall(self._service))
+            self._recalled_at = now
+
+    def _demand(self) -> tuple[WorkspaceDemand, ...]:
+        slots: dict[WorkspaceId, int] = {}
+        weights: dict[WorkspaceId, float] = {}
+        for lease in self._leases.values():
+            if not lease.loan:
+                slots[lease.workspace] = slots.get(lease.workspace, 0) + 1
+                weights[lease.workspace] = lease.weight
+        for waiting in self._queue:
+            slots[waiting.workspace] = slots.get(waiting.workspace, 0) + 1
+            weights[waiting.workspace] = waiting.weight
+        return largest(WorkspaceDemand(w, weights[w], n) for w, n in slots.items())
+
+    def _lent_to(self, host: HostId) -> list[Lease]:
+        return [v for v in self._leases.values() if v.loan and v.host == host]
+
+    def _reserve(self) -> int:
+        return 1 if self._pool.capacity > 1 else 0
+
+    def _fair_for(self, message: LoanAsk) -> float:
+        own = self._pool.capacity - sum(v.loan for v in self._leases.values())
+        return fair_capacity(own + message.capacity, self._demand(), message.demand)
+
+    def _renew_loans(
+        self, message: LoanAsk, host: HostId, fair: float, now: float
+    ) -> tuple[int, ...]:
+        count = len(message.held)
+        if len(self._queue):
+            count -= max(0, message.capacity - int(fair + 1))
+        renewed = []
+        for held in message.held[: max(0, count)]:
+            if lease := self._leases.get((host, held.lease)):
+                lease.expires = now + LOAN_SECONDS
+                renewed.append(held.lease)
+        return tuple(renewed)
+
+    def _lend_one(self, partner: Partner, now: float) -> bool:
+        found = self._pool.find((), False, None, now, self._rng)
+        if found is None or isinstance(found, Borrowed):
+            return False
+        lease = self._lease(found, partner.host, now)
+        lease.loan = True
+        lease.expires = now + LOAN_SECONDS
+        loans = self._answers.loans.setdefault(partner.host, [])
+        loans.append(Held(lease.id, lease.server))
+        return True
+
+    def _ask_partner(self, now: float) -> None:
+        partner = self._partners.next(now)
+        if partner:
+            self._post_loan_ask(partner, min(len(self._queue), MAX_LOAN), (), now)
+
+    def _post_loan_ask(
+        self, partner: Partner, wants: int, held: tuple[Held, ...], now: float
+    ) -> None:
+        partner.asked_at = now
+        partner.answered = False
+        capacity = self._pool.capacity
+        ask = LoanAsk(self._service, wants, capacity, self._demand(), held)
+        self._mailbox.post(partner.host, ask)
+
+    def _renew_borrowed(self, now: float) -> None:
+        due: dict[HostId, list[Borrowed]] = {}
+        for loan in self._pool.borrowed.values():
+            if not loan.ended and loan.expires - now < LOAN_SECONDS / 2:
+                due.setdefault(loan.lender, []).append(loan)
+        for lender, loans in due.items():
+            partner = self._partners.get(lender)
+            if partner is None or now - partner.asked_at < LOAN_BACKOFF_SECONDS:
+                continue
+            for loan in loans:
+                loan.asked_at = now
+            held = tuple(Held(loan.lease, loan.server) for loan in loans)
+            self._post_loan_ask(partner, min(len(self._queue), MAX_LOAN), held, now)
+
+    def _return_loans(self, now: float) -> None:
+        for loan in list(self._pool.borrowed.values()):
+            if loan.expires <= now:
+                loan.ended = True
+            if not loan.busy and (loan.ended or not len(self._queue)):
+                del self._pool.borrowed[loan.key]
+                self._post_return(loan)
+
+    def _free_loan(self, key: tuple[HostId, int]) -> None:
+        loan = self._pool.borrowed.get(key)
+        if loan is None:
+            return
+        loan.busy = False
+        if loan.ended:
+            del self._pool.borrowed[key]
+            self._post_return(loan)
+
+    def _post_return(self, loan: Borrowed) -> None:
+        self._mailbox.post(loan.lender, SlotReturn(self._service, (loan.lease,)))
+
+    def _send(self) -> None:
+        answers, self._answers = self._answers, _Answers()
+        for host in sorted({*answers.grants, *answers.denials, *answers.queued}):
+            message = SlotAnswer(
+                self._service,
+                tuple(answers.grants.get(host, ())),
+                tuple(answers.denials.get(host, ())),
+                tuple(answers.queued.get(host, ())),
+            )
+            self._mailbox.post(host, message)
+        for host, loans in sorted(answers.loans.items()):
+            self._mailbox.post(host, LoanGrant(self._service, tuple(loans)))
--- a/src/catkinspan/testing/channel.py
+++ b/src/catkinspan/testing/channel.py
@@ -69,11 +69,20 @@
         delay: tuple[float, float] = (0.001, 0.004),
         loss: float = 0.0,
         duplication: float = 0.0,
+        path_delay: Callable[[HostId, HostId], tuple[float, float]] | None = None,
+        on_send: Callable[[HostId, HostId, PeerMessage], None] | None = None,
     ) -> None:
+        """Create a channel without hosts.
+
+        `path_delay` gives the range of the delay of a path in seconds, in place of
+        `delay`. `on_send` is called for each message, lost ones included.
+        """
         self._rng = rng
         self._delay = delay
         self._loss = loss
         self._duplication = duplication
+        self._path_delay = path_delay
+        self._on_send = on_send
         self._members: dict[HostId, Member] = {}
         self._cuts: set[tuple[HostId, HostId]] = set()
         self._order = count()
@@ -168,12 +177,16 @@
         self.sent_messages += 1
         name = type(message).__name__
         self.sent_by_type[name] = self.sent_by_type.get(name, 0) + 1
+        if self._on_send:
+            self._on_send(source, target, message)
         if (source, target) in self._cuts or self._rng.random() < self._loss:
             return
         copies = 2 if self._rng.random() < self._duplication else 1
         origin = Origin(source, incarnation)
+        path = self._path_delay
+        delay = path(source, target) if path else self._delay
         for _ in range(copies):
-            when = self.now + self._rng.uniform(*self._delay)
+            when = self.now + self._rng.uniform(*delay)
             self.at(when, lambda: self._deliver(target, message, origin))
 
     def _deliver(self, target: HostId, message: PeerMessage, origin: Origin) -> None:
