Add the rates concern: lent minting rights and granted tokens

Each host mints 1/max_hosts of a rate, lends that right per shard to one grantor by a lease, and gets tokens on demand or ahead of it. No measurements yet.

--- /dev/null
+++ b/src/catkinspan/coordination/rates/__init__.py
@@ -0,0 +1,1 @@
+"""Rates and bursts of workspaces, counted over the whole fleet."""
--- /dev/null
+++ b/src/catkinspan/coordination/rates/bucket.py
@@ -0,0 +1,74 @@
+"""The bucket of one workspace at a grantor."""
+
+from attrs import define, field
+
+from catkinspan.coordination.rates.const import EPSILON, MINT_FACTOR
+from catkinspan.coordination.rates.leases import LeaseTable
+from catkinspan.coordination.rates.ledger import Ledger
+from catkinspan.state.tree import Workspace
+
+
+def saved_tokens(limits: Workspace, table: LeaseTable, now: float) -> float:
+    """Return the tokens of a workspace that was not used since the leases began."""
+    rate = limits.rate * MINT_FACTOR
+    return sum(
+        lease.share * min(limits.burst, rate * (now - lease.start))
+        for lease in table.leases.values()
+    )
+
+
+@define
+class Bucket:
+    """Tokens in stock and tokens granted but unspent.
+
+    Both together stay within the cap, which is the burst times the share of the
+    leases at hand. The total share is constant between two calls of `settle`; the
+    owner settles all buckets of a shard whenever its leases change.
+    """
+
+    limits: Workspace
+    tokens: float
+    updated: float
+    touched: float
+    ledger: Ledger = field(factory=Ledger)
+
+    def settle(self, share: float, now: float) -> None:
+        """Mint up to now, and forget grants whose life has ended on the way."""
+        while (expiry := self.ledger.next_expiry()) <= now:
+            self._mint(share, expiry)
+            self.ledger.expire(expiry)
+        self._mint(share, now)
+
+    def clamp(self, share: float) -> None:
+        """Drop tokens above the cap."""
+        room = self.limits.burst * share - self.ledger.total
+        self.tokens = max(0.0, min(self.tokens, room))
+
+    def add(self, tokens: int, share: float) -> None:
+        """Put tokens back into stock that came back unspent."""
+        self.tokens += tokens
+        self.clamp(share)
+
+    def whole_tokens(self, share: float) -> int:
+        """Return the whole tokens that may be granted against a share."""
+        room = self.limits.burst * share - self.ledger.total
+        return max(0, int(min(self.tokens, room) + EPSILON))
+
+    def seconds_to_token(self, share: float) -> float:
+        """Return the time until one token is in stock."""
+        pace = self.limits.rate * MINT_FACTOR * share
+        if pace <= 0 or self.limits.burst * share < 1 - EPSILON:
+            return float("inf")
+        return max(0.0, 1.0 - self.tokens) / pace
+
+    def is_idle(self, share: float) -> bool:
+        """Return whether the bucket equals one that was never used."""
+        cap = self.limits.burst * share
+        return self.ledger.total == 0 and self.tokens >= cap - EPSILON
+
+    def _mint(self, share: float, now: float) -> None:
+        if now > self.updated:
+            rate = self.limits.rate * MINT_FACTOR
+            self.tokens += rate * share * (now - self.updated)
+            self.updated = now
+        self.clamp(share)
