--- /dev/null
+++ b/src/catkinspan/coordination/audit/__init__.py
@@ -0,0 +1,1 @@
+"""The audit trail of a host."""
--- /dev/null
+++ b/src/catkinspan/coordination/host/__init__.py
@@ -0,0 +1,1 @@
+"""One host's coordinators, composed."""
--- /dev/null
+++ b/src/catkinspan/coordination/host/coordinator.py
@@ -0,0 +1,280 @@
+"""The coordinator of a host: owns all concerns and routes messages to them."""
+
+from collections.abc import Iterable
+from random import Random
+
+from attrs import frozen
+
+from catkinspan.coordination.claims.coordinator import ClaimCoordinator
+from catkinspan.coordination.concern import Concern
+from catkinspan.coordination.configuration.coordinator import ConfigurationCoordinator
+from catkinspan.coordination.configuration.models import (
+    PLATFORM,
+    DocumentParser,
+    Snapshot,
+)
+from catkinspan.coordination.const import PAUSE_SECONDS
+from catkinspan.coordination.health.coordinator import HealthCoordinator
+from catkinspan.coordination.keys.coordinator import KeyCoordinator
+from catkinspan.coordination.membership.coordinator import MembershipCoordinator
+from catkinspan.coordination.membership.isolation import IsolationMonitor
+from catkinspan.coordination.models import Origin, PeerMessage
+from catkinspan.coordination.outbox import Outbox
+from catkinspan.coordination.quarantine.coordinator import QuarantineCoordinator
+from catkinspan.coordination.rates.coordinator import RateCoordinator
+from catkinspan.coordination.requests.coordinator import RequestsCoordinator, Stages
+from catkinspan.coordination.requests.models import (
+    AttemptFinished,
+    BodyReceived,
+    RequestAbandoned,
+    RequestArrived,
+)
+from catkinspan.coordination.retries.coordinator import RetryCoordinator
+from catkinspan.coordination.routing.coordinator import RoutingCoordinator
+from catkinspan.coordination.slots.coordinator import SlotCoordinator
+from catkinspan.state.hosts import FleetView, ListedHost
+from catkinspan.state.ids import NO_REVISION
+from catkinspan.state.tree import SettingsTree
+
+RequestMessage = RequestArrived | BodyReceived | AttemptFinished | RequestAbandoned
+
+
+@frozen
+class ReaderRole:
+    """Directive: start or stop to read the platform's service."""
+
+    active: bool
+
+
+@frozen
+class TreeInForce:
+    """Directive: a newer settings tree is in force."""
+
+    tree: SettingsTree
+
+
+@frozen
+class HostIdentity:
+    """Who a host is during one process life."""
+
+    listing: ListedHost
+    incarnation: int
+
+
+class HostCoordinator:
+    """Composes the concerns of one host; synchronous and free of I/O.
+
+    The owner calls `tick` every `TICK_SECONDS`, passes messages in, and drains the
+    outbox after each call. It implements `ChannelNode` of the test channel.
+
+    Example::
+
+        host = HostCoordinator(identity, parser, Outbox(), Random(1), 1000, now)
+        host.take_request(arrived, now)
+        for directive in host.outbox.take_directives():
+            ...
+    """
+
+    def __init__(
+        self,
+        identity: HostIdentity,
+        parser: DocumentParser,
+        outbox: Outbox,
+        rng: Random,
+        max_requests: int,
+        now: float,
+    ) -> None:
+        listing, incarnation = identity.listing, identity.incarnation
+        self_id, data_centre = listing.id, listing.data_centre
+        self._outbox = outbox
+        self._last_call = now
+        self._view: FleetView | None = None
+        self._tree = SettingsTree()
+        self._is_reader = False
+        self.membership = MembershipCoordinator(listing, incarnation, outbox, rng)
+        self.configuration = ConfigurationCoordinator(self_id, parser, outbox, rng)
+        self.membership.exchange_revisions(self.configuration)
+        self.isolation = IsolationMonitor(
+            self.membership, self.configuration, outbox, now
+        )
+        self.keys = KeyCoordinator(outbox)
+        self.routing = RoutingCoordinator()
+        self.rates = RateCoordinator(self_id, incarnation, outbox, rng)
+        self.health = HealthCoordinator(self_id, data_centre, outbox, rng)
+        self.slots = SlotCoordinator(self_id, data_centre, outbox, rng, self.health)
+        self.retries = RetryCoordinator(outbox)
+        self.claims = ClaimCoordinator(self_id, incarnation, outbox, rng)
+        self.quarantine = QuarantineCoordinator(self_id, outbox, rng)
+        self.requests = RequestsCoordinator(
+            Stages(
+                gate=self,
+                routing=self.routing,
+                keys=self.keys,
+                quarantine=self.quarantine,
+                rates=self.rates,
+                claims=self.claims,
+                slots=self.slots,
+                retries=self.retries,
+                health=self.health,
+            ),
+            outbox,
+            rng,
+            max_requests,
+        )
+        self._concerns: tuple[Concern, ...] = (
+            self.membership,
+            self.configuration,
+            self.keys,
+            self.routing,
+            self.health,
+            self.rates,
+            self.slots,
+            self.retries,
+            self.claims,
+            self.quarantine,
+        )
+        self._by_message: dict[type[PeerMessage], Concern] = {
+            message: concern
+            for concern in self._concerns
+            for message in concern.handles
+        }
+
+    @property
+    def outbox(self) -> Outbox:
+        """Return the outbox that all concerns share."""
+        return self._outbox
+
+    @property
+    def tree(self) -> SettingsTree:
+        """Return the settings in force."""
+        return self._tree
+
+    @property
+    def view(self) -> FleetView:
+        """Return the current view of the fleet."""
+        return self.membership.view
+
+    # Admission gate
+
+    def is_ready(self, now: float) -> bool:
+        """Return whether the host has a configuration to serve by."""
+        if self.membership.superseded:
+            return False
+        return self._tree.revision > NO_REVISION and self.configuration.is_ready(now)
+
+    def is_isolated(self, now: float) -> bool:
+        """Return whether keyed requests must be refused."""
+        return self.isolation.is_isolated(now)
+
+    # Messages
+
+    def take_request(self, message: RequestMessage, now: float) -> None:
+        """Process a message from the front end about a request."""
+        self._catch_up(now)
+        match message:
+            case RequestArrived():
+                self.requests.arrive(message, now)
+            case BodyReceived():
+                self.requests.receive_body(message, now)
+            case AttemptFinished():
+                self.requests.finish_attempt(message, now)
+            case RequestAbandoned():
+                self.requests.abandon(message, now)
+
+    def handle(self, message: PeerMessage, origin: Origin, now: float) -> None:
+        """Process a message from a peer; unknown kinds are ignored."""
+        self._catch_up(now)
+        concern = self._by_message.get(type(message))
+        if concern is None:
+            return
+        concern.handle(message, origin, now)
+        self._settle(now)
+
+    def take_snapshot(self, snapshot: Snapshot, now: float) -> None:
+        """Process what the platform's service published."""
+        self._catch_up(now)
+        self.configuration.offer(snapshot, PLATFORM, now)
+        self._settle(now)
+
+    def platform_reached(self, now: float) -> None:
+        """Note that the platform's service answered."""
+        self.configuration.platform_contact(now)
+
+    def tick(self, now: float) -> None:
+        """Do what is due in each concern."""
+        self._catch_up(now)
+        for concern in self._concerns:
+            concern.tick(now)
+        self.isolation.tick(now)
+        self._settle(now)
+        self._choose_reader(now)
+
+    def resume(self, gap: float, now: float) -> None:
+        """Drop leases and stock after a pause of the process."""
+        for concern in self._concerns:
+            concern.resume(gap, now)
+
+    def drain(self, now: float) -> None:
+        """Hand back what the host holds; running requests go on."""
+        for concern in self._concerns:
+            concern.drain(now)
+
+    def _catch_up(self, now: float) -> None:
+        """Detect a pause before anything else acts on old beliefs."""
+        gap = now - self._last_call
+        self._last_call = now
+        if gap > PAUSE_SECONDS:
+            self.resume(gap, now)
+
+    def _settle(self, now: float) -> None:
+        """Pass changes of settings and view on, and go on with waiting requests."""
+        self._pass_tree(now)
+        self._pass_view(now)
+        self.requests.tick(now)
+
+    def _pass_tree(self, now: float) -> None:
+        tree = self.configuration.tree
+        if tree is self._tree:
+            return
+        self._tree = tree
+        for concern in self._concerns:
+            concern.apply_tree(tree, now)
+        self.requests.apply_tree(tree, now)
+        self.isolation.apply_limit(tree.fleet.isolation)
+        self.membership.apply_host_list(self.configuration.host_list, now)
+        self._outbox.direct(TreeInForce(tree))
+
+    def _pass_view(self, now: float) -> None:
+        view = self.membership.view
+        if view is self._view:
+            return
+        self._view = view
+        for concern in self._concerns:
+            concern.apply_view(view, now)
+
+    def _choose_reader(self, now: float) -> None:
+        # An isolated host reads itself, since its peers cannot tell it of changes.
+        wanted = self.configuration.is_reader or self.isolation.is_endangered(now)
+        if wanted != self._is_reader:
+            self._is_reader = wanted
+            self._outbox.direct(ReaderRole(wanted))
+
+
+def all_messages(concerns: Iterable[type[Concern]]) -> tuple[type[PeerMessage], ...]:
+    """Return the peer messages that concerns handle, for a codec's registry."""
+    return tuple(message for concern in concerns for message in concern.handles)
+
+
+CONCERNS: tuple[type[Concern], ...] = (
+    MembershipCoordinator,
+    ConfigurationCoordinator,
+    KeyCoordinator,
+    RoutingCoordinator,
+    HealthCoordinator,
+    RateCoordinator,
+    SlotCoordinator,
+    RetryCoordinator,
+    ClaimCoordinator,
+    QuarantineCoordinator,
+)
+PEER_MESSAGES = all_messages(CONCERNS)
--- /dev/null
+++ b/src/catkinspan/daemon/host_task.py
@@ -0,0 +1,234 @@
+"""The task that owns a host's coordinators."""
+
+import asyncio
+from collections.abc import Callable
+from random import Random
+from typing import Any
+
+from loguru import logger
+
+from catkinspan.coordination.audit.coordinator import AuditTrail
+from catkinspan.coordination.clock import Clock
+from catkinspan.coordination.const import TICK_SECONDS
+from catkinspan.coordination.host.coordinator import (
+    HostCoordinator,
+    ReaderRole,
+    TreeInForce,
+)
+from catkinspan.coordination.keys.models import CloseKeyConnections
+from catkinspan.coordination.models import Envelope, Event, Origin, PeerMessage
+from catkinspan.coordination.requests.models import (
+    KeysWithdrawn,
+    Refused,
+    RequestAbandoned,
+    RequestDirective,
+)
+from catkinspan.daemon.messages import (
+    BeginDrain,
+    ConnectionEnded,
+    ConnectionOpened,
+    PeerFrame,
+    ProbeResult,
+    Query,
+)
+from catkinspan.protocol.peers.codec import PeerCodec
+from catkinspan.state.ids import HostId, RequestId
+from catkinspan.state.tree import SettingsTree
+from catkinspan.transport.callers.messages import (
+    Drain,
+    Progress,
+    RequestRecord,
+    Submit,
+)
+from catkinspan.transport.mailbox import Mailbox
+from catkinspan.transport.peers.link import PeerLink
+from catkinspan.transport.platform.reader import (
+    PlatformReached,
+    PlatformUpdate,
+    ReaderMessage,
+    StartReading,
+    StopReading,
+)
+
+HOST_INBOX = 10_000
+MESSAGES_BETWEEN_TICKS = 500
+"""Messages after which a due tick runs even if more are waiting."""
+
+LinkFactory = Callable[[HostId, Any, Callable[[list[PeerMessage]], bytes]], PeerLink]
+
+
+class HostTask:
+    """Feeds the coordinator from one inbox and carries its output out."""
+
+    def __init__(
+        self,
+        coordinator: HostCoordinator,
+        origin: Origin,
+        codec: PeerCodec,
+        clock: Clock,
+        rng: Random,
+        new_link: LinkFactory,
+        reader: Mailbox[ReaderMessage],
+        on_tree: Callable[[SettingsTree], None],
+        on_record: Callable[[RequestRecord], None],
+    ) -> None:
+        self._coordinator = coordinator
+        self._origin = origin
+        self._codec = codec
+        self._clock = clock
+        self._rng = rng
+        self._new_link = new_link
+        self._reader = reader
+        self._on_tree = on_tree
+        self._on_record = on_record
+        self._inbox: Mailbox[Any] = Mailbox(HOST_INBOX)
+        self._audit = AuditTrail(origin.host)
+        self._replies: dict[RequestId, Mailbox[Any]] = {}
+        self._connections: set[Mailbox[Any]] = set()
+        self._links: dict[HostId, tuple[PeerLink, asyncio.Task[None]]] = {}
+        self._draining = False
+
+    @property
+    def inbox(self) -> Mailbox[Any]:
+        """Return the inbox of the task."""
+        return self._inbox
+
+    @property
+    def audit(self) -> AuditTrail:
+        """Return the audit trail; read it from within a `Query` only."""
+        return self._audit
+
+    @property
+    def peer_bytes(self) -> int:
+        """Return the bytes sent on the links that are open."""
+        return sum(link.sent_bytes for link, _ in self._links.values())
+
+    async def async_run(self) -> None:
+        """Serve the inbox until cancelled."""
+        next_tick = self._clock.monotonic()
+        served = 0
+        try:
+            while True:
+                message = await self._inbox.async_get_until(next_tick)
+                if message is not None:
+                    self._handle(message)
+                    served += 1
+                now = self._clock.monotonic()
+                if now >= next_tick or served >= MESSAGES_BETWEEN_TICKS:
+                    self._coordinator.tick(now)
+                    next_tick = now + TICK_SECONDS
+                    served = 0
+                self._drain_outbox()
+        finally:
+            for _, task in self._links.values():
+                task.cancel()
+
+    def _handle(self, message: Any) -> None:
+        now = self._clock.monotonic()
+        match message:
+            case Submit(arrived, reply):
+                self._replies[arrived.request_id] = reply
+                self._coordinator.take_request(arrived, now)
+            case Progress(inner):
+                self._coordinator.take_request(inner, now)
+                if isinstance(inner, RequestAbandoned):
+                    self._replies.pop(inner.request_id, None)
+            case RequestRecord():
+                self._replies.pop(RequestId(message.request_id), None)
+                self._on_record(message)
+            case PeerFrame(frame):
+                for peer_message in frame.messages:
+                    self._coordinator.handle(peer_message, frame.origin, now)
+            case PlatformUpdate(snapshot):
+                self._coordinator.take_snapshot(snapshot, now)
+            case PlatformReached():
+                self._coordinator.platform_reached(now)
+            case ProbeResult(_, server, ok, latency):
+                self._coordinator.health.record_probe(server, ok, latency, now)
+            case ConnectionOpened(mailbox):
+                self._open_connection(mailbox)
+            case ConnectionEnded(mailbox):
+                self._connections.discard(mailbox)
+            case Query(read, reply):
+                self._answer(read, reply, now)
+            case BeginDrain(done):
+                self._begin_drain(now)
+                done.set_result(None)
+
+    def _open_connection(self, mailbox: Mailbox[Any]) -> None:
+        self._connections.add(mailbox)
+        if self._draining:
+            mailbox.force(Drain())
+
+    def _answer(
+        self,
+        read: Callable[[HostCoordinator, float], Any],
+        reply: "asyncio.Future[Any]",
+        now: float,
+    ) -> None:
+        if reply.done():
+            return
+        try:
+            reply.set_result(read(self._coordinator, now))
+        except Exception as error:  # noqa: BLE001 - the asking task reports it
+            reply.set_exception(error)
+
+    def _begin_drain(self, now: float) -> None:
+        self._draining = True
+        self._coordinator.drain(now)
+        for mailbox in self._connections:
+            mailbox.force(Drain())
+
+    # Output
+
+    def _drain_outbox(self) -> None:
+        outbox = self._coordinator.outbox
+        for directive in outbox.take_directives():
+            self._carry_out(directive)
+        for event in outbox.take_events():
+            self._record(event)
+        for envelope in outbox.take_envelopes():
+            self._send(envelope)
+
+    def _carry_out(self, directive: object) -> None:
+        match directive:
+            case RequestDirective(request_id):
+                reply = self._replies.get(request_id)
+                if reply is not None:
+                    reply.force(directive)
+                if isinstance(directive, Refused):
+                    self._replies.pop(request_id, None)
+            case CloseKeyConnections(digests):
+                for mailbox in self._connections:
+                    mailbox.force(KeysWithdrawn(digests))
+            case ReaderRole(active):
+                self._reader.force(StartReading() if active else StopReading())
+            case TreeInForce(tree):
+                self._on_tree(tree)
+
+    def _record(self, event: Event) -> None:
+        entry = self._audit.record(event, self._clock.now())
+        logger.info("audit: {}", entry.event)
+
+    def _send(self, envelope: Envelope) -> None:
+        link = self._link(envelope.to)
+        if link is not None:
+            link.post(envelope.message)
+
+    def _link(self, peer: HostId) -> PeerLink | None:
+        record = self._coordinator.view.hosts.get(peer)
+        if record is None:
+            return None
+        known = self._links.get(peer)
+        if known is not None:
+            link, task = known
+            if not task.done() and link.address == record.peer_address:
+                return link
+            task.cancel()
+        link = self._new_link(peer, record.peer_address, self._encode)
+        task = asyncio.create_task(link.async_run())
+        self._links[peer] = (link, task)
+        return link
+
+    def _encode(self, messages: list[PeerMessage]) -> bytes:
+        return self._codec.encode(self._origin, messages)
