--- /dev/null
+++ b/src/catkinspan/coordination/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Observed peers and the host's view of the fleet."""
