--- /dev/null
+++ b/src/catkinspan/coordination/keys/__init__.py
@@ -0,0 +1,1 @@
+"""Callers' keys: the index of published digests."""
--- /dev/null
+++ b/src/catkinspan/coordination/keys/models.py
@@ -0,0 +1,50 @@
+"""Events and directives of the keys."""
+
+from attrs import field, frozen
+
+from catkinspan.coordination.keys.const import SHOWN_DIGEST_CHARS
+from catkinspan.coordination.models import Event, PeerMessage
+from catkinspan.state.ids import KeyId, Revision, WorkspaceId
+
+MESSAGES: tuple[type[PeerMessage], ...] = ()
+
+
+@frozen
+class KeyGiven(Event):
+    """A key works from now on."""
+
+    workspace: WorkspaceId
+    key: KeyId
+    digest: str
+    """The first digits of the key's digest."""
+
+
+@frozen
+class KeyWithdrawn(Event):
+    """A key works no more on this host."""
+
+    workspace: WorkspaceId
+    key: KeyId
+    digest: str
+    """The first digits of the key's digest."""
+
+
+@frozen
+class KeysChanged(Event):
+    """Summary of a revision that changed many keys."""
+
+    revision: Revision
+    given: int
+    withdrawn: int
+
+
+@frozen
+class CloseKeyConnections:
+    """Directive: close idle connections of these keys and cut streaming ones."""
+
+    digests: frozenset[bytes] = field(repr=lambda digests: f"{len(digests)} digests")
+
+
+def shown_digest(digest: bytes) -> str:
+    """Return the part of a digest that may appear in events and logs."""
+    return digest.hex()[:SHOWN_DIGEST_CHARS]
--- a/src/catkinspan/coordination/membership/const.py
+++ b/src/catkinspan/coordination/membership/const.py
@@ -30,6 +30,9 @@
 STARTUP_PEERS = 3
 """Peers whose acks end the phase in which a host may raise its incarnation."""
 
+EXPIRY_SECONDS = 0.25
+"""Interval of the scan for suspicions that ran out."""
+
 FORGET_SECONDS = 120.0
 """Time after which a dead host that is not listed is forgotten."""
 
--- a/src/catkinspan/coordination/membership/coordinator.py
+++ b/src/catkinspan/coordination/membership/coordinator.py
@@ -8,6 +8,7 @@
 from catkinspan.coordination.membership import models
 from catkinspan.coordination.membership.const import (
     CONNECTIVITY_WINDOW_SECONDS,
+    EXPIRY_SECONDS,
     FORGET_SECONDS,
     INDIRECT_HELPERS,
     LEAVE_FANOUT,
@@ -39,7 +40,13 @@
 from catkinspan.coordination.membership.probing import ProbeInFlight, ProbeLedger
 from catkinspan.coordination.models import Origin, PeerMessage
 from catkinspan.coordination.outbox import Outbox
-from catkinspan.state.hosts import FleetView, HostList, HostStatus, ListedHost
+from catkinspan.state.hosts import (
+    FleetView,
+    HostList,
+    HostRecord,
+    HostStatus,
+    ListedHost,
+)
 from catkinspan.state.ids import NO_REVISION, HostId, Revision
 from catkinspan.state.tree import SettingsTree
 
@@ -79,10 +86,13 @@
         self._ledger = ProbeLedger()
         self._round: list[HostId] = []
         self._next_probe_at = 0.0
+        self._next_expiry_at = 0.0
         self._ticked_at = 0.0
         self._one_way: dict[HostId, OneWayPath] = {}
         self._exchange: RevisionExchange | None = None
         self._view = FleetView(self._id, self_host.data_centre)
+        self._records: dict[HostId, HostRecord] = {}
+        self._stale: set[HostId] = {self._id}
         self._view_is_old = True
         self._handlers: dict[type[PeerMessage], Callable[[Any, Origin, float], None]]
         self._handlers = {
@@ -97,7 +107,7 @@
     @property
     def view(self) -> FleetView:
         """Return what the host believes; a new object only after a change."""
-        if self._view_is_old:
+        if self._stale or self._view_is_old:
             self._refresh_view()
         return self._view
 
@@ -153,7 +163,7 @@
                 member.leaving_in_list = False
         for listing in hosts.hosts.values():
             self._take_listing(listing)
-        self._view_is_old = True
+        self._stale.update(self._members)
 
     def apply_tree(self, tree: SettingsTree, now: float) -> None:
         """Take over the largest number of hosts."""
@@ -195,8 +205,7 @@
             return
         self._self.leaving = True
         self._self.refutation += 1
-        self._queue.add(self._id)
-        self._view_is_old = True
+        self._note_change(self._self)
         message = Leaving(self._self.refutation)
         for host in self._peers_to_tell():
             self._outbox.send(host, message)
@@ -293,8 +302,7 @@
         before = member.shown_status
         if not member.merge(update, now):
             return
-        self._queue.add(member.id)
-        self._view_is_old = True
+        self._note_change(member)
         self._report_change(member, before)
 
     def _answer_statement(self, update: HostUpdate) -> None:
@@ -315,8 +323,7 @@
         if self._is_starting():
             own.incarnation = incarnation + 1
             own.refutation = 0
-            self._queue.add(self._id)
-            self._view_is_old = True
+            self._note_change(own)
             return
         if self._superseded:
             return
@@ -338,7 +345,7 @@
             return
         self._members[place.host] = member_at(place)
         self._join_round(place.host)
-        self._view_is_old = True
+        self._stale.add(place.host)
 
     def _take_listing(self, listing: ListedHost) -> None:
         member = self._members.get(listing.id)
@@ -461,8 +468,7 @@
         if probe.answered_indirectly or member.status is not HostStatus.ALIVE:
             return
         member.suspect(now)
-        self._queue.add(member.id)
-        self._view_is_old = True
+        self._note_change(member)
 
     def _note_unheard(self, member: Member, now: float) -> None:
         """Count a probe without a direct ack whose target was heard meanwhile."""
@@ -476,6 +482,9 @@
         self._outbox.emit(OneWayPathFound(self._id, member.id))
 
     def _expire(self, now: float) -> None:
+        if now < self._next_expiry_at:
+            return
+        self._next_expiry_at = now + EXPIRY_SECONDS
         forgotten = []
         for member in self._members.values():
             if member.status is HostStatus.ALIVE:
@@ -491,8 +500,7 @@
     def _declare_dead(self, member: Member, now: float) -> None:
         before = member.shown_status
         member.declare_dead(now)
-        self._queue.add(member.id)
-        self._view_is_old = True
+        self._note_change(member)
         self._one_way.pop(member.id, None)
         self._report_change(member, before)
 
@@ -502,7 +510,11 @@
         self._introduced.discard(host)
         self._outdated.discard(host)
         self._one_way.pop(host, None)
-        self._view_is_old = True
+        self._stale.add(host)
+
+    def _note_change(self, member: Member) -> None:
+        self._queue.add(member.id)
+        self._stale.add(member.id)
 
     def _report_change(self, member: Member, before: HostStatus) -> None:
         after = member.shown_status
@@ -524,20 +536,39 @@
         return [member.id for member in peers[:LEAVE_FANOUT]]
 
     def _refresh_view(self) -> None:
+        """Build a new view if a record or a limit changed.
+
+        Records of unchanged hosts are kept, which keeps this cheap at 1,100 hosts.
+        """
+        changed = self._view_is_old
+        for host in self._stale:
+            changed |= self._refresh_record(host)
+        self._stale.clear()
         self._view_is_old = False
-        members = self._members
-        view = FleetView(
+        if not changed:
+            return
+        records = self._records
+        self._view = FleetView(
             self._id,
             self._self.data_centre,
-            {host: members[host].record() for host in sorted(members)},
-            tuple(sorted(m.id for m in members.values() if self._is_usable(m))),
+            dict(records),
+            tuple(sorted(host for host in records if self._is_usable(host))),
             self._max_hosts,
-            tuple(sorted(m.id for m in members.values() if m.listed)),
+            tuple(sorted(host for host, record in records.items() if record.listed)),
         )
-        if view != self._view:
-            self._view = view
 
-    def _is_usable(self, member: Member) -> bool:
-        if member is self._self and self._superseded:
+    def _refresh_record(self, host: HostId) -> bool:
+        """Renew one record and return whether it changed."""
+        member = self._members.get(host)
+        if member is None:
+            return self._records.pop(host, None) is not None
+        record = member.record()
+        if self._records.get(host) == record:
+            return False
+        self._records[host] = record
+        return True
+
+    def _is_usable(self, host: HostId) -> bool:
+        if host == self._id and self._superseded:
             return False
-        return member.is_usable
+        return self._members[host].is_usable
