--- a/src/catkinspan/coordination/host/coordinator.py
+++ b/src/catkinspan/coordination/host/coordinator.py
@@ -33,7 +33,7 @@
 from catkinspan.coordination.routing.coordinator import RoutingCoordinator
 from catkinspan.coordination.slots.coordinator import SlotCoordinator
 from catkinspan.state.hosts import FleetView, ListedHost
-from catkinspan.state.ids import NO_REVISION
+from catkinspan.state.ids import NO_REVISION, Revision
 from catkinspan.state.tree import SettingsTree
 
 RequestMessage = RequestArrived | BodyReceived | AttemptFinished | RequestAbandoned
@@ -46,6 +46,11 @@
     active: bool
 
 
+@frozen
+class ReadOnce:
+    """Directive: read the platform's service once, without a watch."""
+
+
 @frozen
 class TreeInForce:
     """Directive: a newer settings tree is in force."""
@@ -196,9 +201,9 @@
         self.configuration.offer(snapshot, PLATFORM, now)
         self._settle(now)
 
-    def platform_reached(self, now: float) -> None:
-        """Note that the platform's service answered."""
-        self.configuration.platform_contact(now)
+    def platform_reached(self, revision: Revision, now: float) -> None:
+        """Note that the platform's service answered with its revision."""
+        self.configuration.platform_contact(now, revision)
 
     def tick(self, now: float) -> None:
         """Do what is due in each concern."""
@@ -253,11 +258,13 @@
             concern.apply_view(view, now)
 
     def _choose_reader(self, now: float) -> None:
-        # An isolated host reads itself, since its peers cannot tell it of changes.
-        wanted = self.configuration.is_reader or self.isolation.is_endangered(now)
-        if wanted != self._is_reader:
-            self._is_reader = wanted
-            self._outbox.direct(ReaderRole(wanted))
+        if self.configuration.is_reader != self._is_reader:
+            self._is_reader = self.configuration.is_reader
+            self._outbox.direct(ReaderRole(self._is_reader))
+        # A host without peers reads itself, since nobody can tell it of changes.
+        self.configuration.set_cut_off(self.isolation.is_endangered(now))
+        if self.configuration.fallback_read_due(now):
+            self._outbox.direct(ReadOnce())
 
 
 def all_messages(concerns: Iterable[type[Concern]]) -> tuple[type[PeerMessage], ...]:
--- a/src/catkinspan/coordination/requests/coordinator.py
+++ b/src/catkinspan/coordination/requests/coordinator.py
@@ -221,9 +221,9 @@
             return
         # An attempt that runs may have written the request already.
         ran = Ran.MAYBE if request.running else request.ran
-        for attempt in list(request.running):
+        for attempt in request.running:
             self._stages.slots.release(request.id, attempt, now)
-            self._stages.health.forget_attempt(request.id, attempt, now)
+            self._stages.health.record(_cancelled(request, attempt), now)
         request.running.clear()
         self._end(request, ran, now)
 
@@ -410,7 +410,7 @@
         request.stage = Stage.RUNNING
         request.running[attempt] = lease.server
         request.tried.add(lease.server)
-        self._stages.health.record_started(
+        self._stages.health.record_start(
             AttemptStarted(
                 request.id,
                 attempt,
@@ -489,8 +489,6 @@
 
     def _record(self, request: _Request, outcome: AttemptOutcome, now: float) -> None:
         self._stages.health.record(outcome, now)
-        if outcome.server_draining or outcome.kind is OutcomeKind.DRAINING:
-            self._stages.health.record_drain(outcome.service, outcome.server, now)
         if _may_have_run(outcome):
             request.ran = Ran.MAYBE
         if request.fingerprint is None:
@@ -595,6 +593,20 @@
     return arrived.query.get(parameter) if parameter else None
 
 
+def _cancelled(request: _Request, attempt: int) -> AttemptOutcome:
+    return AttemptOutcome(
+        request_id=request.id,
+        attempt=attempt,
+        service=request.route.service,
+        server=request.running[attempt],
+        workspace=request.workspace,
+        kind=OutcomeKind.CANCELLED,
+        latency=0.0,
+        bytes_written=True,
+        request_class=request.route.id,
+    )
+
+
 def _may_have_run(outcome: AttemptOutcome) -> bool:
     if outcome.kind in DID_NOT_RUN_KINDS:
         return False
--- /dev/null
+++ b/src/catkinspan/daemon/cli/common.py
@@ -0,0 +1,63 @@
+"""Parts that several commands share."""
+
+import argparse
+import asyncio
+import signal
+import sys
+from collections.abc import Iterable
+from pathlib import Path
+from typing import TypeAlias
+
+from result import Err, Ok, Result
+
+from catkinspan.coordination.configuration.errors import SettingsFault
+from catkinspan.daemon.logs import set_up_logs
+
+Subparsers: TypeAlias = "argparse._SubParsersAction[argparse.ArgumentParser]"
+
+LOG_LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
+
+
+def add_log_options(parser: argparse.ArgumentParser, level: str) -> None:
+    """Add the options of the logs."""
+    parser.add_argument(
+        "--log-level",
+        choices=LOG_LEVELS,
+        default=level,
+        help="lowest level to log (default: %(default)s)",
+    )
+    parser.add_argument(
+        "--log-json", action="store_true", help="log one JSON object a line"
+    )
+
+
+def start_logs(args: argparse.Namespace) -> None:
+    """Set the logs up as the options say."""
+    set_up_logs(args.log_level, args.log_json)
+
+
+def read_file(path: Path) -> Result[str, SettingsFault]:
+    """Return a file's text."""
+    try:
+        return Ok(path.read_text())
+    except (OSError, UnicodeDecodeError) as error:
+        remedy = "name a readable file in UTF-8"
+        return Err(SettingsFault(str(path), f"cannot be read: {error}", remedy))
+
+
+def print_faults(faults: Iterable[SettingsFault]) -> None:
+    """Print each fault on a line of standard error."""
+    for fault in faults:
+        print(f"fault: {fault}", file=sys.stderr)
+
+
+async def async_wait_for_signal() -> None:
+    """Wait for SIGTERM or SIGINT; a second one ends the process at once."""
+    loop = asyncio.get_running_loop()
+    received = asyncio.Event()
+    numbers = (signal.SIGTERM, signal.SIGINT)
+    for number in numbers:
+        loop.add_signal_handler(number, received.set)
+    await received.wait()
+    for number in numbers:
+        loop.remove_signal_handler(number)
--- /dev/null
+++ b/src/catkinspan/daemon/cli/demo.py
@@ -0,0 +1,48 @@
+"""``catkinspan demo``: a whole small fleet in one process."""
+
+import argparse
+import asyncio
+
+from catkinspan.daemon.cli.common import (
+    Subparsers,
+    add_log_options,
+    async_wait_for_signal,
+    start_logs,
+)
+from catkinspan.daemon.cli.const import EXIT_OK
+from catkinspan.daemon.demo import DemoFleet
+
+
+def add_parser(subparsers: Subparsers) -> None:
+    """Add the command."""
+    parser = subparsers.add_parser(
+        "demo",
+        help="run a whole small fleet on loopback",
+        description="Run a stand-in platform, two services with several upstream "
+        "servers and three entry hosts in one process, until interrupted.",
+    )
+    parser.add_argument(
+        "--first-port",
+        type=int,
+        default=18000,
+        help="first of the 100 ports in use (default: %(default)s)",
+    )
+    add_log_options(parser, "WARNING")
+    parser.set_defaults(run=run)
+
+
+def run(args: argparse.Namespace) -> int:
+    """Run the demo until a signal comes."""
+    start_logs(args)
+    return asyncio.run(_async_demo(args.first_port))
+
+
+async def _async_demo(first_port: int) -> int:
+    fleet = DemoFleet(first_port)
+    await fleet.async_start()
+    try:
+        print(fleet.guide(), flush=True)
+        await async_wait_for_signal()
+    finally:
+        await fleet.async_stop()
+    return EXIT_OK
--- /dev/null
+++ b/src/catkinspan/daemon/demo.py
@@ -0,0 +1,194 @@
+"""A small fleet with its stand-ins, in one process, on loopback."""
+
+import asyncio
+import hashlib
+from datetime import timedelta
+from typing import Any
+
+from catkinspan.daemon.clock import SystemClock
+from catkinspan.daemon.node import HostNode
+from catkinspan.standin.platform import StandinPlatform
+from catkinspan.standin.upstream import StandinUpstream, UpstreamOptions
+from catkinspan.state.ids import DataCentre, HostId
+from catkinspan.state.node import NodeSettings
+from catkinspan.state.tree import Address
+
+LOOPBACK = "127.0.0.1"
+DEMO_KEY = "demo-key-of-workspace-museo-0001"
+"""A fixed key, so that the printed commands work; real keys are random."""
+
+SECOND_KEY = "demo-key-of-workspace-archivio-02"
+DATA_CENTRES = ("tirano", "lecco", "chiavenna")
+SERVICES = {"accettazione": 4, "laboratorio": 3}
+START_SECONDS = 10.0
+
+PLATFORM_PORT = 0
+CALLERS_PORT = 10
+OPERATORS_PORT = 20
+PEERS_PORT = 30
+UPSTREAMS_PORT = 40
+
+
+class DemoFleet:
+    """Stand-in platform, two services and three entry hosts."""
+
+    def __init__(self, first_port: int) -> None:
+        self._first_port = first_port
+        self._platform = StandinPlatform()
+        self._upstreams = self._new_upstreams()
+        self._hosts = [self._new_host(i) for i in range(len(DATA_CENTRES))]
+
+    @property
+    def platform(self) -> StandinPlatform:
+        """Return the stand-in platform."""
+        return self._platform
+
+    @property
+    def upstreams(self) -> list[tuple[Address, StandinUpstream]]:
+        """Return the stand-in servers with their addresses."""
+        return self._upstreams
+
+    @property
+    def hosts(self) -> list[HostNode]:
+        """Return the entry hosts."""
+        return self._hosts
+
+    async def async_start(self) -> None:
+        """Start all parts and wait until the hosts serve."""
+        await self._platform.async_start(self._address(PLATFORM_PORT))
+        await self._platform.async_publish(self.settings_tree())
+        for address, upstream in self._upstreams:
+            await upstream.async_start(address)
+        for host in self._hosts:
+            await host.async_start()
+        async with asyncio.timeout(START_SECONDS):
+            for host in self._hosts:
+                await self._async_wait_ready(host)
+
+    async def async_stop(self) -> None:
+        """Stop all parts at once."""
+        for host in self._hosts:
+            await host.async_stop()
+        for _, upstream in self._upstreams:
+            await upstream.async_stop()
+        await self._platform.async_stop()
+
+    def settings_tree(self) -> dict[str, Any]:
+        """Return the settings that the platform publishes at first."""
+        return {
+            "fleet": {"max_hosts": len(DATA_CENTRES)},
+            "defaults": {"deadline_ms": 5000},
+            "services": {name: self._service(name) for name in SERVICES},
+            "workspaces": {
+                "museo": _workspace(DEMO_KEY, rate=50, burst=100),
+                "archivio": _workspace(SECOND_KEY, rate=5, burst=10),
+            },
+            "hosts": [
+                {
+                    "id": host.settings.host_id,
+                    "data_centre": host.settings.data_centre,
+                    "peer_address": str(host.settings.peer_address),
+                }
+                for host in self._hosts
+            ],
+        }
+
+    def guide(self) -> str:
+        """Return addresses and commands to try."""
+        callers = [str(host.settings.callers) for host in self._hosts]
+        operators = str(self._hosts[0].settings.operators)
+        platform = self._address(PLATFORM_PORT)
+        upstream = self._upstreams[0][0]
+        lines = [
+            "catkinspan demo: 3 entry hosts, 2 services, 1 stand-in platform",
+            f"  callers:   {', '.join(callers)}",
+            f"  operators: {operators}",
+            f"  platform:  {platform}",
+            f"  key:       {DEMO_KEY}",
+            "",
+            "Send a request through the fleet:",
+            f"  curl -i -H 'Authorization: Bearer {DEMO_KEY}' "
+            f"http://{callers[0]}/repairs/17",
+            "Send a non-idempotent request:",
+            f"  curl -i -X POST -H 'Authorization: Bearer {DEMO_KEY}' "
+            f"-H 'Idempotency-Key: d-1' -d amount=20 http://{callers[1]}/deposits",
+            "See a refusal:",
+            f"  curl -i http://{callers[2]}/repairs/17",
+            "Make a server ten times slower:",
+            f"  curl -d '{{\"slow_factor\": 10}}' http://{upstream}/operators/fault",
+            "Take the configuration service away, and give it back:",
+            f"  curl -X POST 'http://{platform}/operators/mode?name=down'",
+            f"  curl -X POST 'http://{platform}/operators/mode?name=ok'",
+            "",
+            "Ctrl-C ends the demo.",
+        ]
+        return "\n".join(lines)
+
+    def _address(self, offset: int) -> Address:
+        return Address(LOOPBACK, self._first_port + offset)
+
+    def _new_upstreams(self) -> list[tuple[Address, StandinUpstream]]:
+        upstreams = []
+        for service, count in SERVICES.items():
+            for number in range(1, count + 1):
+                options = UpstreamOptions(
+                    name=f"{service}-{number}", service=service, seed=len(upstreams)
+                )
+                address = self._address(UPSTREAMS_PORT + len(upstreams))
+                upstreams.append((address, StandinUpstream(options)))
+        return upstreams
+
+    def _new_host(self, index: int) -> HostNode:
+        settings = NodeSettings(
+            host_id=HostId(f"host-{index + 1}"),
+            data_centre=DataCentre(DATA_CENTRES[index]),
+            callers=self._address(CALLERS_PORT + index),
+            operators=self._address(OPERATORS_PORT + index),
+            peers=self._address(PEERS_PORT + index),
+            peer_address=self._address(PEERS_PORT + index),
+            platform=self._address(PLATFORM_PORT),
+            drain_notice=timedelta(milliseconds=200),
+        )
+        return HostNode(settings, SystemClock())
+
+    def _service(self, name: str) -> dict[str, Any]:
+        upstreams = [
+            {
+                "id": upstream.options.name,
+                "address": str(address),
+                "data_centre": DATA_CENTRES[index % len(DATA_CENTRES)],
+                "slots": upstream.options.slots,
+            }
+            for index, (address, upstream) in enumerate(self._upstreams)
+            if upstream.options.service == name
+        ]
+        return {"upstreams": upstreams, "routes": _ROUTES[name]}
+
+    async def _async_wait_ready(self, host: HostNode) -> None:
+        # Readiness has no event, since it also depends on time.
+        while not await host.async_query(lambda c, now: c.is_ready(now)):  # noqa: ASYNC110
+            await asyncio.sleep(0.05)
+
+
+_ROUTES: dict[str, dict[str, Any]] = {
+    "accettazione": {
+        "repairs": {"match": {"methods": ["GET"], "path_prefix": "/repairs"}},
+        "deposits": {"match": {"methods": ["POST"], "path_prefix": "/deposits"}},
+        "catalogue": {
+            "match": {"methods": ["GET"], "path_prefix": "/catalogue"},
+            "settings": {"open": True},
+        },
+    },
+    "laboratorio": {
+        "jobs": {"match": {"path_prefix": "/jobs"}},
+    },
+}
+
+
+def _workspace(key: str, rate: float, burst: float) -> dict[str, Any]:
+    digest = hashlib.sha256(key.encode()).hexdigest()
+    return {
+        "keys": [{"id": "first", "sha256": digest}],
+        "rate": rate,
+        "burst": burst,
+    }
--- a/src/catkinspan/daemon/host_task.py
+++ b/src/catkinspan/daemon/host_task.py
@@ -13,6 +13,7 @@
 from catkinspan.coordination.host.coordinator import (
     HostCoordinator,
     ReaderRole,
+    ReadOnce,
     TreeInForce,
 )
 from catkinspan.coordination.keys.models import CloseKeyConnections
@@ -24,6 +25,7 @@
     RequestDirective,
 )
 from catkinspan.daemon.messages import (
+    AnnounceDrain,
     BeginDrain,
     ConnectionEnded,
     ConnectionOpened,
@@ -36,6 +38,8 @@
 from catkinspan.state.tree import SettingsTree
 from catkinspan.transport.callers.messages import (
     Drain,
+    HealthQuery,
+    HealthStatus,
     Progress,
     RequestRecord,
     Submit,
@@ -46,6 +50,7 @@
     PlatformReached,
     PlatformUpdate,
     ReaderMessage,
+    ReadingOnce,
     StartReading,
     StopReading,
 )
@@ -87,6 +92,7 @@
         self._connections: set[Mailbox[Any]] = set()
         self._links: dict[HostId, tuple[PeerLink, asyncio.Task[None]]] = {}
         self._draining = False
+        self._leaving = False
 
     @property
     def inbox(self) -> Mailbox[Any]:
@@ -141,8 +147,8 @@
                     self._coordinator.handle(peer_message, frame.origin, now)
             case PlatformUpdate(snapshot):
                 self._coordinator.take_snapshot(snapshot, now)
-            case PlatformReached():
-                self._coordinator.platform_reached(now)
+            case PlatformReached(revision):
+                self._coordinator.platform_reached(revision, now)
             case ProbeResult(_, server, ok, latency):
                 self._coordinator.health.record_probe(server, ok, latency, now)
             case ConnectionOpened(mailbox):
@@ -151,10 +157,23 @@
                 self._connections.discard(mailbox)
             case Query(read, reply):
                 self._answer(read, reply, now)
+            case HealthQuery(reply_to):
+                reply_to.force(self._health_status(now))
+            case AnnounceDrain():
+                self._leaving = True
             case BeginDrain(done):
                 self._begin_drain(now)
                 done.set_result(None)
 
+    def _health_status(self, now: float) -> HealthStatus:
+        if self._leaving or self._draining:
+            return HealthStatus(serving=False, reason="draining")
+        if not self._coordinator.is_ready(now):
+            return HealthStatus(serving=False, reason="not ready")
+        if self._coordinator.is_isolated(now):
+            return HealthStatus(serving=False, reason="isolated")
+        return HealthStatus(serving=True, reason="ok")
+
     def _open_connection(self, mailbox: Mailbox[Any]) -> None:
         self._connections.add(mailbox)
         if self._draining:
@@ -203,6 +222,8 @@
                     mailbox.force(KeysWithdrawn(digests))
             case ReaderRole(active):
                 self._reader.force(StartReading() if active else StopReading())
+            case ReadOnce():
+                self._reader.force(ReadingOnce())
             case TreeInForce(tree):
                 self._on_tree(tree)
 
--- a/src/catkinspan/daemon/messages.py
+++ b/src/catkinspan/daemon/messages.py
@@ -55,6 +55,11 @@
     reply: "asyncio.Future[Any]"
 
 
+@frozen
+class AnnounceDrain:
+    """Fail the balancer's check from now on; requests are served as before."""
+
+
 @frozen
 class BeginDrain:
     """A graceful shutdown begins."""
--- a/src/catkinspan/standin/http_server.py
+++ b/src/catkinspan/standin/http_server.py
@@ -1,179 +1,55 @@
-"""A small HTTP/1.1 server for the stand-ins."""
+"""A server whose responses can be faulty on purpose."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
 
 import h11
-from attrs import field, frozen
+from attrs import frozen
 
-from catkinspan.state.tree import Address
-
-_READ_BYTES = 64 * 1024
+from catkinspan.transport.simple_server import (
+    CutConnectionError,
+    SimpleRequest,
+    SimpleResponse,
+    SimpleServer,
+)
 
 
 @frozen
-class StandinRequest:
-    """A whole request."""
-
-    method: str
-    target: str
-    headers: dict[str, str]
-    body: bytes
-    writer: asyncio.StreamWriter = field(repr=False)
-
-    @property
-    def path(self) -> str:
-        """Return the target without its query."""
-        return self.target.partition("?")[0]
-
+class FaultyResponse(SimpleResponse):
+    """A response that may be chunked, cut or followed by stray bytes."""
 
-@frozen
-class StandinResponse:
-    """A response; with `cut_after` only that many bytes of the body are sent."""
-
-    status: int
-    body: bytes = b""
-    headers: dict[str, str] = field(factory=dict)
     chunked: bool = False
     cut_after: int | None = None
+    """Bytes of the body after which the connection is cut; None for a whole one."""
+
     late_bytes: bytes = b""
     """Bytes written after the end of the response, which belong to none."""
 
 
-class CutConnectionError(Exception):
-    """The handler wants the connection closed without an answer."""
-
-
-StandinHandler = Callable[[StandinRequest], Awaitable[StandinResponse]]
-
-
-class StandinServer:
-    """Serves requests, one after another on each connection."""
-
-    def __init__(self, handler: StandinHandler) -> None:
-        self._handler = handler
-        self._server: asyncio.Server | None = None
-        self._writers: set[asyncio.StreamWriter] = set()
-
-    @property
-    def connections(self) -> int:
-        """Return the number of open connections."""
-        return len(self._writers)
-
-    async def async_start(self, address: Address) -> Address:
-        """Listen and return the address with the port in use."""
-        self._server = await asyncio.start_server(
-            self._async_serve, address.ip, address.port
-        )
-        port = self._server.sockets[0].getsockname()[1]
-        return Address(address.ip, port)
+class FaultyServer(SimpleServer):
+    """Writes `FaultyResponse` instances with their faults."""
 
-    async def async_stop(self) -> None:
-        """Close the listener and all connections at once, as a crash does."""
-        if self._server is not None:
-            self._server.close()
-        for writer in list(self._writers):
-            writer.transport.abort()
-
-    async def _async_serve(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-    ) -> None:
-        self._writers.add(writer)
-        http = h11.Connection(h11.SERVER)
-        try:
-            while await self._async_serve_one(http, reader, writer):
-                http.start_next_cycle()
-        except (OSError, h11.ProtocolError, CutConnectionError):
-            writer.transport.abort()
-        finally:
-            self._writers.discard(writer)
-            writer.close()
-
-    async def _async_serve_one(
+    async def _async_write(
         self,
         http: h11.Connection,
-        reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
-    ) -> bool:
-        request = await _async_read_request(http, reader, writer)
-        if request is None:
-            return False
-        response = await self._async_answer(http, request, reader)
-        await _async_write_response(http, writer, request, response)
-        return http.our_state is h11.DONE and http.their_state is h11.DONE
-
-    async def _async_answer(
-        self,
-        http: h11.Connection,
-        request: StandinRequest,
-        reader: asyncio.StreamReader,
-    ) -> StandinResponse:
-        """Run the handler; cancel it if the other side closes the connection."""
-        handling = asyncio.ensure_future(self._handler(request))
-        closing = asyncio.ensure_future(_async_watch_input(http, reader))
-        try:
-            await asyncio.wait({handling, closing}, return_when=asyncio.FIRST_COMPLETED)
-            if not handling.done():
-                raise CutConnectionError
-            return await handling
-        finally:
-            handling.cancel()
-            closing.cancel()
-
-
-async def _async_watch_input(
-    http: h11.Connection, reader: asyncio.StreamReader
-) -> None:
-    """Return when the other side closes; keep bytes of the next request."""
-    while data := await reader.read(_READ_BYTES):
-        http.receive_data(data)
-
-
-async def _async_read_request(
-    http: h11.Connection, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
-) -> StandinRequest | None:
-    head: h11.Request | None = None
-    parts: list[bytes] = []
-    while True:
-        event = http.next_event()
-        if event is h11.NEED_DATA:
-            http.receive_data(await reader.read(_READ_BYTES))
-        elif isinstance(event, h11.Request):
-            head = event
-        elif isinstance(event, h11.Data):
-            parts.append(bytes(event.data))
-        elif isinstance(event, h11.EndOfMessage) and head is not None:
-            headers = {n.decode(): v.decode("latin-1") for n, v in head.headers}
-            return StandinRequest(
-                head.method.decode(),
-                head.target.decode(),
-                headers,
-                b"".join(parts),
-                writer,
-            )
+        request: SimpleRequest,
+        response: SimpleResponse,
+    ) -> None:
+        if not isinstance(response, FaultyResponse):
+            await super()._async_write(http, writer, request, response)
+            return
+        headers = list(response.headers.items())
+        if response.chunked:
+            headers.append(("Transfer-Encoding", "chunked"))
         else:
-            return None
-
-
-async def _async_write_response(
-    http: h11.Connection,
-    writer: asyncio.StreamWriter,
-    request: StandinRequest,
-    response: StandinResponse,
-) -> None:
-    headers = list(response.headers.items())
-    if response.chunked:
-        headers.append(("Transfer-Encoding", "chunked"))
-    else:
-        headers.append(("Content-Length", str(len(response.body))))
-    head = h11.Response(status_code=response.status, headers=headers)
-    writer.write(http.send(head) or b"")
-    has_body = request.method != "HEAD" and response.status not in (204, 304)
-    body = response.body[: response.cut_after] if has_body else b""
-    if body:
-        writer.write(http.send(h11.Data(data=body)) or b"")
-    if response.cut_after is not None:
+            headers.append(("Content-Length", str(len(response.body))))
+        head = h11.Response(status_code=response.status, headers=headers)
+        writer.write(http.send(head) or b"")
+        body = response.body[: response.cut_after]
+        if body and request.method != "HEAD":
+            writer.write(http.send(h11.Data(data=body)) or b"")
+        if response.cut_after is not None:
+            await writer.drain()
+            raise CutConnectionError
+        writer.write((http.send(h11.EndOfMessage()) or b"") + response.late_bytes)
         await writer.drain()
-        raise CutConnectionError
-    writer.write((http.send(h11.EndOfMessage()) or b"") + response.late_bytes)
-    await writer.drain()
--- a/src/catkinspan/standin/platform.py
+++ b/src/catkinspan/standin/platform.py
@@ -15,14 +15,14 @@
 
 from catkinspan.coordination.configuration.models import Document
 from catkinspan.protocol.settings.tree import split_documents
-from catkinspan.standin.http_server import (
-    CutConnectionError,
-    StandinRequest,
-    StandinResponse,
-    StandinServer,
-)
 from catkinspan.state.ids import NO_REVISION, Revision
 from catkinspan.state.tree import Address
+from catkinspan.transport.simple_server import (
+    CutConnectionError,
+    SimpleRequest,
+    SimpleResponse,
+    SimpleServer,
+)
 
 MAX_DOCUMENT_BYTES = 1_000_000
 
@@ -48,7 +48,7 @@
         self._changed = asyncio.Condition()
         self._mode = PlatformMode.OK
         self._calls = 0
-        self._server = StandinServer(self._async_handle)
+        self._server = SimpleServer(self._async_handle)
 
     @property
     def calls(self) -> int:
@@ -105,36 +105,36 @@
             return self._stale
         return self._revision, self._documents
 
-    async def _async_handle(self, request: StandinRequest) -> StandinResponse:
+    async def _async_handle(self, request: SimpleRequest) -> SimpleResponse:
         if request.path.startswith("/operators/"):
             return await self._async_operate(request)
         self._calls += 1
         if self._mode is PlatformMode.DOWN:
             raise CutConnectionError
         if self._mode is PlatformMode.NONSENSE:
-            return StandinResponse(200, b'{"revision": "nonsense"}')
+            return SimpleResponse(200, b'{"revision": "nonsense"}')
         if request.path == "/v1/index":
             return self._index()
         if request.path.startswith("/v1/documents/"):
             return self._document(unquote(request.path.removeprefix("/v1/documents/")))
         if request.path == "/v1/watch":
             return await self._async_watch(request)
-        return StandinResponse(404, b"{}")
+        return SimpleResponse(404, b"{}")
 
-    def _index(self) -> StandinResponse:
+    def _index(self) -> SimpleResponse:
         revision, documents = self._state()
         revisions = {name: doc.revision for name, doc in documents.items()}
         return _json({"revision": revision, "documents": revisions})
 
-    def _document(self, name: str) -> StandinResponse:
+    def _document(self, name: str) -> SimpleResponse:
         document = self._state()[1].get(name)
         if document is None:
-            return StandinResponse(404, b"{}")
+            return SimpleResponse(404, b"{}")
         return _json(
             {"name": name, "revision": document.revision, "text": document.text}
         )
 
-    async def _async_watch(self, request: StandinRequest) -> StandinResponse:
+    async def _async_watch(self, request: SimpleRequest) -> SimpleResponse:
         query = parse_qs(urlsplit(request.target).query)
         after = int(query.get("after", ["0"])[0])
         timeout = int(query.get("timeout_ms", ["10000"])[0]) / 1000
@@ -150,12 +150,12 @@
     def _watch_ends(self, after: int) -> bool:
         return self._state()[0] > after or self._mode is PlatformMode.DOWN
 
-    async def _async_operate(self, request: StandinRequest) -> StandinResponse:
+    async def _async_operate(self, request: SimpleRequest) -> SimpleResponse:
         if request.path == "/operators/settings" and request.method == "PUT":
             try:
                 revision = await self.async_publish(orjson.loads(request.body))
             except ValueError as error:
-                return StandinResponse(400, f"{error}\n".encode())
+                return SimpleResponse(400, f"{error}\n".encode())
             return _json({"revision": revision})
         if request.path == "/operators/settings":
             return _json(self._merged())
@@ -165,7 +165,7 @@
                 mode = PlatformMode(query.get("name", [""])[0])
             except ValueError:
                 modes = ", ".join(PlatformMode)
-                return StandinResponse(400, f"name must be one of {modes}\n".encode())
+                return SimpleResponse(400, f"name must be one of {modes}\n".encode())
             await self.async_set_mode(mode)
             return _json({"mode": mode})
         return _json({"calls": self._calls, "revision": self._revision})
@@ -186,6 +186,6 @@
         return result
 
 
-def _json(value: object) -> StandinResponse:
+def _json(value: object) -> SimpleResponse:
     headers = {"Content-Type": "application/json"}
-    return StandinResponse(200, orjson.dumps(value), headers)
+    return SimpleResponse(200, orjson.dumps(value), headers)
--- a/src/catkinspan/standin/upstream.py
+++ b/src/catkinspan/standin/upstream.py
@@ -12,13 +12,13 @@
 import orjson
 from attrs import field, frozen
 
-from catkinspan.standin.http_server import (
+from catkinspan.standin.http_server import FaultyResponse, FaultyServer
+from catkinspan.state.tree import Address
+from catkinspan.transport.simple_server import (
     CutConnectionError,
-    StandinRequest,
-    StandinResponse,
-    StandinServer,
+    SimpleRequest,
+    SimpleResponse,
 )
-from catkinspan.state.tree import Address
 
 HANG_SECONDS = 3600.0
 COLD_FACTOR = 10.0
@@ -91,7 +91,7 @@
         self._runs: list[Run] = []
         self._cancelled = 0
         self._shed = 0
-        self._server = StandinServer(self._async_handle)
+        self._server = FaultyServer(self._async_handle)
 
     @property
     def options(self) -> UpstreamOptions:
@@ -135,18 +135,18 @@
         """Stop at once, as a crash does."""
         await self._server.async_stop()
 
-    async def _async_handle(self, request: StandinRequest) -> StandinResponse:
+    async def _async_handle(self, request: SimpleRequest) -> SimpleResponse:
         if request.path.startswith("/operators/"):
             return self._operate(request)
         if request.path == "/healthz":
-            return StandinResponse(200, b"ok\n")
+            return SimpleResponse(200, b"ok\n")
         if self._faults.draining:
             headers = {"X-Draining": "1", "X-Request-Ran": "no", "Connection": "close"}
-            return StandinResponse(503, b"draining\n", headers)
+            return SimpleResponse(503, b"draining\n", headers)
         full = self._slots.locked() and self._waiting >= self._options.queue
         if full or self._faults.shed_all:
             self._shed += 1
-            return StandinResponse(503, b"no free slot\n", {"X-Request-Ran": "no"})
+            return SimpleResponse(503, b"no free slot\n", {"X-Request-Ran": "no"})
         self._waiting += 1
         try:
             await self._slots.acquire()
@@ -160,7 +160,7 @@
         finally:
             self._slots.release()
 
-    async def _async_run(self, request: StandinRequest) -> StandinResponse:
+    async def _async_run(self, request: SimpleRequest) -> SimpleResponse:
         faults = self._faults
         request_id = request.headers.get("x-request-id", "")
         run = Run(
@@ -188,17 +188,17 @@
         return seconds
 
     def _respond(
-        self, request: StandinRequest, request_id: str, faults: UpstreamFaults
-    ) -> StandinResponse:
+        self, request: SimpleRequest, request_id: str, faults: UpstreamFaults
+    ) -> SimpleResponse:
         if self._rng.random() < faults.error_share:
-            return StandinResponse(500, b"fault\n", {"X-Request-Id": request_id})
+            return SimpleResponse(500, b"fault\n", {"X-Request-Id": request_id})
         echoed = request_id
         if self._rng.random() < faults.cross_share:
             echoed = "another-request"
         body = self._body(request, request_id)
         cut = len(body) // 2 if self._rng.random() < faults.truncate_share else None
         late = self._rng.random() < faults.late_bytes_share
-        return StandinResponse(
+        return FaultyResponse(
             200,
             body,
             {"X-Request-Id": echoed, "X-Server": self._options.name},
@@ -207,7 +207,7 @@
             late_bytes=b"HTTP/1.1 200 OK\r\n\r\n" if late else b"",
         )
 
-    def _body(self, request: StandinRequest, request_id: str) -> bytes:
+    def _body(self, request: SimpleRequest, request_id: str) -> bytes:
         answer = {
             "service": self._options.service,
             "server": self._options.name,
@@ -219,15 +219,15 @@
         text = orjson.dumps(answer) + b"\n"
         return text + b"." * max(0, self._options.body_bytes - len(text))
 
-    def _operate(self, request: StandinRequest) -> StandinResponse:
+    def _operate(self, request: SimpleRequest) -> SimpleResponse:
         if request.path == "/operators/fault" and request.method == "POST":
             try:
                 self._faults = cattrs.structure(
                     orjson.loads(request.body), UpstreamFaults
                 )
             except Exception as error:  # noqa: BLE001 - cattrs raises many kinds
-                return StandinResponse(400, f"{error}\n".encode())
-            return StandinResponse(200, orjson.dumps(cattrs.unstructure(self._faults)))
+                return SimpleResponse(400, f"{error}\n".encode())
+            return SimpleResponse(200, orjson.dumps(cattrs.unstructure(self._faults)))
         if request.path == "/operators/runs":
-            return StandinResponse(200, orjson.dumps(dict(self.run_counts)))
-        return StandinResponse(404, b"unknown operators' request\n")
+            return SimpleResponse(200, orjson.dumps(dict(self.run_counts)))
+        return SimpleResponse(404, b"unknown operators' request\n")
--- a/src/catkinspan/transport/callers/connection.py
+++ b/src/catkinspan/transport/callers/connection.py
@@ -16,8 +16,14 @@
 from catkinspan.protocol.http.responses import refusal_response
 from catkinspan.state.ids import RequestId
 from catkinspan.state.node import HttpLimits
+from catkinspan.transport.callers.const import HEALTH_PATH
 from catkinspan.transport.callers.exchange import Exchange
-from catkinspan.transport.callers.messages import Drain, RequestRecord
+from catkinspan.transport.callers.messages import (
+    Drain,
+    HealthQuery,
+    HealthStatus,
+    RequestRecord,
+)
 from catkinspan.transport.callers.stream import CallerStream
 from catkinspan.transport.mailbox import Mailbox
 from catkinspan.transport.socket_port import SocketClosed, SocketData, SocketPort
@@ -81,6 +87,9 @@
         if isinstance(checked, Err):
             self._refuse(request_id, checked.err_value)
             return False
+        if checked.ok_value.path == HEALTH_PATH:
+            await self._async_answer_health(checked.ok_value.method)
+            return False
         return await self._async_exchange(request_id, checked.ok_value)
 
     async def _async_read_head(self) -> h11.Request | None:
@@ -138,6 +147,25 @@
         self._last_key_digest = exchange.key_digest
         return exchange.can_continue
 
+    async def _async_answer_health(self, method: str) -> None:
+        """Answer the balancer's check and close the connection."""
+        self._host.force(HealthQuery(self._mailbox))
+        while not isinstance(status := await self._mailbox.async_get(), HealthStatus):
+            self._handle_idle(status)
+        body = status.reason.encode() + b"\n"
+        response = h11.Response(
+            status_code=200 if status.serving else 503,
+            headers=[
+                (b"content-type", b"text/plain"),
+                (b"content-length", b"%d" % len(body)),
+                (b"connection", b"close"),
+            ],
+        )
+        self._stream.send(response)
+        if method != "HEAD":
+            self._stream.send(h11.Data(data=body))
+        self._stream.send(h11.EndOfMessage())
+
     def _refuse_malformed(self, error: h11.RemoteProtocolError) -> None:
         refusal = bad_request(f"malformed request: {error}", "send valid HTTP/1.1")
         if error.error_status_hint == 431:
--- a/src/catkinspan/transport/callers/exchange.py
+++ b/src/catkinspan/transport/callers/exchange.py
@@ -489,6 +489,7 @@
             kind=OutcomeKind.CANCELLED,
             latency=0.0,
             bytes_written=True,
+            request_class=assigned.route,
         )
         self._host.force(Progress(AttemptFinished(outcome, replayable=False)))
 
--- a/src/catkinspan/transport/callers/messages.py
+++ b/src/catkinspan/transport/callers/messages.py
@@ -30,6 +30,21 @@
     message: BodyReceived | AttemptFinished | RequestAbandoned
 
 
+@frozen
+class HealthQuery:
+    """Ask whether the balancer should send callers to this host."""
+
+    reply: Mailbox[Any]
+
+
+@frozen
+class HealthStatus:
+    """Answer to `HealthQuery`."""
+
+    serving: bool
+    reason: str
+
+
 @frozen
 class Drain:
     """Finish the running request, answer `Connection: close`, then close."""
--- a/src/catkinspan/transport/platform/reader.py
+++ b/src/catkinspan/transport/platform/reader.py
@@ -9,7 +9,6 @@
 from loguru import logger
 from result import Err, Ok, Result
 
-from catkinspan.coordination.clock import Clock
 from catkinspan.coordination.configuration.models import Document, Snapshot
 from catkinspan.protocol.platform.documents import (
     Index,
@@ -18,7 +17,7 @@
     decode_index,
     decode_watch,
 )
-from catkinspan.state.ids import NO_REVISION
+from catkinspan.state.ids import NO_REVISION, Revision
 from catkinspan.state.tree import Address
 from catkinspan.transport.http_client import FetchError, async_fetch
 from catkinspan.transport.mailbox import Mailbox
@@ -30,7 +29,6 @@
 """Longest wait between two calls to a failing service. 1,100 hosts that all lost
 their peers would make 220 calls a second, below the limit of 2,000."""
 
-READER_INBOX = 64
 CONSISTENT_TRIES = 5
 
 
@@ -44,9 +42,16 @@
     """Stop to read: other hosts of the data centre are the readers."""
 
 
+@frozen
+class ReadingOnce:
+    """Read once, without a watch; without effect while the reader watches."""
+
+
 @frozen
 class PlatformReached:
-    """The service answered."""
+    """The service answered with its revision."""
+
+    revision: Revision
 
 
 @frozen
@@ -56,7 +61,7 @@
     snapshot: Snapshot
 
 
-ReaderMessage = StartReading | StopReading
+ReaderMessage = StartReading | StopReading | ReadingOnce
 
 
 class PlatformReader:
@@ -67,24 +72,23 @@
     """
 
     def __init__(
-        self, platform: Address, host: Mailbox[Any], clock: Clock, rng: Random
+        self,
+        platform: Address,
+        host: Mailbox[Any],
+        inbox: Mailbox[ReaderMessage],
+        rng: Random,
     ) -> None:
         self._platform = platform
         self._host = host
-        self._clock = clock
         self._rng = rng
-        self._inbox: Mailbox[ReaderMessage] = Mailbox(READER_INBOX)
+        self._inbox = inbox
         self._active = False
+        self._once = False
         self._documents: dict[str, Document] = {}
         self._revision = NO_REVISION
         self._failures = 0
         self._calls = 0
 
-    @property
-    def inbox(self) -> Mailbox[ReaderMessage]:
-        """Return the inbox for `ReaderMessage` instances."""
-        return self._inbox
-
     @property
     def calls(self) -> int:
         """Return the number of calls made to the service."""
@@ -93,12 +97,11 @@
     async def async_run(self) -> None:
         """Read and watch until cancelled."""
         while True:
-            if not self._active:
+            if not self._active and not self._once:
                 self._apply(await self._inbox.async_get())
-                continue
             while len(self._inbox):
                 self._apply(self._inbox.take())
-            if self._active:
+            if self._active or self._once:
                 await self._async_round()
 
     def _apply(self, message: ReaderMessage) -> None:
@@ -107,21 +110,27 @@
                 self._active = True
             case StopReading():
                 self._active = False
+            case ReadingOnce():
+                self._once = True
 
     async def _async_round(self) -> None:
+        watch = self._active
+        self._once = False
         try:
-            outcome = await self._async_update()
+            outcome = await self._async_update(watch)
         except FetchError as error:
             outcome = Err(PlatformAnswerError(str(error)))
         if isinstance(outcome, Ok):
             self._failures = 0
             return
+        if not watch:
+            return
         self._failures += 1
         logger.warning("platform read failed: {}", outcome.err_value)
         delay = min(RETRY_MAX_SECONDS, RETRY_MIN_SECONDS * 2**self._failures)
         await asyncio.sleep(delay * self._rng.uniform(0.5, 1.0))
 
-    async def _async_update(self) -> Result[None, PlatformAnswerError]:
+    async def _async_update(self, watch: bool) -> Result[None, PlatformAnswerError]:
         index = await self._async_index()
         if isinstance(index, Err):
             return index
@@ -129,7 +138,7 @@
             read = await self._async_read(index.ok_value)
             if isinstance(read, Err):
                 return read
-        return await self._async_watch()
+        return await self._async_watch() if watch else Ok(None)
 
     async def _async_read(self, index: Index) -> Result[None, PlatformAnswerError]:
         for _ in range(CONSISTENT_TRIES):
@@ -170,15 +179,20 @@
         timeout_ms = round(WATCH_SECONDS * 1000)
         target = f"/v1/watch?after={self._revision}&timeout_ms={timeout_ms}"
         answer = decode_watch(await self._async_get(target, WATCH_SECONDS + 2.0))
-        return answer.map(lambda _: None)
+        return answer.map(self._reached)
 
     async def _async_index(self) -> Result[Index, PlatformAnswerError]:
-        return decode_index(await self._async_get("/v1/index", READ_SECONDS))
+        index = decode_index(await self._async_get("/v1/index", READ_SECONDS))
+        if isinstance(index, Ok):
+            self._reached(index.ok_value.revision)
+        return index
+
+    def _reached(self, revision: Revision) -> None:
+        self._host.force(PlatformReached(revision))
 
     async def _async_get(self, target: str, timeout: float) -> bytes:
         self._calls += 1
         answer = await async_fetch(self._platform, target, timeout)
         if answer.status != 200:
             raise FetchError(f"the platform answered {answer.status}; try again later")
-        self._host.force(PlatformReached())
         return answer.body
--- a/src/catkinspan/transport/upstreams/attempt.py
+++ b/src/catkinspan/transport/upstreams/attempt.py
@@ -342,6 +342,7 @@
             latency=latency,
             bytes_written=self._bytes_written,
             server_draining=self._draining,
+            request_class=assigned.route,
         )
 
     def _close(self) -> None:
