--- a/src/catkinspan/coordination/requests/coordinator.py
+++ b/src/catkinspan/coordination/requests/coordinator.py
@@ -227,6 +227,16 @@
         request.running.clear()
         self._end(request, ran, now)
 
+    def forget(self, request_id: RequestId) -> None:
+        """Drop a request whose processing failed; its slots expire as leases do."""
+        request = self._requests.get(request_id)
+        if request is None:
+            return
+        request.running.clear()
+        request.stage = Stage.ENDED
+        self._timed.discard(request_id)
+        self._forget_if_idle(request)
+
     def tick(self, now: float) -> None:
         """Go on with requests whose stage has settled or whose time has come."""
         for rate in self._stages.rates.take_settled():
--- a/src/catkinspan/coordination/requests/errors.py
+++ b/src/catkinspan/coordination/requests/errors.py
@@ -35,6 +35,7 @@
     UPSTREAM_RESET = "upstream_reset"
     UPSTREAM_TRUNCATED = "upstream_truncated"
     UPSTREAM_CROSSED = "upstream_crossed"
+    INTERNAL_ERROR = "internal_error"
 
 
 @frozen
--- a/src/catkinspan/coordination/requests/refusals.py
+++ b/src/catkinspan/coordination/requests/refusals.py
@@ -47,6 +47,12 @@
     "send fewer requests at once",
     retry_after=_RETRY_SOON_SECONDS,
 )
+INTERNAL_ERROR = Refusal(
+    RefusalKind.INTERNAL_ERROR,
+    "the host failed while it processed the request",
+    "find out whether the request ran; report the request id to the operators",
+    ran=Ran.MAYBE,
+)
 CLAIM_EXPIRED = Refusal(
     RefusalKind.CLAIM_UNDECIDED,
     "the claim of the Idempotency-Key expired before the request started",
@@ -116,7 +122,7 @@
 
 def key_refusal(error: KeyRefusal) -> Refusal:
     """Return the refusal of a request without a valid key."""
-    return Refusal(_KEY_KINDS[error.kind], str(error), error.remedy)
+    return Refusal(_KEY_KINDS[error.kind], error.message, error.remedy)
 
 
 def quarantine_refusal(error: Quarantined) -> Refusal:
--- a/src/catkinspan/daemon/demo.py
+++ b/src/catkinspan/daemon/demo.py
@@ -128,7 +128,7 @@
         return Address(LOOPBACK, self._first_port + offset)
 
     def _new_upstreams(self) -> list[tuple[Address, StandinUpstream]]:
-        upstreams = []
+        upstreams: list[tuple[Address, StandinUpstream]] = []
         for service, count in SERVICES.items():
             for number in range(1, count + 1):
                 options = UpstreamOptions(
--- a/src/catkinspan/daemon/host_task.py
+++ b/src/catkinspan/daemon/host_task.py
@@ -19,11 +19,14 @@
 from catkinspan.coordination.keys.models import CloseKeyConnections
 from catkinspan.coordination.models import Envelope, Event, Origin, PeerMessage
 from catkinspan.coordination.requests.models import (
+    AttemptFinished,
+    BodyReceived,
     KeysWithdrawn,
     Refused,
     RequestAbandoned,
     RequestDirective,
 )
+from catkinspan.coordination.requests.refusals import INTERNAL_ERROR
 from catkinspan.daemon.messages import (
     AnnounceDrain,
     BeginDrain,
@@ -117,7 +120,7 @@
             while True:
                 message = await self._inbox.async_get_until(next_tick)
                 if message is not None:
-                    self._handle(message)
+                    self._handle_safely(message)
                     served += 1
                 now = self._clock.monotonic()
                 if now >= next_tick or served >= MESSAGES_BETWEEN_TICKS:
@@ -129,6 +132,33 @@
             for _, task in self._links.values():
                 task.cancel()
 
+    def _handle_safely(self, message: Any) -> None:
+        """Keep a fault in one message from ending the host.
+
+        A request that makes every host fail in turn would end the whole fleet. A
+        fault in `tick` ends the host, since it concerns no single message.
+        """
+        try:
+            self._handle(message)
+        except Exception:
+            logger.exception("a {} message failed", type(message).__name__)
+            self._refuse_failed(message)
+
+    def _refuse_failed(self, message: Any) -> None:
+        match message:
+            case Submit(arrived):
+                request_id = arrived.request_id
+            case Progress(BodyReceived(request_id)):
+                pass
+            case Progress(AttemptFinished(outcome)):
+                request_id = outcome.request_id
+            case _:
+                return
+        reply = self._replies.pop(request_id, None)
+        if reply is not None:
+            reply.force(Refused(request_id, INTERNAL_ERROR))
+        self._coordinator.requests.forget(request_id)
+
     def _handle(self, message: Any) -> None:
         now = self._clock.monotonic()
         match message:
--- a/src/catkinspan/protocol/http/responses.py
+++ b/src/catkinspan/protocol/http/responses.py
@@ -1,6 +1,7 @@
 """Responses to callers."""
 
 from collections.abc import Mapping
+from http import HTTPStatus
 
 import h11
 import orjson
@@ -36,6 +37,7 @@
     RefusalKind.UPSTREAM_RESET: 502,
     RefusalKind.UPSTREAM_TRUNCATED: 502,
     RefusalKind.UPSTREAM_CROSSED: 502,
+    RefusalKind.INTERNAL_ERROR: 500,
 }
 """HTTP status of each refusal."""
 
@@ -70,7 +72,8 @@
         headers.append((b"retry-after", b"%d" % max(1, round(refusal.retry_after))))
     if close:
         headers.append((b"connection", b"close"))
-    return h11.Response(status_code=status, headers=headers), body
+    reason = HTTPStatus(status).phrase.encode()
+    return h11.Response(status_code=status, headers=headers, reason=reason), body
 
 
 def passed_response(
--- a/src/catkinspan/transport/callers/const.py
+++ b/src/catkinspan/transport/callers/const.py
@@ -6,8 +6,5 @@
 HEALTH_PATH = "/healthz"
 """Path of the balancer's check; no route can take it."""
 
-HEALTH_PATH = "/healthz"
-"""Path of the balancer's check; no route can take it."""
-
 HOLD_SECONDS = 1.0
 """Time after which a held response is streamed, so that event streams flow."""
