--- a/src/catkinspan/coordination/outcomes.py
+++ b/src/catkinspan/coordination/outcomes.py
@@ -59,6 +59,20 @@
     server_draining: bool = False
     """Whether the response carried a drain signal."""
 
+    request_class: str = ""
+    """Requests that should take alike long, usually the route's id."""
+
+
+@frozen
+class AttemptStarted:
+    """An attempt that a host has just sent, so that a hang shows before its timeout."""
+
+    request_id: RequestId
+    attempt: int
+    service: ServiceId
+    server: ServerId
+    request_class: str = ""
+
 
 @frozen
 class Candidate:
