--- a/bench/health.py
+++ b/bench/health.py
@@ -5,14 +5,17 @@
 """
 
 from collections import Counter
+from functools import partial
+from math import pi, sin
 from random import Random
 
 import orjson
-from attrs import Factory, define, frozen
+from attrs import Factory, define, evolve, frozen
 from cattrs import Converter
 
 from catkinspan.coordination.concern import BaseConcern
 from catkinspan.coordination.health.coordinator import HealthCoordinator
+from catkinspan.coordination.health.models import ServerEjected
 from catkinspan.coordination.health.profiles import floor_of
 from catkinspan.coordination.models import Event, PeerMessage
 from catkinspan.coordination.outbox import Outbox
@@ -31,6 +34,7 @@
     Fault,
     FaultKind,
     HealthNode,
+    SimulatedServer,
     SimulatedService,
 )
 
@@ -99,10 +103,16 @@
         self._errors: dict[ServerId, int] = {}
         self._until: dict[ServerId, float] = {}
         self._levels: dict[ServerId, int] = {}
-        published = len(service.upstreams)
-        self._room = published - floor_of(published, service.policy.healthy_floor)
+        self._room = 0
         self.ejections: list[tuple[float, ServerId]] = []
 
+    def apply_tree(self, tree: SettingsTree, now: float) -> None:
+        """Take over the published servers."""
+        self._service = tree.services[SERVICE]
+        published = len(self._service.upstreams)
+        share = self._service.policy.healthy_floor
+        self._room = published - floor_of(published, share)
+
     def available(self, service: ServiceId, now: float) -> tuple[Candidate, ...]:
         """Return the servers that this host has not ejected."""
         return tuple(
@@ -253,3 +263,143 @@
         if fleet.users_of(server) <= HOSTS * (1.0 - REACHED_SHARE):
             return fleet.channel.now - began
     return float("inf")
+
+
+@frozen
+class HourResult:
+    """Counts of a long run with healthy servers."""
+
+    seconds: float
+    ejections: int
+    """Ejections of healthy servers; for the baseline, by single hosts."""
+
+    servers: int
+    """Different servers that were ejected."""
+
+    floor_violations: int
+    messages: float
+    """Per host and second."""
+
+    bytes: float
+    """Per host and second."""
+
+    requests: int
+
+
+def swing(now: float) -> float:
+    """Return the load factor: waves of ten minutes and sudden peaks."""
+    wave = 1.0 + 0.7 * sin(now * 2.0 * pi / 600.0)
+    return wave * (2.0 if 200.0 < now % 400.0 < 230.0 else 1.0)
+
+
+def shared_slowdown(now: float) -> float:
+    """Return by how much a peak of load slows all servers alike."""
+    return 1.0 + 2.0 * max(0.0, swing(now) - 1.2)
+
+
+def healthy_run(
+    deployment: Deployment,
+    seed: int,
+    seconds: float,
+    profile: HealthProfile = HealthProfile.BALANCED,
+    baseline: bool = False,
+    load: float = 1 / 3,
+) -> HourResult:
+    """Run healthy servers with swings, one-way cuts and a cold start.
+
+    A cut loses a server's replies to one host or to one data centre, in turn, for 40 s
+    of every 120 s. At half time a cold server is published.
+    """
+    fleet = make_fleet(deployment, seed, profile, baseline=baseline, load=load)
+    base = fleet.load.rate(0.0)
+    fleet.load.rate = lambda now: base * swing(now)
+    fleet.load.slowdown = shared_slowdown
+    rng = Random(seed + 1)
+    for index, at in enumerate(range(60, int(seconds), 120)):
+        server = rng.choice(list(fleet.load.servers))
+        place: DataCentre | HostId = rng.choice(PLACES)
+        if index % 2:
+            place = rng.choice(list(fleet.places))
+        fleet.channel.at(at, partial(fleet.load.cut, server, place))
+        fleet.channel.at(at + 40.0, partial(fleet.load.heal, server))
+    fleet.channel.at(seconds / 2.0, partial(publish_cold_server, fleet))
+    violations = 0
+    while fleet.channel.now < seconds:
+        fleet.run(min(seconds, fleet.channel.now + 1.0), step=1.0)
+        violations += floor_violations(fleet)
+        fleet.collect()
+    return summarize(fleet, seconds, violations)
+
+
+def publish_cold_server(fleet: Fleet) -> None:
+    """Publish one more server, which takes five times as long for 10 s."""
+    now = fleet.channel.now
+    last = fleet.service.upstreams[-1]
+    new = evolve(last, id=ServerId("cold"), address=Address("127.0.2.1", 8080))
+    service = evolve(fleet.service, upstreams=(*fleet.service.upstreams, new))
+    fleet.service = service
+    fleet.load.servers[new.id] = SimulatedServer(
+        new.id, new.slots, cold_until=now + 10.0
+    )
+    tree = SettingsTree(services={SERVICE: service})
+    for host, node in fleet.nodes.items():
+        if host in fleet.channel.members:
+            local = fleet.channel.members[host].local_time(now)
+            if isinstance(node, HealthCoordinator | LocalEjection):
+                node.apply_tree(tree, local)
+
+
+def summarize(fleet: Fleet, seconds: float, violations: int) -> HourResult:
+    """Return the counts of a run."""
+    local = [
+        server
+        for node in fleet.nodes.values()
+        if isinstance(node, LocalEjection)
+        for _, server in node.ejections
+    ]
+    pooled = [e.server for _, e in fleet.events if isinstance(e, ServerEjected)]
+    ejected = local + pooled
+    spent = seconds * len(fleet.nodes)
+    return HourResult(
+        seconds,
+        len(ejected),
+        len(set(ejected)),
+        violations,
+        sum(outbox.messages for outbox in fleet.outboxes.values()) / spent,
+        sum(outbox.bytes for outbox in fleet.outboxes.values()) / spent,
+        fleet.load.counts.sent,
+    )
+
+
+def floor_violations(fleet: Fleet) -> int:
+    """Return 1 if the floor is broken now, by the union of hosts or on one host.
+
+    The union counts each server that any host leaves out by a verdict. A single host
+    must keep the floor with all that it leaves out, its own avoidance included.
+    """
+    published = [u for u in fleet.service.upstreams if not u.leaving]
+    floor = floor_of(len(published), fleet.service.policy.healthy_floor)
+    union: set[ServerId] = set()
+    broken = False
+    for host, node in fleet.nodes.items():
+        member = fleet.channel.members.get(host)
+        if member is None or member.paused_since is not None:
+            continue
+        now = member.local_time(fleet.channel.now)
+        candidates = node.available(SERVICE, now)
+        plain = {
+            c.upstream.id
+            for c in candidates
+            if not (c.trial or c.avoided) and c.share >= 1.0
+        }
+        out = {u.id for u in published} - plain
+        if isinstance(node, HealthCoordinator):
+            standing = node.standing(SERVICE, now)
+            assert standing is not None
+            union |= standing.ejected
+            others = len(standing.draining | standing.cold)
+            broken |= len(out) > max(len(published) - floor, others)
+        else:
+            broken |= len(out) > len(published) - floor
+            union |= out
+    return int(broken or len(published) - len(union) < floor)
--- /dev/null
+++ b/src/catkinspan/coordination/health/pool.py
@@ -0,0 +1,265 @@
+"""Pooled evidence about the servers of one service."""
+
+from collections.abc import Iterable, Sequence
+from math import exp, log
+from statistics import median
+
+from attrs import Factory, define, frozen
+
+from catkinspan.coordination.health.const import (
+    PEER_RATE_SECONDS,
+    PEER_SCORE_FACTOR,
+    SCORE_CAP,
+)
+from catkinspan.coordination.health.models import Signal
+from catkinspan.coordination.health.profiles import WEIGHTS
+from catkinspan.state.ids import DataCentre, HostId, ServerId
+
+JUDGED_SIGNALS = (Signal.FAILURE, Signal.STALL, Signal.SLOW)
+"""Signals whose scores add up; shedding is judged alone, probes only assist."""
+
+PROBE_SHARE = 0.5
+"""Largest part of the threshold that failing health endpoints may make up."""
+
+MIN_REST_SHARE = 0.5
+"""Part of the threshold that must remain without the most affected host, and without
+the most affected data centre."""
+
+SKEWED_SHARE = 0.7
+"""Part of the score above which one data centre dominates it, as a bad path does."""
+
+SKEWED_REST_SHARE = 0.75
+HOST_SHARE = 1.5
+HOST_EVENTS = 1.2
+"""Events that one host adds to a score at most, so that one host never decides."""
+
+MAX_HEALTHY_RATE = 0.5
+
+
+@define
+class Score:
+    """Cumulative sum of one signal about one server (Page, 1954).
+
+    Each event adds a log likelihood ratio, split by host. The successes in between,
+    which hosts do not report, are taken off by the expected rate of attempts.
+    """
+
+    by_host: dict[HostId, float] = Factory(dict)
+    recent: float = 0.0
+    """Events, decayed with `PEER_RATE_SECONDS`."""
+
+    updated: float = 0.0
+
+    @property
+    def value(self) -> float:
+        """Return the sum over hosts."""
+        return sum(self.by_host.values())
+
+    def advance(self, now: float, drain: float) -> None:
+        """Take off `drain` a second, from all hosts in proportion."""
+        elapsed = now - self.updated
+        if elapsed <= 0.0:
+            return
+        self.updated = now
+        self.recent *= exp(-elapsed / PEER_RATE_SECONDS)
+        value = self.value
+        rest = value - drain * elapsed
+        if rest <= 0.0:
+            self.by_host.clear()
+            return
+        factor = rest / value
+        for host in self.by_host:
+            self.by_host[host] *= factor
+
+    def add(self, host: HostId, amount: float, host_cap: float, cap: float) -> None:
+        """Add evidence of a host, up to its own bound and the whole one."""
+        before = self.by_host.get(host, 0.0)
+        room = max(0.0, cap - self.value)
+        self.by_host[host] = before + min(amount, room, max(0.0, host_cap - before))
+
+
+@frozen
+class Judgement:
+    """What the pooled evidence says about one server."""
+
+    score: float
+    """Relative to the profile's threshold."""
+
+    faulty: bool
+    """Whether the evidence suffices and does not come from one place only."""
+
+    reason: str = ""
+    hosts: tuple[HostId, ...] = ()
+    data_centres: tuple[DataCentre, ...] = ()
+
+
+HEALTHY = Judgement(0.0, False)
+
+
+class Pool:
+    """Scores of the servers of one service, compared with one another."""
+
+    def __init__(self, threshold: float) -> None:
+        self.threshold = threshold
+        self.rate = 0.0
+        """Attempts per second at an average server, over the hosts that report."""
+
+        self.hosts = 1
+        self.data_centres = 1
+        """Data centres with hosts that use the service."""
+
+        self._servers: tuple[ServerId, ...] = ()
+        self._scores: dict[ServerId, dict[Signal, Score]] = {}
+        self._places: dict[HostId, DataCentre] = {}
+
+    @property
+    def suspects(self) -> Sequence[ServerId]:
+        """Return the servers with evidence against them."""
+        return tuple(self._scores)
+
+    def set_servers(self, servers: Iterable[ServerId]) -> None:
+        """Compare these servers from now on."""
+        self._servers = tuple(servers)
+        gone = self._scores.keys() - set(self._servers)
+        for server in gone:
+            del self._scores[server]
+
+    def forget(self, server: ServerId) -> None:
+        """Drop the evidence about a server."""
+        self._scores.pop(server, None)
+
+    def add(
+        self,
+        server: ServerId,
+        signal: Signal,
+        host: HostId,
+        data_centre: DataCentre,
+        count: float,
+        now: float,
+    ) -> None:
+        """Add events that a host saw."""
+        if server not in self._servers:
+            return
+        self._places[host] = data_centre
+        scores = self._scores.setdefault(server, {})
+        score = scores.get(signal)
+        if score is None:
+            score = scores[signal] = Score(updated=now)
+        gain, drain = self._weights(signal)
+        score.advance(now, drain * self.rate)
+        score.recent += count
+        host_cap = max(
+            HOST_EVENTS * gain, self._needed(signal) * HOST_SHARE / self.hosts
+        )
+        score.add(host, gain * count, host_cap, SCORE_CAP * self._needed(signal))
+
+    def advance(self, now: float) -> None:
+        """Account for the time since the last evidence and drop what is settled."""
+        weights = {signal: self._weights(signal) for signal in Signal}
+        for server in list(self._scores):
+            scores = self._scores[server]
+            for signal, score in list(scores.items()):
+                score.advance(now, weights[signal][1] * self.rate)
+                if not score.by_host and score.recent < 0.01:
+                    del scores[signal]
+            if not scores:
+                del self._scores[server]
+
+    def judge(self, server: ServerId) -> Judgement:
+        """Compare a server with the others of the service."""
+        scores = self._scores.get(server)
+        if scores is None:
+            return HEALTHY
+        excess = {signal: self._excess(server, signal) for signal in scores}
+        shed = excess.pop(Signal.SHED, 0.0)
+        shares = self._shares(scores, excess)
+        if shed >= self._needed(Signal.SHED):
+            shares = dict(scores[Signal.SHED].by_host)
+        total = sum(shares.values())
+        if total <= 0.0:
+            return HEALTHY
+        reason = max(scores, key=lambda signal: scores[signal].value)
+        return Judgement(
+            total / self.threshold,
+            total >= self.threshold and self._is_spread(shares, total),
+            reason.value,
+            tuple(sorted(shares, key=lambda host: -shares[host])),
+            tuple(sorted({self._places[host] for host in shares})),
+        )
+
+    def counts(self, server: ServerId) -> dict[Signal, float]:
+        """Return the recent events about a server by signal."""
+        scores = self._scores.get(server, {})
+        return {signal: round(score.recent, 2) for signal, score in scores.items()}
+
+    def _needed(self, signal: Signal) -> float:
+        return self.threshold * WEIGHTS[signal].threshold
+
+    def _weights(self, signal: Signal) -> tuple[float, float]:
+        """Return what an event adds and what a success takes off."""
+        weight = WEIGHTS[signal]
+        usual = 2.0 * self._peer_rate(signal)
+        healthy = min(max(weight.healthy, usual), MAX_HEALTHY_RATE)
+        faulty = max(weight.faulty, min(0.95, 2.5 * healthy))
+        return log(faulty / healthy), log((1.0 - healthy) / (1.0 - faulty))
+
+    def _peer_rate(self, signal: Signal) -> float:
+        """Return the median server's share of attempts with the signal."""
+        if len(self._scores) * 2 < len(self._servers) or not self.rate:
+            return 0.0
+        recent = [
+            scores[signal].recent if signal in scores else 0.0
+            for server in self._servers
+            for scores in (self._scores.get(server, {}),)
+        ]
+        return median(recent) / (PEER_RATE_SECONDS * self.rate)
+
+    def _excess(self, server: ServerId, signal: Signal) -> float:
+        """Return by how much a score exceeds that of the other servers."""
+        own = self._scores[server][signal].value
+        if len(self._scores) * 2 < len(self._servers):
+            return own
+        others = [
+            scores[signal].value if signal in scores else 0.0
+            for other in self._servers
+            if other != server
+            for scores in (self._scores.get(other, {}),)
+        ]
+        if not others:
+            return 0.0
+        return max(0.0, own - PEER_SCORE_FACTOR * median(others))
+
+    def _shares(
+        self, scores: dict[Signal, Score], excess: dict[Signal, float]
+    ) -> dict[HostId, float]:
+        """Return each host's part of the score."""
+        shares: dict[HostId, float] = {}
+        limit = self.threshold * PROBE_SHARE
+        for signal, amount in excess.items():
+            value = scores[signal].value
+            if value <= 0.0:
+                continue
+            used = min(amount, limit) if signal is Signal.PROBE else amount
+            for host, part in scores[signal].by_host.items():
+                if part > 0.0 and used > 0.0:
+                    shares[host] = shares.get(host, 0.0) + part * used / value
+        return shares
+
+    def _is_spread(self, shares: dict[HostId, float], total: float) -> bool:
+        """Return whether the evidence stands without its most affected place.
+
+        Evidence of one host or one data centre means a bad path.
+        """
+        needed = min(total, self.threshold) * MIN_REST_SHARE
+        if self.hosts > 1 and total - max(shares.values()) < needed:
+            return False
+        if self.data_centres < 2:
+            return True
+        by_place: dict[DataCentre, float] = {}
+        for host, part in shares.items():
+            place = self._places[host]
+            by_place[place] = by_place.get(place, 0.0) + part
+        worst = max(by_place.values())
+        if worst > SKEWED_SHARE * total:
+            needed = self.threshold * SKEWED_REST_SHARE
+        return total - worst >= needed
