Keep loans in the ledger until they come back, and bound asks by fleet size

Leased requests were shed because an unfair loan expired at the lender while a request still ran on it, and because a renewal that was overtaken by its return revived the lease.

--- a/bench/slots.py
+++ b/bench/slots.py
@@ -161,7 +161,9 @@
         lease = SlotLease(0, upstream.id, upstream)
         return SlotVerdict(SlotStatus.GRANTED, lease)
 
-    def release(self, request_id: RequestId, attempt: int, now: float) -> None:
+    def release(
+        self, request_id: RequestId, attempt: int, now: float, *, shed: bool = False
+    ) -> None:
         """Uncount an attempt."""
         self._load[self._running.pop((request_id, attempt))] -= 1
 
@@ -429,7 +431,7 @@
         now = self.channel.now
         request = running.request
         node = running.node
-        self._release(running)
+        self._release(running, shed=True)
         allowed = node.retries.may_retry(
             SERVICE, request.attempt, self.policy.max_attempts, request.deadline, now
         )
@@ -446,12 +448,12 @@
         wait = backoff(request.attempt, node.rng)
         self.channel.at(now + wait, lambda: self.acquire(running))
 
-    def _release(self, running: Running) -> None:
+    def _release(self, running: Running, *, shed: bool = False) -> None:
         if running.node.id not in self.channel.members:
             return
         request = running.request
         running.node.slots.release(
-            request.request_id, request.attempt, self.channel.now
+            request.request_id, request.attempt, self.channel.now, shed=shed
         )
         running.node.settle()
 
@@ -511,7 +513,7 @@
     fleet = Fleet(deployment, seed, coordinated, policy)
     start = WARM_UP_SECONDS
     end = start + seconds
-    gray = sorted(fleet.upstreams)[::3][: deployment.servers // 3]
+    gray = Random(seed).sample(sorted(fleet.upstreams), deployment.servers // 3)
     ejectable = int(deployment.servers * (1 - FLOOR_SHARE) + 1e-9)
 
     def turn_gray() -> None:
--- a/src/catkinspan/coordination/retries/const.py
+++ b/src/catkinspan/coordination/retries/const.py
@@ -11,7 +11,7 @@
 HEDGE_FLOOR = 1.0
 """Retries that hedges leave in the budget, because a retry answers a failure."""
 
-BASE_BACKOFF_SECONDS = 0.01
+BASE_BACKOFF_SECONDS = 0.002
 """Upper end of the wait before the second attempt."""
 
 MAX_BACKOFF_SECONDS = 0.25
--- a/src/catkinspan/coordination/slots/budget.py
+++ b/src/catkinspan/coordination/slots/budget.py
@@ -1,8 +1,10 @@
 """The number of asks that a host may send."""
 
 from catkinspan.coordination.slots.const import (
-    FLEET_ASKS_PER_SECOND,
-    MIN_ASKS_PER_SECOND,
+    LARGE_FLEET_ASKS,
+    RETRY_SHARE,
+    SMALL_FLEET_ASKS,
+    SMALL_FLEET_HOSTS,
 )
 
 
@@ -14,7 +16,7 @@
     """
 
     def __init__(self) -> None:
-        self._rate = FLEET_ASKS_PER_SECOND
+        self._rate = SMALL_FLEET_ASKS
         self._tokens = 1.0
         self._at = 0.0
 
@@ -26,17 +28,22 @@
     def resize(self, hosts: int, now: float) -> None:
         """Set the rate for a number of hosts."""
         self._refill(now)
-        self._rate = max(MIN_ASKS_PER_SECOND, FLEET_ASKS_PER_SECOND / max(hosts, 1))
+        small = hosts <= SMALL_FLEET_HOSTS
+        self._rate = SMALL_FLEET_ASKS if small else LARGE_FLEET_ASKS
 
-    def available(self, now: float) -> bool:
-        """Return whether an ask may be sent."""
-        self._refill(now)
-        return self._tokens >= 1.0
+    def available(self, first_attempt: bool, now: float) -> bool:
+        """Return whether an ask may be sent.
 
-    def take(self, now: float) -> bool:
-        """Use one ask; return False if there is none left."""
+        First attempts leave a part of the budget to requests that were shed, which
+        gain more from a leased slot.
+        """
         self._refill(now)
-        if self._tokens < 1.0:
+        kept = self._rate * RETRY_SHARE if first_attempt else 0.0
+        return self._tokens >= 1.0 + kept
+
+    def take(self, first_attempt: bool, now: float) -> bool:
+        """Use one ask; return False if none may be sent."""
+        if not self.available(first_attempt, now):
             return False
         self._tokens -= 1.0
         return True
--- a/src/catkinspan/coordination/slots/client.py
+++ b/src/catkinspan/coordination/slots/client.py
@@ -18,6 +18,7 @@
     LEASE_SECONDS,
     REASK_SECONDS,
     RENEW_SHARE,
+    SILENCE_SECONDS,
     TICKETS_PER_WORKSPACE,
     UNANSWERED_LIMIT,
 )
@@ -121,11 +122,15 @@
         self._direct_load: Counter[ServerId] = Counter()
         self._next_ticket = rng.getrandbits(24) << 6
         self._unanswered = 0
+        self._heard_at = float("-inf")
+        self._was_in_fallback = False
         self._fallback_until = float("-inf")
         self._dispatcher: HostId | None = None
         self._new_asks: list[Ask] = []
         self._new_returns: list[int] = []
         self._withdrawn: list[int] = []
+        self._new_sheds: list[int] = []
+        self._checked: Sequence[Candidate] = ()
         self._settled: list[SlotSettled] = []
         self._refusals: Counter[SlotRefusal] = Counter()
         self._draining = False
@@ -163,14 +168,14 @@
             return self._refused(SlotRefusal.NO_SERVER)
         if not len(self._queue) and (lease := self._take_idle(pending, usable)):
             return self._granted(pending, lease, usable)
-        if self._asks_dispatcher(now):
+        if self._asks_dispatcher(now, request.attempt == 1):
             return self._wait(pending, now)
         chosen = self._choose(usable)
         if chosen and not self._has_waiting_without_ticket():
             return self._run_direct(pending, chosen)
         return self._wait(pending, now)
 
-    def release(self, key: AttemptKey, now: float) -> None:
+    def release(self, key: AttemptKey, now: float, *, shed: bool = False) -> None:
         """End an attempt and use its slot for the next request, or hand it back."""
         if server := self._direct.pop(key, None):
             self._uncount(self._load, server)
@@ -180,7 +185,9 @@
             self._uncount(self._load, lease.server)
             lease.busy = None
             lease.idle_since = now
-            if not lease.keep or self._draining or lease.expires <= now:
+            if shed:
+                self._new_sheds.append(lease.id)
+            if shed or not lease.keep or self._draining or lease.expires <= now:
                 self._return(lease)
         self.pump(now)
 
@@ -197,8 +204,7 @@
         """Use granted slots, and settle denied requests."""
         if host != self._dispatcher:
             return
-        self._unanswered = 0
-        self._fallback_until = float("-inf")
+        self._hear(now)
         for ticket in message.queued:
             if pending := self._tickets.get(ticket):
                 pending.answered = True
@@ -229,8 +235,7 @@
             return
         self.flush()
         self._dispatcher = dispatcher
-        self._unanswered = 0
-        self._fallback_until = float("-inf")
+        self._hear(now)
         self._renew(list(self._leases.values()), now)
         self._withdraw_tickets()
         self.pump(now)
@@ -283,11 +288,15 @@
             self._mailbox.post(self._dispatcher, SlotAsk(self._service, asks))
         if self._dispatcher and (self._new_returns or self._withdrawn):
             message = SlotReturn(
-                self._service, tuple(self._new_returns), tuple(self._withdrawn)
+                self._service,
+                tuple(self._new_returns),
+                tuple(self._withdrawn),
+                tuple(self._new_sheds),
             )
             self._mailbox.post(self._dispatcher, message)
         self._new_returns.clear()
         self._withdrawn.clear()
+        self._new_sheds.clear()
 
     def _usable(self, request: SlotRequest, now: float) -> list[Candidate]:
         usable = [
@@ -299,11 +308,25 @@
         preferred = [c for c in usable if not c.avoided]
         return preferred or usable
 
+    def _hear(self, now: float) -> None:
+        """Leave fallback, since the dispatcher answers."""
+        self._heard_at = now
+        self._unanswered = 0
+        self._was_in_fallback = False
+        self._fallback_until = float("-inf")
+
     def _in_fallback(self, now: float) -> bool:
         return self._dispatcher is None or now < self._fallback_until
 
-    def _asks_dispatcher(self, now: float) -> bool:
-        return not self._in_fallback(now) and self._budget.available(now)
+    def _asks_dispatcher(self, now: float, first_attempt: bool = False) -> bool:
+        if self._in_fallback(now) or (self._probes and self._tickets):
+            return False
+        return self._budget.available(first_attempt, now)
+
+    @property
+    def _probes(self) -> bool:
+        """Return whether one ask at a time finds out if the dispatcher answers."""
+        return self._unanswered >= UNANSWERED_LIMIT - 1 and self._was_in_fallback
 
     def _has_waiting_without_ticket(self) -> bool:
         return len(self._queue) > len(self._tickets)
@@ -367,7 +390,7 @@
 
     def _too_late(self, pending: Pending, now: float) -> bool:
         # The next look is one tick away, and the refusal must come before the end.
-        return pending.request.wait_until - now <= TICK_SECONDS
+        return pending.request.wait_until - now <= 1.5 * TICK_SECONDS
 
     def _expected_wait(self, pending: Pending) -> float:
         ahead = self._queue.length(pending.workspace)
@@ -390,12 +413,14 @@
         self._grant_gap[workspace] = (now, gap)
 
     def _ask_more(self, now: float) -> None:
-        for pending in self._queue:
+        for pending in self._queue.first(TICKETS_PER_WORKSPACE):
             if pending.ticket or self._asked[pending.workspace] >= (
                 TICKETS_PER_WORKSPACE
             ):
                 continue
-            if not self._budget.take(now):
+            if self._probes and self._tickets:
+                break
+            if not self._budget.take(pending.request.attempt == 1, now):
                 break
             self._next_ticket += 1
             pending.ticket = self._next_ticket
@@ -510,20 +535,25 @@
         self._asked.clear()
 
     def _drop_late(self, now: float) -> None:
+        candidates = self._candidates(self._service, now)
+        changed, self._checked = candidates is not self._checked, candidates
         for pending in list(self._pending.values()):
             if self._too_late(pending, now):
                 reason = SlotRefusal.NO_CAPACITY_BEFORE_DEADLINE
                 self._settle_refused(pending, reason)
-            elif not self._usable(pending.request, now):
+            elif changed and not self._usable(pending.request, now):
                 self._settle_refused(pending, SlotRefusal.NO_SERVER)
 
     def _check_answers(self, now: float) -> None:
         late = False
+        silent = now - self._heard_at >= SILENCE_SECONDS
+        repeat = SILENCE_SECONDS if silent else REASK_SECONDS
         for pending in list(self._tickets.values()):
-            if not pending.answered and now - pending.sent_at >= ANSWER_SECONDS:
+            waited = now - pending.sent_at
+            if not pending.answered and waited >= ANSWER_SECONDS:
                 late = True
                 self._send_ask(pending, now)
-            elif pending.answered and now - pending.sent_at >= REASK_SECONDS:
+            elif pending.answered and waited >= repeat:
                 pending.answered = False
                 self._send_ask(pending, now)
         self._unanswered = self._unanswered + 1 if late else 0
@@ -533,6 +563,7 @@
     def _fall_back(self, now: float) -> None:
         self._fallback_until = now + FALLBACK_SECONDS
         self._unanswered = UNANSWERED_LIMIT - 1
+        self._was_in_fallback = True
         self._new_asks.clear()
         self._withdrawn.extend(self._tickets)
         self._withdraw_tickets()
--- a/src/catkinspan/coordination/slots/const.py
+++ b/src/catkinspan/coordination/slots/const.py
@@ -25,18 +25,28 @@
 FALLBACK_SECONDS = 1.0
 """Time in fallback between two probes of the dispatcher."""
 
-REASK_SECONDS = 0.25
+REASK_SECONDS = 1.0
 """Time between repeated asks for a queued request, in case an answer was lost."""
 
+SILENCE_SECONDS = 0.15
+"""Time without any answer after which queued requests are asked for again, because
+the dispatcher may have been replaced or paused."""
+
 TICKETS_PER_WORKSPACE = 4
 """Requests of one workspace for which a host asks at once. The rest waits on the host,
 so that one workspace cannot flood the dispatcher's inbox."""
 
-FLEET_ASKS_PER_SECOND = 12000.0
-"""Asks a second over all hosts; each host gets its part of them."""
+SMALL_FLEET_HOSTS = 200
+"""Largest fleet whose hosts may ask for each request."""
+
+SMALL_FLEET_ASKS = 300.0
+"""Asks a second of a host in a small fleet."""
+
+LARGE_FLEET_ASKS = 3.0
+"""Asks a second of a host in a large fleet: about 1.2 KB/s with answers and returns."""
 
-MIN_ASKS_PER_SECOND = 3.0
-"""Asks a second for each host of a large fleet: about 1 KB/s with their answers."""
+RETRY_SHARE = 0.5
+"""Share of the ask budget that is kept for requests which a server has shed."""
 
 CAREFUL_SECONDS = 0.5
 """Time in which a new dispatcher uses half of the slots, because leases of its
@@ -51,12 +61,19 @@
 LOAN_MARGIN_SECONDS = 0.2
 """Rest of a loan's life in which no new request starts on it."""
 
+SHED_SECONDS = 0.05
+"""Time for which a server gets no lease after it shed a leased request. The slot is
+then in use by someone that the dispatcher does not know of."""
+
 LOAN_GAP_SECONDS = 0.005
 """Least time between two requests for a loan to one dispatcher."""
 
 LOAN_BACKOFF_SECONDS = 0.1
 """Time before a dispatcher that had nothing to lend is asked again."""
 
+LOAN_HYSTERESIS = 0.1
+"""Share by which a dispatcher must be short before one with a queue lends to it."""
+
 MAX_LOAN = 8
 """Most slots in one loan."""
 
--- a/src/catkinspan/coordination/slots/coordinator.py
+++ b/src/catkinspan/coordination/slots/coordinator.py
@@ -74,6 +74,9 @@
         self._dispatchers: dict[ServiceId, Dispatcher] = {}
         self._incarnations: dict[HostId, int] = {}
         self._services: dict[AttemptKey, ServiceId] = {}
+        self._usable: dict[
+            ServiceId, tuple[tuple[Candidate, ...], list[Candidate]]
+        ] = {}
         self._touched: set[ServiceId] = set()
         self._settled: list[SlotSettled] = []
         self._draining = False
@@ -100,10 +103,16 @@
             self._services.pop(key, None)
         return verdict
 
-    def release(self, request_id: RequestId, attempt: int, now: float) -> None:
-        """End an attempt that was granted a slot."""
+    def release(
+        self, request_id: RequestId, attempt: int, now: float, *, shed: bool = False
+    ) -> None:
+        """End an attempt that was granted a slot.
+
+        `shed` says that the server refused the request for lack of a slot; the
+        dispatcher then leaves the server alone for a moment.
+        """
         if client := self._client_of((request_id, attempt)):
-            client.release((request_id, attempt), now)
+            client.release((request_id, attempt), now, shed=shed)
             self._flush(now)
 
     def cancel(self, request_id: RequestId, attempt: int, now: float) -> None:
@@ -141,6 +150,7 @@
         self._view = view
         self._roles = Roles(view)
         self._shares = ConnectionShares(view)
+        self._usable.clear()
         self._budget.resize(len(view.usable), now)
         self._forget_dead(view, now)
         for name in list(self._dispatchers):
@@ -226,12 +236,17 @@
     def _connectable(self, service: ServiceId, now: float) -> list[Candidate]:
         """Return the candidates that this host may connect to."""
         candidates = self._candidates.available(service, now)
+        known = self._usable.get(service)
+        if known and known[0] is candidates:
+            return known[1]
         limit = self._shares.limit
-        return [
+        usable = [
             c
             for c in candidates
             if not c.upstream.leaving and limit(c.upstream, self._self_id)
         ]
+        self._usable[service] = (candidates, usable)
+        return usable
 
     def _own_servers(
         self, service: ServiceId, now: float
--- a/src/catkinspan/coordination/slots/dispatcher.py
+++ b/src/catkinspan/coordination/slots/dispatcher.py
@@ -1,6 +1,7 @@
 """The dispatcher of one service in one data centre."""
 
 from collections.abc import Callable, Collection, Mapping
+from functools import partial
 from random import Random
 
 from attrs import define, field
@@ -12,8 +13,10 @@
     KEEP_SHARE,
     LEASE_SECONDS,
     LOAN_BACKOFF_SECONDS,
+    LOAN_HYSTERESIS,
     LOAN_SECONDS,
     MAX_LOAN,
+    SHED_SECONDS,
 )
 from catkinspan.coordination.slots.fairness import FairQueue
 from catkinspan.coordination.slots.lending import (
@@ -41,7 +44,12 @@
     SlotReturn,
     WorkspaceDemand,
 )
-from catkinspan.coordination.slots.pool import Borrowed, PoolServer, SlotPool
+from catkinspan.coordination.slots.pool import (
+    Borrowed,
+    OpenServers,
+    PoolServer,
+    SlotPool,
+)
 from catkinspan.state.ids import HostId, ServerId, ServiceId, WorkspaceId
 
 _HOLD_SMOOTHING = 0.05
@@ -120,7 +128,7 @@
         self._by_ticket: dict[tuple[HostId, int], Lease] = {}
         self._partners = Partners()
         self._answers = _Answers()
-        self._next_lease = rng.getrandbits(24) << 8
+        self._first_lease = self._next_lease = rng.getrandbits(24) << 16
         self._hold_seconds: float | None = None
         self._recalled_at = float("-inf")
         self.max_queue = 0
@@ -174,18 +182,26 @@
             waiting = self._tickets.pop((host, ticket), None)
             if waiting:
                 self._queue.remove(waiting)
-        for lease in message.leases:
-            self._end_lease((host, lease), now, measured=True)
+        for id_ in message.leases:
+            lease = self._leases.get((host, id_))
+            if lease and id_ in message.shed:
+                self._note_full(lease, now)
+            self._end_lease((host, id_), now, measured=id_ not in message.shed)
         self._serve(now)
         self._send()
 
     def renew(self, message: SlotRenew, host: HostId, now: float) -> None:
         """Extend leases, and adopt those that a predecessor granted."""
+        renewed = []
         for held in message.held:
-            lease = self._leases.get((host, held.lease)) or self._adopt(held, host, now)
-            lease.expires = now + LEASE_SECONDS
-        leases = tuple(held.lease for held in message.held)
-        self._mailbox.post(host, SlotRenewed(self._service, leases))
+            lease = self._leases.get((host, held.lease))
+            if lease is None and not self._first_lease < held.lease <= self._next_lease:
+                lease = self._adopt(held, host, now)
+            # An own lease that is unknown has ended: its return overtook the renewal.
+            if lease is not None:
+                lease.expires = now + LEASE_SECONDS
+                renewed.append(held.lease)
+        self._mailbox.post(host, SlotRenewed(self._service, tuple(renewed)))
 
     def lend(self, message: LoanAsk, host: HostId, now: float) -> None:
         """Renew loans that are still fair, and lend what is free or owed."""
@@ -194,20 +210,22 @@
             return
         partner.demand, partner.demand_at = message.demand, now
         fair = self._fair_for(message)
-        renewed = self._renew_loans(message, host, fair, now)
+        renewed = self._renew_loans(message, host, now)
+        excess = message.capacity - int(fair + 1) if len(self._queue) else 0
+        recalled = renewed[: max(0, excess)]
         wants = min(message.wants, MAX_LOAN)
         if len(self._queue):
-            owed = int(fair) - message.capacity
-            partner.owed = max(0, min(wants, owed))
-            partner.owed_until = now + LOAN_BACKOFF_SECONDS
-            wants = 0
-        else:
-            partner.owed = 0
-        for _ in range(min(wants, self._pool.free(now) - self._reserve())):
-            if not self._lend_one(partner, now):
-                break
+            # Small differences are noise; moving slots for them costs more than it
+            # gives. A borrower has none to spare.
+            missing = fair - message.capacity * (1 + LOAN_HYSTERESIS)
+            wants = 0 if self._pool.borrowed else max(0, min(wants, int(missing)))
+        partner.owed = wants
+        partner.owed_until = now + LOAN_BACKOFF_SECONDS
+        self._pay_owed(now)
         loans = tuple(self._answers.loans.pop(host, ()))
-        self._mailbox.post(host, LoanGrant(self._service, loans, renewed))
+        grant = LoanGrant(self._service, loans, renewed, recalled)
+        self._mailbox.post(host, grant)
+        self._send()
 
     def borrow(self, message: LoanGrant, lender: HostId, now: float) -> None:
         """Take loans into the pool and serve the queue with them."""
@@ -219,12 +237,14 @@
         for id_ in message.renewed:
             if loan := self._pool.borrowed.get((lender, id_)):
                 loan.expires = loan_end(loan.asked_at)
+                loan.ended = loan.ended or id_ in message.recalled
         for held in message.loans:
             # A promised slot comes later than the answer, so its life counts from the
             # arrival; LOAN_MARGIN_SECONDS covers the time on the way.
             loan = Borrowed(held.lease, held.server, lender, loan_end(now))
             self._pool.borrowed[loan.key] = loan
         self._serve(now)
+        self._return_loans(now)
         self._send()
 
     def tick(self, now: float) -> None:
@@ -295,12 +315,9 @@
         self._tickets.pop((waiting.host, waiting.ask.ticket), None)
 
     def _serve(self, now: float) -> None:
-        while partner := self._partners.owed(now):
-            if not self._lend_one(partner, now):
-                break
-            partner.owed -= 1
-        while len(self._queue) and self._pool.has_free(now):
-            waiting = self._queue.pop(lambda w: self._find(w, now) is not None)
+        self._pay_owed(now)
+        while len(self._queue) and (opened := self._pool.open(now)):
+            waiting = self._queue.pop(partial(self._fits, opened))
             if waiting is None:
                 break
             del self._tickets[waiting.host, waiting.ask.ticket]
@@ -309,6 +326,26 @@
             self._recall(now)
             self._ask_partner(now)
 
+    def _pay_owed(self, now: float) -> None:
+        """Lend free slots to the dispatchers to which they were promised."""
+        while partner := self._partners.owed(now):
+            if not self._lend_one(partner, now):
+                break
+            partner.owed -= 1
+
+    def _fits(self, opened: OpenServers, waiting: Waiting) -> bool:
+        ask = waiting.ask
+        allowed = self._allowed(waiting.host)
+        return opened.fits(ask.exclude, ask.idempotent, allowed)
+
+    def _note_full(self, lease: Lease, now: float) -> None:
+        """Pause a server whose slots are in use by someone unknown."""
+        if lease.borrowed:
+            if loan := self._pool.borrowed.get(lease.borrowed):
+                loan.ended = True
+        elif server := self._pool.servers.get(lease.server):
+            server.full_until = now + SHED_SECONDS
+
     def _find(self, waiting: Waiting, now: float) -> PoolServer | Borrowed | None:
         ask = waiting.ask
         allowed = self._allowed(waiting.host)
@@ -404,24 +441,20 @@
             weights[waiting.workspace] = waiting.weight
         return largest(WorkspaceDemand(w, weights[w], n) for w, n in slots.items())
 
-    def _lent_to(self, host: HostId) -> list[Lease]:
-        return [v for v in self._leases.values() if v.loan and v.host == host]
-
-    def _reserve(self) -> int:
-        return 1 if self._pool.capacity > 1 else 0
-
     def _fair_for(self, message: LoanAsk) -> float:
         own = self._pool.capacity - sum(v.loan for v in self._leases.values())
         return fair_capacity(own + message.capacity, self._demand(), message.demand)
 
     def _renew_loans(
-        self, message: LoanAsk, host: HostId, fair: float, now: float
+        self, message: LoanAsk, host: HostId, now: float
     ) -> tuple[int, ...]:
-        count = len(message.held)
-        if len(self._queue):
-            count -= max(0, message.capacity - int(fair + 1))
+        """Extend the loans that the borrower still holds.
+
+        A loan that is no longer fair is extended too, since a request may run on it;
+        it is recalled and comes back when the request ends.
+        """
         renewed = []
-        for held in message.held[: max(0, count)]:
+        for held in message.held:
             if lease := self._leases.get((host, held.lease)):
                 lease.expires = now + LOAN_SECONDS
                 renewed.append(held.lease)
@@ -441,35 +474,39 @@
     def _ask_partner(self, now: float) -> None:
         partner = self._partners.next(now)
         if partner:
-            self._post_loan_ask(partner, min(len(self._queue), MAX_LOAN), (), now)
+            self._post_loan_ask(partner, now)
 
-    def _post_loan_ask(
-        self, partner: Partner, wants: int, held: tuple[Held, ...], now: float
-    ) -> None:
+    def _post_loan_ask(self, partner: Partner, now: float) -> None:
+        """Ask for slots for the queue, and renew the loans that are due."""
         partner.asked_at = now
         partner.answered = False
-        capacity = self._pool.capacity
-        ask = LoanAsk(self._service, wants, capacity, self._demand(), held)
+        due = [
+            loan
+            for loan in self._pool.borrowed.values()
+            if loan.lender == partner.host and loan.is_due(now)
+        ]
+        for loan in due:
+            loan.asked_at = now
+        ask = LoanAsk(
+            self._service,
+            min(len(self._queue), MAX_LOAN),
+            self._pool.capacity,
+            self._demand(),
+            tuple(Held(loan.lease, loan.server) for loan in due),
+        )
         self._mailbox.post(partner.host, ask)
 
     def _renew_borrowed(self, now: float) -> None:
-        due: dict[HostId, list[Borrowed]] = {}
-        for loan in self._pool.borrowed.values():
-            if not loan.ended and loan.expires - now < LOAN_SECONDS / 2:
-                due.setdefault(loan.lender, []).append(loan)
-        for lender, loans in due.items():
-            partner = self._partners.get(lender)
-            if partner is None or now - partner.asked_at < LOAN_BACKOFF_SECONDS:
-                continue
-            for loan in loans:
-                loan.asked_at = now
-            held = tuple(Held(loan.lease, loan.server) for loan in loans)
-            self._post_loan_ask(partner, min(len(self._queue), MAX_LOAN), held, now)
+        loans = self._pool.borrowed.values()
+        for lender in sorted({loan.lender for loan in loans if loan.is_due(now)}):
+            if partner := self._partners.get(lender):
+                self._post_loan_ask(partner, now)
 
     def _return_loans(self, now: float) -> None:
         for loan in list(self._pool.borrowed.values()):
             if loan.expires <= now:
-                loan.ended = True
+                del self._pool.borrowed[loan.key]
+                continue
             if not loan.busy and (loan.ended or not len(self._queue)):
                 del self._pool.borrowed[loan.key]
                 self._post_return(loan)
@@ -479,7 +516,7 @@
         if loan is None:
             return
         loan.busy = False
-        if loan.ended:
+        if loan.ended or not len(self._queue):
             del self._pool.borrowed[key]
             self._post_return(loan)
 
--- a/src/catkinspan/coordination/slots/fairness.py
+++ b/src/catkinspan/coordination/slots/fairness.py
@@ -2,6 +2,7 @@
 
 from collections import deque
 from collections.abc import Callable, Hashable, Iterator, Mapping
+from itertools import islice
 from typing import Generic, Protocol, TypeVar
 
 from attrs import define, field
@@ -53,6 +54,11 @@
         for lane in list(self._lanes.values()):
             yield from list(lane.items)
 
+    def first(self, count: int) -> Iterator[Item]:
+        """Return the first items of each workspace."""
+        for lane in list(self._lanes.values()):
+            yield from list(islice(lane.items, count))
+
     @property
     def lengths(self) -> dict[WorkspaceId, int]:
         """Return the number of waiting items by workspace."""
--- a/src/catkinspan/coordination/slots/models.py
+++ b/src/catkinspan/coordination/slots/models.py
@@ -163,6 +163,8 @@
     service: ServiceId
     leases: tuple[int, ...] = ()
     tickets: tuple[int, ...] = ()
+    shed: tuple[int, ...] = ()
+    """Those of the leases whose request the server shed."""
 
 
 @frozen
@@ -226,6 +228,8 @@
     service: ServiceId
     loans: tuple[Held, ...]
     renewed: tuple[int, ...] = ()
+    recalled: tuple[int, ...] = ()
+    """Those of the renewed loans that go back once they are idle."""
 
 
 MESSAGES: tuple[type[PeerMessage], ...] = (
--- a/src/catkinspan/coordination/slots/pool.py
+++ b/src/catkinspan/coordination/slots/pool.py
@@ -6,7 +6,12 @@
 from attrs import define, field
 
 from catkinspan.coordination.outcomes import Candidate
-from catkinspan.coordination.slots.const import LOAN_MARGIN_SECONDS, TRIAL_SECONDS
+from catkinspan.coordination.slots.const import (
+    LOAN_BACKOFF_SECONDS,
+    LOAN_MARGIN_SECONDS,
+    LOAN_SECONDS,
+    TRIAL_SECONDS,
+)
 from catkinspan.state.ids import HostId, ServerId
 
 
@@ -21,6 +26,9 @@
     trial_at: float = float("-inf")
     """Time of the last request to the server while on trial."""
 
+    full_until: float = float("-inf")
+    """Time until which no slot is leased, after the server shed a leased request."""
+
     def free(self, careful: bool) -> int:
         """Return the slots that may be leased now."""
         slots = (self.slots + 1) // 2 if careful else self.slots
@@ -47,6 +55,41 @@
         """Return the lender and the number of the loan, which together are unique."""
         return self.lender, self.lease
 
+    def is_open(self, now: float) -> bool:
+        """Return whether a request may start on the loan."""
+        if self.busy or self.ended:
+            return False
+        return self.expires - now > LOAN_MARGIN_SECONDS
+
+    def is_due(self, now: float) -> bool:
+        """Return whether to ask for a renewal, for the first time or again."""
+        if self.expires - now > LOAN_SECONDS / 2:
+            return False
+        return now - self.asked_at >= LOAN_BACKOFF_SECONDS
+
+
+@define
+class OpenServers:
+    """Servers with a free slot at one instant."""
+
+    usual: list[ServerId]
+    trial: list[ServerId]
+
+    def __bool__(self) -> bool:
+        return bool(self.usual or self.trial)
+
+    def fits(
+        self,
+        exclude: Collection[ServerId],
+        idempotent: bool,
+        allowed: Collection[ServerId] | None,
+    ) -> bool:
+        """Return whether a request can run on one of the servers."""
+        for server in (*self.usual, *(self.trial if idempotent else ())):
+            if server not in exclude and (allowed is None or server in allowed):
+                return True
+        return False
+
 
 @define
 class SlotPool:
@@ -73,12 +116,21 @@
         servers = self.servers.values()
         return sum(max(0, s.free(careful)) for s in servers if not s.trial)
 
-    def has_free(self, now: float) -> bool:
-        """Return whether any slot may be leased, on trial servers too."""
+    def open(self, now: float) -> "OpenServers":
+        """Return the servers with a slot that may be leased now."""
         careful = now < self.careful_until
-        if any(server.free(careful) > 0 for server in self.servers.values()):
-            return True
-        return any(not loan.busy and not loan.ended for loan in self.borrowed.values())
+        usual: list[ServerId] = []
+        trial: list[ServerId] = []
+        for server in self.servers.values():
+            if now < server.full_until or server.free(careful) <= 0:
+                continue
+            if not server.trial:
+                usual.append(server.id)
+            elif now - server.trial_at >= TRIAL_SECONDS:
+                trial.append(server.id)
+        loans = self.borrowed.values()
+        usual.extend(loan.server for loan in loans if loan.is_open(now))
+        return OpenServers(usual, trial)
 
     def update(self, own: Mapping[ServerId, Candidate]) -> None:
         """Take over the servers that may get new work."""
@@ -108,7 +160,7 @@
         best_key = (0.0, 0.0)
         for server in self.servers.values():
             free = server.free(careful)
-            if free <= 0 or server.id in exclude:
+            if free <= 0 or server.id in exclude or now < server.full_until:
                 continue
             if allowed is not None and server.id not in allowed:
                 continue
@@ -128,9 +180,8 @@
         now: float,
     ) -> Borrowed | None:
         for loan in self.borrowed.values():
-            usable = not loan.busy and not loan.ended and loan.server not in exclude
             if allowed is not None and loan.server not in allowed:
                 continue
-            if usable and loan.expires - now > LOAN_MARGIN_SECONDS:
+            if loan.is_open(now) and loan.server not in exclude:
                 return loan
         return None
