--- a/src/catkinspan/coordination/requests/coordinator.py
+++ b/src/catkinspan/coordination/requests/coordinator.py
@@ -382,11 +382,20 @@
             idempotent=request.is_idempotent,
             deadline=request.deadline,
             queue_until=now + queue_timeout,
-            exclude=frozenset(request.tried),
+            exclude=self._excluded(request, now),
         )
         verdict = self._stages.slots.acquire(wanted, now)
         self._on_slot(request.id, attempt, verdict, now)
 
+    def _excluded(self, request: _Request, now: float) -> frozenset[ServerId]:
+        """Leave out the servers that were tried, as long as there are others."""
+        if not request.tried:
+            return frozenset()
+        candidates = self._stages.health.available(request.route.service, now)
+        if all(candidate.upstream.id in request.tried for candidate in candidates):
+            return frozenset()
+        return frozenset(request.tried)
+
     def _on_slot(
         self, request_id: RequestId, attempt: int, verdict: SlotVerdict, now: float
     ) -> None:
@@ -507,8 +516,6 @@
             self._stages.quarantine.record_crash(
                 request.fingerprint, outcome.server, now
             )
-        elif outcome.kind is OutcomeKind.OK:
-            self._stages.quarantine.record_success(request.fingerprint, now)
 
     def _after_failure(
         self, request: _Request, finished: AttemptFinished, now: float
--- a/src/catkinspan/daemon/demo.py
+++ b/src/catkinspan/daemon/demo.py
@@ -32,8 +32,12 @@
 class DemoFleet:
     """Stand-in platform, two services and three entry hosts."""
 
-    def __init__(self, first_port: int) -> None:
+    def __init__(
+        self, first_port: int, slots: int = 3, service_seconds: float = 0.01
+    ) -> None:
         self._first_port = first_port
+        self._slots = slots
+        self._service_seconds = service_seconds
         self._platform = StandinPlatform()
         self._upstreams = self._new_upstreams()
         self._hosts = [self._new_host(i) for i in range(len(DATA_CENTRES))]
@@ -132,7 +136,11 @@
         for service, count in SERVICES.items():
             for number in range(1, count + 1):
                 options = UpstreamOptions(
-                    name=f"{service}-{number}", service=service, seed=len(upstreams)
+                    name=f"{service}-{number}",
+                    service=service,
+                    slots=self._slots,
+                    service_seconds=self._service_seconds,
+                    seed=len(upstreams),
                 )
                 address = self._address(UPSTREAMS_PORT + len(upstreams))
                 upstreams.append((address, StandinUpstream(options)))
