--- a/src/catkinspan/coordination/claims/const.py
+++ b/src/catkinspan/coordination/claims/const.py
@@ -30,6 +30,10 @@
 MAX_HOLDER_SETS = 4
 """Holder sets that one claim may need a majority of."""
 
+PAUSE_GUARD_SECONDS = 1.0
+"""Time after a pause in which claims are refused: requests that waited unread in a
+socket are of unknown age, possibly older than the window."""
+
 CLAIM_TIMEOUT_SECONDS = 0.5
 ASK_AGAIN_SECONDS = 0.15
 REFRESH_SECONDS = 20.0
--- a/src/catkinspan/coordination/claims/coordinator.py
+++ b/src/catkinspan/coordination/claims/coordinator.py
@@ -10,6 +10,7 @@
     ASK_AGAIN_SECONDS,
     CLAIM_TIMEOUT_SECONDS,
     MAX_OWN_CLAIMS_PER_WORKSPACE,
+    PAUSE_GUARD_SECONDS,
     PROMISE_SECONDS,
     REFRESH_SECONDS,
     RELEASE_REPEATS,
@@ -79,6 +80,7 @@
         self._promises = PromiseTable()
         self._incarnations: dict[HostId, int] = {}
         self._abstain_until: float | None = None
+        self._guard_until = float("-inf")
         self._last_call = 0.0
         self._ballots: dict[int, Ballot] = {}
         self._by_request: dict[RequestId, Ballot] = {}
@@ -189,6 +191,7 @@
         """
         self._last_call = now
         self._abstain_until = now + ABSTAIN_SECONDS
+        self._guard_until = now + PAUSE_GUARD_SECONDS
         for ballot in list(self._by_request.values()):
             if ballot.phase is Phase.PENDING:
                 self._settle(
@@ -211,6 +214,8 @@
         earlier = self._by_digest.get(claim.digest)
         if earlier is not None:
             return self._earlier_refusal(earlier, claim)
+        if now < self._guard_until:
+            return Undecided(self._guard_until - now, UndecidedCause.PAUSED)
         if self._by_workspace[claim.workspace] >= MAX_OWN_CLAIMS_PER_WORKSPACE:
             return TooManyClaims(0.0)
         if not self._history.is_settled(now):
--- a/src/catkinspan/coordination/claims/errors.py
+++ b/src/catkinspan/coordination/claims/errors.py
@@ -16,7 +16,7 @@
     LIST_CHANGING = "list_changing"
     HOLDERS_FULL = "holders_full"
     PAUSED = "paused"
-    """The host itself was paused while the claim was pending."""
+    """The host itself was paused just before or during the claim."""
 
 
 @frozen
--- a/src/catkinspan/coordination/quarantine/const.py
+++ b/src/catkinspan/coordination/quarantine/const.py
@@ -21,6 +21,10 @@
 MAX_FINGERPRINTS = 2_000
 MAX_FINGERPRINTS_PER_WORKSPACE = 100
 MAX_CRASHES_PER_FINGERPRINT = 8
+CLEARANCE_SPREAD_SECONDS = 1.0
+"""Successes of one request this close together are reported once."""
+
+MAX_CLEARANCES = 2_000
 MAX_SEEN_REPORTS = 8_192
 MAX_RECENT_CRASHES = 256
 
--- a/src/catkinspan/coordination/quarantine/coordinator.py
+++ b/src/catkinspan/coordination/quarantine/coordinator.py
@@ -11,10 +11,12 @@
 from catkinspan.coordination.models import Origin, PeerMessage
 from catkinspan.coordination.outbox import Outbox
 from catkinspan.coordination.quarantine.const import (
+    CLEARANCE_SPREAD_SECONDS,
     CRASH_MEMORY_SECONDS,
     CRASHES_TO_QUARANTINE,
     FANOUT,
     GREETERS,
+    MAX_CLEARANCES,
     MAX_CRASHES_PER_FINGERPRINT,
     MAX_FINGERPRINTS,
     MAX_FINGERPRINTS_PER_WORKSPACE,
@@ -30,6 +32,7 @@
 from catkinspan.coordination.quarantine.incidents import IncidentLog
 from catkinspan.coordination.quarantine.models import (
     MESSAGES,
+    Clearance,
     Crash,
     CrashId,
     CrashNews,
@@ -37,6 +40,7 @@
     Fingerprint,
     QuarantineEnded,
     RequestQuarantined,
+    Success,
     Suspect,
 )
 from catkinspan.coordination.rendezvous import ranked
@@ -46,7 +50,7 @@
 
 @define
 class _Queued:
-    crash: Crash
+    item: Crash | Success
     rounds: int = ROUNDS
 
 
@@ -71,6 +75,8 @@
         self._suspects: OrderedDict[Fingerprint, Suspect] = OrderedDict()
         self._by_workspace: Counter[WorkspaceId] = Counter()
         self._seen: OrderedDict[CrashId, None] = OrderedDict()
+        self._cleared: OrderedDict[Fingerprint, float] = OrderedDict()
+        self._news = 0
         self._queue: deque[_Queued] = deque(maxlen=MAX_QUEUED_REPORTS)
 
     @property
@@ -97,6 +103,16 @@
         self._add(Crash(crash_id, fingerprint, server, now), now)
         self._send_round(now)
 
+    def record_success(self, fingerprint: Fingerprint, now: float) -> None:
+        """Record that the request succeeded, which clears it of earlier crashes.
+
+        It keeps a popular request, which runs on every server, out of quarantine when
+        servers die by themselves. For a request without crashes this is one look-up.
+        """
+        if fingerprint in self._suspects:
+            self._clear(Success(fingerprint, now))
+            self._send_round(now)
+
     def apply_view(self, view: FleetView, now: float) -> None:
         """Take over the peers, and tell newly started ones what is known."""
         self._peers = tuple(host for host in view.usable if host != self._self_id)
@@ -113,11 +129,14 @@
         """Take over crash reports and pass new ones on at once."""
         if not isinstance(message, CrashNews):
             return
-        known = len(self._seen), self._newest_seen()
+        known = self._news
         for report in message.reports:
             at = now - report.age_ms / 1000
             self._add(Crash(report.id, report.fingerprint, report.server, at), now)
-        if (len(self._seen), self._newest_seen()) != known:
+        for clearance in message.clearances:
+            at = now - clearance.age_ms / 1000
+            self._clear(Success(clearance.fingerprint, at))
+        if self._news != known:
             self._send_round(now)
 
     def tick(self, now: float) -> None:
@@ -129,20 +148,43 @@
             if suspect.crashes[-1].at + CRASH_MEMORY_SECONDS <= now:
                 self._remove(fingerprint)
 
-    def _newest_seen(self) -> CrashId | None:
-        return next(reversed(self._seen), None)
-
     def _add(self, crash: Crash, now: float) -> None:
         if crash.id in self._seen or crash.at + CRASH_MEMORY_SECONDS <= now:
             return
         self._seen[crash.id] = None
         if len(self._seen) > MAX_SEEN_REPORTS:
             self._seen.popitem(last=False)
-        self._queue.append(_Queued(crash))
+        self._enqueue(crash)
         self._log.add(crash)
+        if crash.at <= self._cleared.get(crash.fingerprint, float("-inf")):
+            return
         self._suspect(crash)
         self._evaluate(crash.fingerprint, now)
 
+    def _clear(self, success: Success) -> None:
+        """Drop the crashes of a request before its success."""
+        fingerprint = success.fingerprint
+        known = self._cleared.get(fingerprint, float("-inf"))
+        if success.at <= known + CLEARANCE_SPREAD_SECONDS:
+            return
+        self._cleared[fingerprint] = success.at
+        self._cleared.move_to_end(fingerprint)
+        if len(self._cleared) > MAX_CLEARANCES:
+            self._cleared.popitem(last=False)
+        self._enqueue(success)
+        suspect = self._suspects.get(fingerprint)
+        if suspect is None:
+            return
+        suspect.crashes = [c for c in suspect.crashes if c.at > success.at]
+        if suspect.until and self._log.count(suspect.crashes) < CRASHES_TO_QUARANTINE:
+            self._end(fingerprint, suspect)
+        if not suspect.crashes:
+            self._remove(fingerprint)
+
+    def _enqueue(self, item: Crash | Success) -> None:
+        self._news += 1
+        self._queue.append(_Queued(item))
+
     def _suspect(self, crash: Crash) -> None:
         suspect = self._suspects.get(crash.fingerprint)
         if suspect is None:
@@ -208,15 +250,19 @@
             self._queue.popleft()
             for _ in range(min(len(self._queue), MAX_REPORTS_PER_MESSAGE))
         ]
-        reports = tuple(_report(queued.crash, now) for queued in batch)
+        items = [queued.item for queued in batch]
+        reports = tuple(_report(i, now) for i in items if isinstance(i, Crash))
+        cleared = tuple(_clearance(i, now) for i in items if isinstance(i, Success))
         for host in self._rng.sample(self._peers, min(FANOUT, len(self._peers))):
-            self._outbox.send(host, CrashNews(reports))
+            self._outbox.send(host, CrashNews(reports, cleared))
         for queued in batch:
             queued.rounds -= 1
             if queued.rounds > 0:
                 self._queue.append(queued)
 
     def _greet(self, host: HostId, incarnation: int, now: float) -> None:
+        if not self._suspects:
+            return
         name = f"quarantine/{host}/{incarnation}"
         candidates = tuple(p for p in (*self._peers, self._self_id) if p != host)
         if self._self_id not in ranked(name, candidates, GREETERS):
@@ -228,6 +274,14 @@
             self._outbox.send(host, CrashNews(batch))
 
 
+def _age_ms(at: float, now: float) -> int:
+    return max(0, int((now - at) * 1000))
+
+
 def _report(crash: Crash, now: float) -> CrashReport:
-    age_ms = max(0, int((now - crash.at) * 1000))
+    age_ms = _age_ms(crash.at, now)
     return CrashReport(crash.id, crash.fingerprint, crash.server, age_ms)
+
+
+def _clearance(success: Success, now: float) -> Clearance:
+    return Clearance(success.fingerprint, _age_ms(success.at, now))
--- a/src/catkinspan/coordination/quarantine/models.py
+++ b/src/catkinspan/coordination/quarantine/models.py
@@ -53,11 +53,21 @@
     """Time since the crash when the message was sent."""
 
 
+@frozen
+class Clearance:
+    """A request succeeded, so that earlier crashes had another cause."""
+
+    fingerprint: Fingerprint
+    age_ms: int
+    """Time since the success when the message was sent."""
+
+
 @frozen
 class CrashNews(PeerMessage):
-    """Passes crash reports on."""
+    """Passes crash reports and clearances on."""
 
-    reports: tuple[CrashReport, ...]
+    reports: tuple[CrashReport, ...] = ()
+    clearances: tuple[Clearance, ...] = ()
 
 
 @frozen
@@ -89,6 +99,14 @@
     at: float
 
 
+@frozen
+class Success:
+    """A success on the own clock."""
+
+    fingerprint: Fingerprint
+    at: float
+
+
 @define
 class Suspect:
     """A fingerprint with its crashes."""
