--- a/src/catkinspan/coordination/rates/asker.py
+++ b/src/catkinspan/coordination/rates/asker.py
@@ -7,7 +7,6 @@
 
 from catkinspan.coordination.outbox import Outbox
 from catkinspan.coordination.rates.const import (
-    ASK_LIFE_ROUND_TRIPS,
     DEMAND_SECONDS,
     MAX_ASK_LIFE_SECONDS,
     MAX_HOLD_SECONDS,
@@ -33,6 +32,32 @@
 from catkinspan.state.ids import HostId, RequestId, WorkspaceId
 
 
+@define
+class RoundTrip:
+    """Smoothed round trip and its deviation, after RFC 6298."""
+
+    mean: float | None = None
+    deviation: float = 0.0
+    bound: float = MAX_ASK_LIFE_SECONDS
+    """Time within which an answer is expected."""
+
+    def add(self, sample: float) -> None:
+        """Take a measured round trip into account."""
+        if self.mean is None:
+            self.mean, self.deviation = sample, sample / 2
+        else:
+            self.deviation += (abs(sample - self.mean) - self.deviation) / 4
+            self.mean += (sample - self.mean) / 8
+        self._limit(self.mean + 4 * self.deviation)
+
+    def back_off(self) -> None:
+        """Expect answers to take longer, after one did not come in time."""
+        self._limit(2 * self.bound)
+
+    def _limit(self, bound: float) -> None:
+        self.bound = min(MAX_ASK_LIFE_SECONDS, max(MIN_ASK_LIFE_SECONDS, bound))
+
+
 @define
 class Pocket:
     """Tokens and waiting requests of one workspace on one host."""
@@ -89,6 +114,8 @@
 
     def drop_ending(self, horizon: float) -> int:
         """Drop tokens that end before `horizon` and return their number."""
+        if not self.chunks or self.chunks[0][1] > horizon:
+            return 0
         ending = [chunk for chunk in self.chunks if chunk[1] <= horizon]
         self.chunks = [chunk for chunk in self.chunks if chunk[1] > horizon]
         return int(sum(chunk[0] for chunk in ending))
@@ -109,12 +136,15 @@
 
     pockets: dict[WorkspaceId, Pocket] = field(factory=dict)
     open: OpenAsk | None = None
-    round_trip: float = MAX_ASK_LIFE_SECONDS
+    round_trip: RoundTrip = field(factory=RoundTrip)
     unanswered: int = 0
     retry_at: float = 0.0
     dirty: dict[WorkspaceId, None] = field(factory=dict)
     """Workspaces to name in the next ask."""
 
+    active: dict[WorkspaceId, Pocket] = field(factory=dict)
+    """Pockets with waiting requests or granted tokens."""
+
 
 class Asker:
     """Spends granted tokens and asks grantors for more.
@@ -169,6 +199,7 @@
         pocket.waiting[request] = now + WAIT_SECONDS
         self._waiting_on[request] = (grantor, workspace)
         link.dirty[workspace] = None
+        link.active[workspace] = pocket
         self._ask(grantor, link, now)
         return RateVerdict.PENDING
 
@@ -194,8 +225,7 @@
         ):
             return
         ask, link.open = link.open, None
-        sample = now - ask.sent_at
-        link.round_trip += 0.25 * (sample - link.round_trip)
+        link.round_trip.add(now - ask.sent_at)
         link.unanswered = 0
         for entry in grant.entries:
             pocket = link.pockets.get(entry.workspace)
@@ -222,6 +252,7 @@
                 idle = now - pocket.demand_at > 5 * DEMAND_SECONDS
                 if idle and not pocket.waiting and not pocket.held(now):
                     del link.pockets[workspace]
+                    link.active.pop(workspace, None)
                     link.dirty.pop(workspace, None)
             if not link.pockets and link.open is None:
                 del self._links[grantor]
@@ -230,6 +261,7 @@
         self, entry: GrantEntry, pocket: Pocket, ask: OpenAsk, link: Link, now: float
     ) -> None:
         pocket.accepted = ask.sequence
+        link.active[entry.workspace] = pocket
         pocket.receive(entry.granted, ask.sent_at + ask.life)
         pocket.receive(entry.ahead, ask.sent_at + PREFETCH_LIFE_SECONDS)
         asked, pocket.asked = pocket.asked, 0
@@ -266,9 +298,7 @@
             if pocket is not None:
                 entries.append(self._entry(workspace, pocket, now))
         link.dirty.clear()
-        life = ASK_LIFE_ROUND_TRIPS * link.round_trip
-        life = min(MAX_ASK_LIFE_SECONDS, max(MIN_ASK_LIFE_SECONDS, life))
-        life_ms = int(life * 1000)
+        life_ms = int(link.round_trip.bound * 1000)
         self._sequence += 1
         link.open = OpenAsk(self._sequence, now, life_ms / 1000)
         self._outbox.send(grantor, TokenAsk(self._sequence, life_ms, tuple(entries)))
@@ -284,7 +314,7 @@
     def _tick_link(self, grantor: HostId, link: Link, now: float) -> None:
         if link.open is not None and now >= link.open.sent_at + link.open.life:
             self._give_up_ask(link, now)
-        for workspace, pocket in link.pockets.items():
+        for workspace, pocket in list(link.active.items()):
             for request, end in list(pocket.waiting.items()):
                 if end > now:
                     break
@@ -293,6 +323,8 @@
             if back:
                 pocket.returned += back
                 link.dirty[workspace] = None
+            if not pocket.waiting and not pocket.chunks:
+                del link.active[workspace]
         if link.unanswered < UNANSWERED_ASKS or now >= link.retry_at:
             self._ask(grantor, link, now)
 
@@ -300,8 +332,8 @@
         link.open = None
         link.unanswered += 1
         link.retry_at = now + RETRY_GRANTOR_SECONDS
-        link.round_trip = min(MAX_ASK_LIFE_SECONDS, 2 * link.round_trip)
-        for workspace, pocket in link.pockets.items():
+        link.round_trip.back_off()
+        for workspace, pocket in link.active.items():
             pocket.asked = 0
             if pocket.waiting:
                 link.dirty[workspace] = None
--- a/src/catkinspan/coordination/rates/right.py
+++ b/src/catkinspan/coordination/rates/right.py
@@ -36,6 +36,7 @@
         self._rank: int | None = None
         self._rank_at = 0.0
         self._rest_until: float | None = None
+        self._list_rest_until = 0.0
         self._confirmed_by: set[HostId] = set()
         self._confirmed = False
         self._query_at = 0.0
@@ -74,6 +75,7 @@
             return
         if self._rest_until is None:
             self._rest_until = now + lender_wait(self._view.max_hosts)
+            self._list_rest_until = now + LIST_MEMORY_SECONDS
         if now >= self._rank_at:
             self._rank_at = now + RANK_INTERVAL_SECONDS
             self._update_rank(now)
@@ -109,10 +111,13 @@
             return "this host is leaving"
         if self._rank is None:
             return "this host is not listed"
-        if self._rank >= self._view.max_hosts:
+        limit = self._view.max_hosts
+        if self._rank >= limit:
             return "this host ranks past max_hosts"
         if now < self._rest_until:
             return "leases of an earlier process may still be in use"
+        if now < self._list_rest_until and len(self._seen_listed) > limit:
+            return "more than max_hosts are listed and lists may differ"
         if not self._confirmed:
             return "peers have not confirmed the incarnation"
         return None
--- a/src/catkinspan/testing/channel.py
+++ b/src/catkinspan/testing/channel.py
@@ -69,7 +69,11 @@
         delay: tuple[float, float] = (0.001, 0.004),
         loss: float = 0.0,
         duplication: float = 0.0,
+        late: float = 0.0,
+        late_delay: tuple[float, float] = (0.5, 10.0),
     ) -> None:
+        self._late = late
+        self._late_delay = late_delay
         self._rng = rng
         self._delay = delay
         self._loss = loss
@@ -173,7 +177,9 @@
         copies = 2 if self._rng.random() < self._duplication else 1
         origin = Origin(source, incarnation)
         for _ in range(copies):
-            when = self.now + self._rng.uniform(*self._delay)
+            is_late = self._late > 0 and self._rng.random() < self._late
+            delay = self._late_delay if is_late else self._delay
+            when = self.now + self._rng.uniform(*delay)
             self.at(when, lambda: self._deliver(target, message, origin))
 
     def _deliver(self, target: HostId, message: PeerMessage, origin: Origin) -> None:
