--- a/bench/rates_fleet.py
+++ b/bench/rates_fleet.py
@@ -6,6 +6,7 @@
 
 from collections.abc import Callable, Iterable
 from random import Random
+from typing import Protocol
 
 import orjson
 from attrs import asdict, define
@@ -80,6 +81,17 @@
         return in_rate
 
 
+class Reference(Protocol):
+    """A simpler scheme that sees the same requests and faults."""
+
+    tallies: dict[WorkspaceId, Tally]
+
+    def request(
+        self, fleet: "Fleet", host: HostId, name: WorkspaceId, in_rate: bool
+    ) -> None:
+        """Decide on a request that arrives at a host."""
+
+
 class Host:
     """One host: its coordinator, its view, and the requests that wait on it."""
 
@@ -100,11 +112,13 @@
         self.messages_in = 0
 
     def handle(self, message: PeerMessage, origin: Origin, now: float) -> None:
+        """Pass a message on."""
         self.messages_in += 1
         self.rates.handle(message, origin, now)
         self.settle()
 
     def tick(self, now: float) -> None:
+        """Report a gap as a pause, as the host task does, then tick."""
         if self.last_tick is not None and now - self.last_tick > PAUSE_SECONDS:
             self.resume(now - self.last_tick, now)
         self.last_tick = now
@@ -112,14 +126,17 @@
         self.settle()
 
     def resume(self, gap: float, now: float) -> None:
+        """Pass a pause on."""
         self.rates.resume(gap, now)
 
     def settle(self) -> None:
+        """Book the ends of pending requests."""
         for settled in self.rates.take_settled():
             name, in_rate, _ = self.pending.pop(settled.request_id)
             self.fleet.end(name, in_rate, settled.admitted)
 
     def apply_view(self, now: float) -> None:
+        """Pass on what this host knows of the fleet."""
         records = {
             host: HostRecord(
                 host,
@@ -167,10 +184,12 @@
         self.hosts: dict[HostId, Host] = {}
         self.paused: dict[HostId, list[tuple[WorkspaceId, bool]]] = {}
         self.counting = True
+        self.references: list[Reference] = []
         self._centres = centres
         self._requests = 0
 
     def centre_of(self, host: HostId) -> DataCentre:
+        """Return the data centre, by the number in the id."""
         digits = "".join(c for c in host if c.isdigit())
         return DataCentre(f"dc{int(digits) % self._centres}")
 
@@ -189,12 +208,14 @@
         return host
 
     def start_all(self, count: int) -> list[HostId]:
+        """Start hosts that all list one another."""
         ids = [HostId(f"host{n:04}") for n in range(count)]
         for host in ids:
             self.start(host, ids)
         return ids
 
     def local(self, host: HostId) -> float:
+        """Return the time on a host's clock."""
         return self.channel.members[host].local_time(self.channel.now)
 
     def crash(self, host: HostId) -> None:
@@ -205,6 +226,7 @@
             self.end(name, in_rate, False)
 
     def pause(self, host: HostId) -> None:
+        """Stop a process; requests and messages to it wait."""
         self.channel.pause(host)
         self.paused[host] = []
 
@@ -231,6 +253,8 @@
         in_rate = tally.arrive(self.channel.now)
         if self.counting:
             tally.arrived += 1
+        for reference in self.references:
+            reference.request(self, host_id, name, in_rate)
         if host_id in self.paused:
             self.paused[host_id].append((name, in_rate))
             return
@@ -251,6 +275,7 @@
         self.channel.flush(host.id)
 
     def end(self, name: WorkspaceId, in_rate: bool, admitted: bool) -> None:
+        """Book the end of a request."""
         tally = self.tallies[name]
         if admitted:
             tally.admit(self.channel.now)
@@ -262,7 +287,10 @@
 
     def reset_counts(self) -> None:
         """Start counting, after a warm-up."""
-        for tally in self.tallies.values():
+        tallies = list(self.tallies.values())
+        for reference in self.references:
+            tallies += reference.tallies.values()
+        for tally in tallies:
             tally.arrived = tally.admitted = tally.refused = 0
             tally.wrongly_refused = tally.scaled_refused = tally.ideal_admitted = 0
 
--- a/src/catkinspan/testing/channel.py
+++ b/src/catkinspan/testing/channel.py
@@ -119,6 +119,10 @@
         """Lose all messages from `source` to `target`."""
         self._cuts.add((source, target))
 
+    def connects(self, one: HostId, other: HostId) -> bool:
+        """Return whether messages pass between two hosts in both directions."""
+        return not self._cuts & {(one, other), (other, one)}
+
     def heal(self, source: HostId, target: HostId) -> None:
         """End a cut."""
         self._cuts.discard((source, target))
