--- a/bench/rates_fleet.py
+++ b/bench/rates_fleet.py
@@ -55,6 +55,8 @@
     wrongly_refused: int = 0
     scaled_refused: int = 0
     ideal_admitted: int = 0
+    scaled_admitted: bool = False
+    """Whether the scaled reference bucket admitted the last request."""
 
     def admit(self, now: float) -> None:
         """Record an admission; `excess` is the most any window is above its bound."""
@@ -73,7 +75,7 @@
         self.ideal = min(burst, self.ideal + rate * gap)
         self.scaled = min(burst * self.scale, self.scaled + rate * self.scale * gap)
         in_rate = self.ideal >= 1
-        by_scaled = self.scaled >= 1
+        self.scaled_admitted = by_scaled = self.scaled >= 1
         self.ideal -= in_rate
         self.scaled -= by_scaled
         self.ideal_admitted += in_rate
@@ -92,17 +94,31 @@
         """Decide on a request that arrives at a host."""
 
 
+class MeteredOutbox(Outbox):
+    """Counts the bytes of the messages that a host sends."""
+
+    def __init__(self, host: "Host") -> None:
+        super().__init__()
+        self._host = host
+
+    def send(self, to: HostId, message: PeerMessage) -> None:
+        """Count and queue a message."""
+        if self._host.fleet.metered:
+            self._host.bytes_out += message_bytes(message)
+        super().send(to, message)
+
+
 class Host:
     """One host: its coordinator, its view, and the requests that wait on it."""
 
     def __init__(
         self, fleet: "Fleet", host_id: HostId, centre: DataCentre, incarnation: int
     ) -> None:
+        self.fleet = fleet
         self.id, self.centre, self.incarnation = host_id, centre, incarnation
-        self.outbox = Outbox()
+        self.outbox = MeteredOutbox(self)
         rng = Random(f"{fleet.seed}/{host_id}/{incarnation}")
         self.rates = RateCoordinator(host_id, incarnation, self.outbox, rng)
-        self.fleet = fleet
         self.listed: frozenset[HostId] = frozenset()
         self.dead: frozenset[HostId] = frozenset()
         self.known: dict[HostId, int] = {}
@@ -133,7 +149,7 @@
         """Book the ends of pending requests."""
         for settled in self.rates.take_settled():
             name, in_rate, _ = self.pending.pop(settled.request_id)
-            self.fleet.end(name, in_rate, settled.admitted)
+            self.fleet.end(name, in_rate, settled.admitted, self.id)
 
     def apply_view(self, now: float) -> None:
         """Pass on what this host knows of the fleet."""
@@ -184,6 +200,8 @@
         self.hosts: dict[HostId, Host] = {}
         self.paused: dict[HostId, list[tuple[WorkspaceId, bool]]] = {}
         self.counting = True
+        self.metered = False
+        self.on_end: Callable[[HostId, bool, float], None] = lambda *_: None
         self.references: list[Reference] = []
         self._centres = centres
         self._requests = 0
@@ -223,7 +241,7 @@
         self.channel.detach(host)
         self.paused.pop(host, None)
         for name, in_rate, _ in self.hosts.pop(host).pending.values():
-            self.end(name, in_rate, False)
+            self.end(name, in_rate, False, host)
 
     def pause(self, host: HostId) -> None:
         """Stop a process; requests and messages to it wait."""
@@ -260,7 +278,7 @@
             return
         host = self.hosts.get(host_id)
         if host is None:
-            self.end(name, in_rate, False)
+            self.end(name, in_rate, False, host_id)
             return
         self._take(host, name, in_rate)
 
@@ -271,11 +289,14 @@
         if verdict is RateVerdict.PENDING:
             host.pending[request] = (name, in_rate, self.channel.now)
         else:
-            self.end(name, in_rate, verdict is RateVerdict.ADMITTED)
+            self.end(name, in_rate, verdict is RateVerdict.ADMITTED, host.id)
         self.channel.flush(host.id)
 
-    def end(self, name: WorkspaceId, in_rate: bool, admitted: bool) -> None:
+    def end(
+        self, name: WorkspaceId, in_rate: bool, admitted: bool, host: HostId
+    ) -> None:
         """Book the end of a request."""
+        self.on_end(host, admitted, self.channel.now)
         tally = self.tallies[name]
         if admitted:
             tally.admit(self.channel.now)
@@ -294,6 +315,12 @@
             tally.arrived = tally.admitted = tally.refused = 0
             tally.wrongly_refused = tally.scaled_refused = tally.ideal_admitted = 0
 
+    def reset_bytes(self) -> None:
+        """Start counting sent bytes."""
+        self.metered = True
+        for host in self.hosts.values():
+            host.bytes_out = 0
+
     def offer(
         self,
         name: WorkspaceId,
