--- a/bench/path.py
+++ b/bench/path.py
@@ -139,7 +139,7 @@
     """Wait until the host has tokens for the bench's workspace."""
     caller = BenchCaller(address)
     await caller.async_connect()
-    while await caller.async_request() != 200:
+    while await caller.async_request() != 200:  # noqa: ASYNC110
         await asyncio.sleep(0.1)
     caller.close()
 
--- a/src/catkinspan/coordination/requests/coordinator.py
+++ b/src/catkinspan/coordination/requests/coordinator.py
@@ -516,6 +516,8 @@
             self._stages.quarantine.record_crash(
                 request.fingerprint, outcome.server, now
             )
+        elif outcome.kind is OutcomeKind.OK:
+            self._stages.quarantine.record_success(request.fingerprint, now)
 
     def _after_failure(
         self, request: _Request, finished: AttemptFinished, now: float
