--- a/src/catkinspan/coordination/configuration/const.py
+++ b/src/catkinspan/coordination/configuration/const.py
@@ -43,8 +43,8 @@
 SERVED_CHUNKS_PER_SECOND = 128.0
 SERVED_CHUNKS_BURST = 32.0
 FETCH_TIMEOUT_SECONDS = 0.5
-FETCH_ATTEMPTS = 4
-"""Timeouts in a row after which another source is tried."""
+"""Time without progress after which another source is tried, and after which a chunk
+is requested again."""
 
 MAX_DOCUMENT_CHARS = 1024 * 1024
 MAX_DOCUMENTS = 4096
--- a/src/catkinspan/coordination/configuration/fetch.py
+++ b/src/catkinspan/coordination/configuration/fetch.py
@@ -9,7 +9,6 @@
 from catkinspan.coordination.configuration.const import (
     CHUNK_CHARS,
     CHUNKS_PER_TICK,
-    FETCH_ATTEMPTS,
     FETCH_TIMEOUT_SECONDS,
     MAX_DOCUMENT_CHARS,
     MAX_DOCUMENTS,
@@ -72,9 +71,6 @@
 
     source: HostId
     progress_at: float
-    asked_at: float
-    patches: bool
-    attempts: int = 1
     manifest: Manifest | None = None
 
 
@@ -90,6 +86,7 @@
         self._rng = rng
         self._sources: dict[HostId, Revision] = {}
         self._fetch: _Fetch | None = None
+        self._failed_at: dict[HostId, float] = {}
         self._partials: dict[str, _Partial] = {}
         self.progress_at = float("-inf")
 
@@ -105,11 +102,13 @@
         if fetch and fetch.source not in self._sources:
             self._fetch = None
         if not self._sources:
+            self._failed_at.clear()
             self._partials.clear()
 
     def cancel(self) -> None:
         """Drop the fetch and all that is known of peers."""
         self._sources.clear()
+        self._failed_at.clear()
         self._fetch = None
 
     def restart(self, have: Revision, now: float) -> None:
@@ -133,7 +132,7 @@
     def start(self, have: Revision, now: float) -> None:
         """Start a fetch unless one is in progress."""
         if self._fetch is None and self._sources:
-            self._ask(self._rng.choice(sorted(self._sources)), have, now)
+            self._ask(self._choose_source(), have, now)
 
     def step(self, have: Revision, now: float) -> None:
         """Start, continue or move the fetch; called on each tick."""
@@ -141,14 +140,10 @@
         if fetch is None:
             self.start(have, now)
             return
-        if now - fetch.progress_at > FETCH_ATTEMPTS * FETCH_TIMEOUT_SECONDS:
+        if now - fetch.progress_at > FETCH_TIMEOUT_SECONDS:
             self._change_source(have, now)
             return
-        if fetch.manifest is not None:
-            self._request_chunks(fetch, now)
-            return
-        if now - fetch.asked_at > FETCH_TIMEOUT_SECONDS:
-            self._retry(fetch, have, now)
+        self._request_chunks(fetch, now)
 
     def take_manifest(
         self, manifest: Manifest, origin: HostId, store: DocumentStore, now: float
@@ -220,26 +215,29 @@
     def _ask(
         self, source: HostId, have: Revision, now: float, patches: bool = True
     ) -> None:
-        self._fetch = _Fetch(source, now, now, patches)
+        self._fetch = _Fetch(source, now)
         self._outbox.send(source, ChangesRequest(have, patches))
 
-    def _retry(self, fetch: _Fetch, have: Revision, now: float) -> None:
-        fetch.attempts += 1
-        fetch.asked_at = now
-        if fetch.attempts > FETCH_ATTEMPTS // 2 and len(self._sources) > 1:
-            self._change_source(have, now)
-            return
-        self._outbox.send(fetch.source, ChangesRequest(have, fetch.patches))
+    def _choose_source(self) -> HostId:
+        """Return a random peer among those that failed longest ago or never."""
+        never = float("-inf")
+        oldest = min(self._failed_at.get(host, never) for host in self._sources)
+        return self._rng.choice(
+            sorted(
+                host
+                for host in self._sources
+                if self._failed_at.get(host, never) == oldest
+            )
+        )
 
     def _change_source(self, have: Revision, now: float) -> None:
         assert self._fetch is not None
-        if len(self._sources) > 1:
-            self._sources.pop(self._fetch.source, None)
+        self._failed_at[self._fetch.source] = now
         self._fetch = None
         self.start(have, now)
 
     def _request_chunks(self, fetch: _Fetch, now: float) -> None:
-        wanted = CHUNKS_PER_TICK
+        wanted = CHUNKS_PER_TICK if fetch.manifest else 0
         for partial in self._partials.values():
             for offset in partial.missing():
                 asked_at = partial.asked_at.get(offset, float("-inf"))
