Move the dispatcher role without double use

While views of the fleet differ, the new dispatcher uses the first half of each server's slots and its predecessor the second half. A host whose new dispatcher does not know of its role goes on asking the former one, in place of choosing servers directly. Messages after a pause are no longer used before the leases are dropped.

--- a/bench/slots.py
+++ b/bench/slots.py
@@ -8,6 +8,7 @@
 from collections import Counter
 from collections.abc import Callable, Mapping
 from datetime import timedelta
+from functools import partial
 from random import Random
 from typing import Any
 
@@ -99,14 +100,17 @@
 
 
 def make_view(
-    self_id: HostId, hosts: Mapping[HostId, DataCentre], max_hosts: int = 40
+    self_id: HostId,
+    centre: DataCentre,
+    hosts: Mapping[HostId, DataCentre],
+    max_hosts: int = 40,
 ) -> FleetView:
     records = {
         host: HostRecord(host, centre, Address("127.0.0.1", 7000))
         for host, centre in hosts.items()
     }
     usable = tuple(sorted(hosts))
-    return FleetView(self_id, hosts[self_id], records, usable, max_hosts, usable)
+    return FleetView(self_id, centre, records, usable, max_hosts, usable)
 
 
 @define
@@ -236,6 +240,8 @@
         else:
             self.slots = AloneHost(self.rng, fleet.availability)
         self.waiting: dict[tuple[RequestId, int], Running] = {}
+        self.unclaimed: dict[tuple[RequestId, int], SlotVerdict] = {}
+        """Verdicts of requests that did not come through `Fleet.arrive`."""
 
     def handle(self, message: PeerMessage, origin: Origin, now: float) -> None:
         """Pass on a message."""
@@ -255,9 +261,11 @@
     def settle(self) -> None:
         """Pass on the ends of waits, and post messages."""
         for settled in self.slots.take_settled():
-            running = self.waiting.pop((settled.request_id, settled.attempt), None)
-            if running is not None:
+            key = (settled.request_id, settled.attempt)
+            if running := self.waiting.pop(key, None):
                 self.fleet.decided(running, settled.verdict)
+            else:
+                self.unclaimed[key] = settled.verdict
         self.fleet.channel.flush(self.id)
 
 
@@ -279,6 +287,8 @@
         seed: int,
         coordinated: bool = True,
         policy: Policy | None = None,
+        loss: float = 0.0,
+        duplication: float = 0.0,
     ) -> None:
         self.deployment = deployment
         self.seed = seed
@@ -295,11 +305,16 @@
             for i in range(deployment.hosts)
         }
         self.channel = FakeChannel(
-            Random(seed + 2), path_delay=self.path_delay, on_send=self.on_send
+            Random(seed + 2),
+            loss=loss,
+            duplication=duplication,
+            path_delay=self.path_delay,
+            on_send=self.on_send,
         )
         self.tally = Tally()
         self.measure_from = 0.0
         self._sent = 0
+        self._deferred: dict[HostId, list[Callable[[], None]]] = {}
         self._ids = 0
         self.nodes = {h: BenchNode(self, h, coordinated) for h in self.hosts}
         for host, node in self.nodes.items():
@@ -317,10 +332,49 @@
     def apply_views(self, hosts: Mapping[HostId, DataCentre]) -> None:
         """Give all given hosts a view in which they are the fleet."""
         for host in hosts:
-            node = self.nodes[host]
-            view = make_view(host, hosts, self.deployment.hosts)
-            node.slots.apply_view(view, self.channel.now)
-            node.settle()
+            self.apply_view(host, hosts)
+
+    def apply_view(self, host: HostId, hosts: Mapping[HostId, DataCentre]) -> None:
+        """Give one host a view in which the given hosts are the fleet."""
+        view = make_view(host, self.hosts[host], hosts, self.deployment.hosts)
+        self.nodes[host].slots.apply_view(view, self.channel.now)
+        self.nodes[host].settle()
+
+    def restart(self, host: HostId) -> None:
+        """Replace a detached host by a new life of it."""
+        node = self.nodes[host] = BenchNode(self, host, True)
+        self.channel.attach(host, node, node.outbox, incarnation=2)
+        node.retries.apply_tree(self.tree, self.channel.now)
+        node.slots.apply_tree(self.tree, self.channel.now)
+        self.apply_view(host, self.hosts)
+
+    def pause(self, host: HostId) -> None:
+        """Stop a host's process; what reaches it waits."""
+        self.channel.pause(host)
+        self._deferred[host] = []
+
+    def wake(self, host: HostId) -> None:
+        """Let a paused host go on."""
+        self.channel.wake(host)
+        for action in self._deferred.pop(host):
+            action()
+
+    def on_host(self, host: HostId, action: Callable[[], None]) -> None:
+        """Call an action in a host's process, after its pause if it is paused."""
+        if host in self._deferred:
+            self._deferred[host].append(action)
+        else:
+            action()
+
+    def leases_of(self, host: HostId) -> set[int]:
+        """Return the leases that all dispatchers count for a host."""
+        return {
+            lease
+            for node in self.nodes.values()
+            for dispatcher in node.slots._dispatchers.values()
+            for holder, lease in dispatcher._leases
+            if holder == host
+        }
 
     def path_delay(self, source: HostId, target: HostId) -> tuple[float, float]:
         """Return the range of the delay of a path in seconds."""
@@ -345,7 +399,7 @@
 
         def arrive() -> None:
             host = rng.choice(names)
-            if host in self.channel.members:
+            if host in self.channel.members and host not in self._deferred:
                 self.arrive(host, workspace, weight)
             again = self.channel.now + rng.expovariate(rate)
             if again < until:
@@ -407,14 +461,17 @@
         if seconds is None:
             if counts:
                 self.tally.sheds += 1
-            self.channel.at(now + way, lambda: self.shed(running, server))
+            host = running.node.id
+            shed = partial(self.on_host, host, lambda: self.shed(running, server))
+            self.channel.at(now + way, shed)
             return
         if counts:
             self.tally.added.append(now - running.arrived_at - LOCAL_SECONDS[0])
 
         def end() -> None:
             self.servers.finish(server)
-            self.channel.at(now + seconds + way, lambda: self.finish(running))
+            done = partial(self.on_host, running.node.id, lambda: self.finish(running))
+            self.channel.at(now + seconds + way, done)
 
         self.channel.at(now + seconds, end)
 
@@ -446,7 +503,8 @@
             exclude=request.exclude | {server},
         )
         wait = backoff(request.attempt, node.rng)
-        self.channel.at(now + wait, lambda: self.acquire(running))
+        retry = partial(self.on_host, node.id, lambda: self.acquire(running))
+        self.channel.at(now + wait, retry)
 
     def _release(self, running: Running, *, shed: bool = False) -> None:
         if running.node.id not in self.channel.members:
@@ -502,18 +560,21 @@
     seed: int,
     coordinated: bool,
     seconds: float = STEADY_SECONDS,
-    times: float = 5.0,
+    one_centre: bool = False,
 ) -> FairnessResult:
     """Run with one workspace at five times its rate and a third of servers gray.
 
-    The gray servers are ten times slower from the end of the warm-up. Two seconds
-    later health has ejected as many of them as the floor allows.
+    The gray servers are a random third, or those of one data centre. They are ten
+    times slower from the end of the warm-up. Two seconds later health has ejected as
+    many of them as the floor allows.
     """
     policy = Policy(deadline=timedelta(seconds=3))
     fleet = Fleet(deployment, seed, coordinated, policy)
     start = WARM_UP_SECONDS
     end = start + seconds
-    gray = Random(seed).sample(sorted(fleet.upstreams), deployment.servers // 3)
+    names = sorted(fleet.upstreams)
+    count = deployment.servers // 3
+    gray = names[::3][:count] if one_centre else Random(seed).sample(names, count)
     ejectable = int(deployment.servers * (1 - FLOOR_SHARE) + 1e-9)
 
     def turn_gray() -> None:
@@ -525,7 +586,7 @@
     fleet.channel.at(start + 2.0, lambda: fleet.availability.eject(eject))
     fleet.measure_from = start
     rate = load * deployment.capacity / 8
-    rates = {w: rate * (times if w == WORKSPACES[0] else 1) for w in WORKSPACES}
+    rates = {w: rate * (5 if w == WORKSPACES[0] else 1) for w in WORKSPACES}
     for workspace, own_rate in rates.items():
         fleet.arrivals(workspace, own_rate, end)
     fleet.channel.run(end + 5.0)
--- a/src/catkinspan/coordination/slots/budget.py
+++ b/src/catkinspan/coordination/slots/budget.py
@@ -17,7 +17,7 @@
 
     def __init__(self) -> None:
         self._rate = SMALL_FLEET_ASKS
-        self._tokens = 1.0
+        self._tokens = SMALL_FLEET_ASKS
         self._at = 0.0
 
     @property
--- a/src/catkinspan/coordination/slots/client.py
+++ b/src/catkinspan/coordination/slots/client.py
@@ -18,6 +18,7 @@
     LEASE_SECONDS,
     REASK_SECONDS,
     RENEW_SHARE,
+    ROLE_RETRY_SECONDS,
     SILENCE_SECONDS,
     TICKETS_PER_WORKSPACE,
     UNANSWERED_LIMIT,
@@ -82,6 +83,9 @@
 
     id: int
     server: ServerId
+    lender: HostId
+    """The dispatcher that granted or last renewed the lease."""
+
     expires: float
     life: float
     keep: bool
@@ -126,8 +130,13 @@
         self._was_in_fallback = False
         self._fallback_until = float("-inf")
         self._dispatcher: HostId | None = None
+        """The host that is asked now."""
+        self._holder: HostId | None = None
+        """The dispatcher in the view of the fleet."""
+        self._former: HostId | None = None
+        self._switch_back_at: float | None = None
         self._new_asks: list[Ask] = []
-        self._new_returns: list[int] = []
+        self._new_returns: list[tuple[HostId, int]] = []
         self._withdrawn: list[int] = []
         self._new_sheds: list[int] = []
         self._checked: Sequence[Candidate] = ()
@@ -203,6 +212,8 @@
     def answer(self, message: SlotAnswer, host: HostId, now: float) -> None:
         """Use granted slots, and settle denied requests."""
         if host != self._dispatcher:
+            returns = ((host, grant.lease) for grant in message.grants)
+            self._new_returns.extend(returns)
             return
         self._hear(now)
         for ticket in message.queued:
@@ -212,7 +223,7 @@
             if pending := self._tickets.get(denial.ticket):
                 self._settle_refused(pending, denial.reason)
         for grant in message.grants:
-            self._take_grant(grant, now)
+            self._take_grant(grant, host, now)
         self.pump(now)
 
     def recall(self) -> None:
@@ -222,18 +233,25 @@
             if lease.busy is None:
                 self._return(lease)
 
-    def renewed(self, message: SlotRenewed) -> None:
+    def renewed(self, message: SlotRenewed, host: HostId) -> None:
         """Extend leases; their life counts from the request to renew."""
         for id_ in message.leases:
             if lease := self._leases.get(id_):
+                lease.lender = host
                 lease.life = LEASE_SECONDS
                 lease.expires = lease.renewed_at + LEASE_SECONDS
 
     def use_dispatcher(self, dispatcher: HostId | None, now: float) -> None:
         """Report leases to a new dispatcher and ask it for the waiting requests."""
-        if dispatcher == self._dispatcher:
+        if dispatcher == self._holder:
             return
+        self._former = self._holder
+        self._holder = dispatcher
+        self._switch(dispatcher, now)
+
+    def _switch(self, dispatcher: HostId | None, now: float) -> None:
         self.flush()
+        self._switch_back_at = None
         self._dispatcher = dispatcher
         self._hear(now)
         self._renew(list(self._leases.values()), now)
@@ -241,8 +259,13 @@
         self.pump(now)
 
     def not_dispatcher(self, host: HostId, now: float) -> None:
-        """Choose directly until the views of the fleet agree on a dispatcher."""
-        if host == self._dispatcher:
+        """Ask the former dispatcher until the new one knows its role."""
+        if host != self._dispatcher:
+            return
+        if host == self._holder and self._former:
+            self._switch(self._former, now)
+            self._switch_back_at = now + ROLE_RETRY_SECONDS
+        else:
             self._fall_back(now)
 
     def forget_leases(self, now: float) -> None:
@@ -264,6 +287,8 @@
 
     def tick(self, now: float) -> None:
         """Renew, expire, ask again and refuse what cannot be served in time."""
+        if self._switch_back_at is not None and now >= self._switch_back_at:
+            self._switch(self._holder, now)
         self._drop_late(now)
         self._check_answers(now)
         self._check_leases(now)
@@ -286,17 +311,29 @@
         elif self._new_asks:
             asks, self._new_asks = tuple(self._new_asks), []
             self._mailbox.post(self._dispatcher, SlotAsk(self._service, asks))
-        if self._dispatcher and (self._new_returns or self._withdrawn):
+        if self._new_returns or self._withdrawn:
+            self._post_returns()
+        self._new_returns.clear()
+        self._withdrawn.clear()
+        self._new_sheds.clear()
+
+    def _post_returns(self) -> None:
+        """Post returns to the dispatcher, and to a former one that granted leases."""
+        former = {lender for lender, _ in self._new_returns}
+        for host in sorted(
+            former | ({self._dispatcher} if self._dispatcher else set())
+        ):
             message = SlotReturn(
                 self._service,
-                tuple(self._new_returns),
-                tuple(self._withdrawn),
+                tuple(
+                    lease
+                    for lender, lease in self._new_returns
+                    if host in (lender, self._dispatcher)
+                ),
+                tuple(self._withdrawn) if host == self._dispatcher else (),
                 tuple(self._new_sheds),
             )
-            self._mailbox.post(self._dispatcher, message)
-        self._new_returns.clear()
-        self._withdrawn.clear()
-        self._new_sheds.clear()
+            self._mailbox.post(host, message)
 
     def _usable(self, request: SlotRequest, now: float) -> list[Candidate]:
         usable = [
@@ -343,7 +380,9 @@
         return None
 
     def _choose(self, usable: Sequence[Candidate]) -> Candidate | None:
-        return choose(usable, self._direct_load, self._load, self._rng)
+        # Only a dispatcher can hold a server on trial to a trickle.
+        proven = [c for c in usable if not c.trial]
+        return choose(proven or usable, self._direct_load, self._load, self._rng)
 
     def _granted(
         self, pending: Pending, lease: HeldLease, usable: Sequence[Candidate]
@@ -449,20 +488,30 @@
         )
         self._new_asks.append(ask)
 
-    def _take_grant(self, grant: Grant, now: float) -> None:
+    def _take_grant(self, grant: Grant, host: HostId, now: float) -> None:
         if grant.lease in self._leases:
             return
         pending = self._tickets.get(grant.ticket)
-        # The life counts from the ask, which is earlier than the grant.
-        start = pending.asked_at if pending else now - ANSWER_SECONDS
-        start = max(start, now - FIRST_LEASE_SECONDS / 2)
+        if pending is None:
+            # The request was withdrawn, or the answer is from before a pause and the
+            # lease may have expired.
+            self._new_returns.append((host, grant.lease))
+            return
+        # The life counts from the ask, which is earlier than the grant; but a grant
+        # after a wait in the queue must last until it is renewed.
+        start = max(pending.asked_at, now - FIRST_LEASE_SECONDS / 2)
         expires = start + FIRST_LEASE_SECONDS
         lease = HeldLease(
-            grant.lease, grant.server, expires, FIRST_LEASE_SECONDS, grant.keep
+            grant.lease,
+            grant.server,
+            host,
+            expires,
+            FIRST_LEASE_SECONDS,
+            grant.keep,
         )
         lease.idle_since = now
         self._leases[lease.id] = lease
-        if pending is None or not self._serve_with(pending, lease, now):
+        if not self._serve_with(pending, lease, now):
             self._serve_idle(now)
         if lease.busy is None:
             self._return(lease)
@@ -599,7 +648,7 @@
 
     def _return(self, lease: HeldLease) -> None:
         del self._leases[lease.id]
-        self._new_returns.append(lease.id)
+        self._new_returns.append((lease.lender, lease.id))
 
     def _uncount(self, counter: Counter[ServerId], server: ServerId) -> None:
         counter[server] -= 1
--- a/src/catkinspan/coordination/slots/const.py
+++ b/src/catkinspan/coordination/slots/const.py
@@ -48,9 +48,13 @@
 RETRY_SHARE = 0.5
 """Share of the ask budget that is kept for requests which a server has shed."""
 
-CAREFUL_SECONDS = 0.5
-"""Time in which a new dispatcher uses half of the slots, because leases of its
-predecessor may still be in use."""
+CAREFUL_SECONDS = 1.0
+"""Time in which a new dispatcher uses half of each server's slots, rounded up, because
+its predecessor may still lease. The predecessor uses the other half."""
+
+ROLE_RETRY_SECONDS = 0.2
+"""Time for which a host asks the former dispatcher, when the new one does not know of
+its role yet."""
 
 TRIAL_SECONDS = 0.25
 """Least time between two requests to a server on trial."""
--- a/src/catkinspan/coordination/slots/coordinator.py
+++ b/src/catkinspan/coordination/slots/coordinator.py
@@ -5,6 +5,7 @@
 from typing import ClassVar
 
 from catkinspan.coordination.concern import BaseConcern
+from catkinspan.coordination.const import PAUSE_SECONDS
 from catkinspan.coordination.models import Origin, PeerMessage
 from catkinspan.coordination.outbox import Outbox
 from catkinspan.coordination.outcomes import Candidate
@@ -30,6 +31,7 @@
     SlotSettled,
     SlotsSnapshot,
     SlotStatus,
+    SlotTakeover,
     SlotVerdict,
 )
 from catkinspan.coordination.slots.roles import Roles
@@ -80,6 +82,7 @@
         self._touched: set[ServiceId] = set()
         self._settled: list[SlotSettled] = []
         self._draining = False
+        self._ticked_at: float | None = None
 
     def snapshot(self, now: float) -> SlotsSnapshot:
         """Return queues, leases, fallback state and refusals for operators."""
@@ -93,6 +96,7 @@
 
         The end of a queued request's wait is returned by `take_settled`.
         """
+        self._notice_pause(now)
         key = (request.request_id, request.attempt)
         self._services[key] = request.service
         verdict = self._client(request.service, now).acquire(request, now)
@@ -111,12 +115,14 @@
         `shed` says that the server refused the request for lack of a slot; the
         dispatcher then leaves the server alone for a moment.
         """
+        self._notice_pause(now)
         if client := self._client_of((request_id, attempt)):
             client.release((request_id, attempt), now, shed=shed)
             self._flush(now)
 
     def cancel(self, request_id: RequestId, attempt: int, now: float) -> None:
         """Withdraw a queued request, or end its attempt."""
+        self._notice_pause(now)
         if client := self._client_of((request_id, attempt)):
             client.cancel((request_id, attempt), now)
             self._flush(now)
@@ -147,17 +153,18 @@
 
     def apply_view(self, view: FleetView, now: float) -> None:
         """Move roles to their new holders, and free what dead hosts held."""
+        before = self._roles
         self._view = view
         self._roles = Roles(view)
         self._shares = ConnectionShares(view)
         self._usable.clear()
         self._budget.resize(len(view.usable), now)
         self._forget_dead(view, now)
-        for name in list(self._dispatchers):
-            if self._roles.dispatcher(name, view.self_data_centre) != self._self_id:
-                self._dispatchers.pop(name).stop()
         for name, dispatcher in self._dispatchers.items():
+            self._keep_or_retire(name, dispatcher, now)
             dispatcher.replace_partners(self._roles.partners(name))
+        for name in self._clients:
+            self._take_over(name, before)
         for name, client in self._clients.items():
             client.use_dispatcher(self._dispatcher_of(name), now)
             self._touched.add(name)
@@ -165,14 +172,19 @@
 
     def handle(self, message: PeerMessage, origin: Origin, now: float) -> None:
         """Process a message as the dispatcher or as a host."""
+        self._notice_pause(now)
         self._check_incarnation(origin, now)
         self._route(message, origin.host, now)
         self._flush(now)
 
     def tick(self, now: float) -> None:
         """Expire, renew and refresh what is due."""
-        for name, dispatcher in self._dispatchers.items():
-            if not dispatcher.idle:
+        self._notice_pause(now)
+        self._ticked_at = now
+        for name, dispatcher in list(self._dispatchers.items()):
+            if dispatcher.retires_at is not None and dispatcher.retires_at <= now:
+                self._dispatchers.pop(name).stop()
+            elif not dispatcher.idle:
                 dispatcher.update(self._own_servers(name, now), now)
                 dispatcher.tick(now)
         for name, client in self._clients.items():
@@ -183,6 +195,7 @@
 
     def resume(self, gap: float, now: float) -> None:
         """Drop leases and the ledger of dispatched services after a pause."""
+        self._ticked_at = now
         self._dispatchers.clear()
         for client in self._clients.values():
             client.forget_leases(now)
@@ -197,6 +210,11 @@
         self._touched.update(self._clients)
         self._flush(now)
 
+    def _notice_pause(self, now: float) -> None:
+        """Drop leases before messages that waited through a pause are processed."""
+        if self._ticked_at is not None and now - self._ticked_at > PAUSE_SECONDS:
+            self.resume(now - self._ticked_at, now)
+
     def _client(self, service: ServiceId, now: float) -> SlotClient:
         client = self._clients.get(service)
         if client is None:
@@ -211,11 +229,11 @@
         return client
 
     def _dispatcher(self, service: ServiceId, now: float) -> Dispatcher | None:
-        """Return the dispatcher of a service if this host is it."""
-        if self._dispatcher_of(service) != self._self_id:
-            return None
+        """Return the dispatcher of a service if this host is it, or just was."""
         dispatcher = self._dispatchers.get(service)
         if dispatcher is None:
+            if self._dispatcher_of(service) != self._self_id:
+                return None
             dispatcher = Dispatcher(
                 service, self._mailbox, self._rng, self._allowed_for(service), now
             )
@@ -226,6 +244,30 @@
             dispatcher.update(self._own_servers(service, now), now)
         return dispatcher
 
+    def _keep_or_retire(
+        self, service: ServiceId, dispatcher: Dispatcher, now: float
+    ) -> None:
+        if self._dispatcher_of(service) == self._self_id:
+            dispatcher.hold()
+        else:
+            dispatcher.retire(now)
+
+    def _take_over(self, service: ServiceId, before: Roles) -> None:
+        """Tell the former dispatchers that this host has taken the role."""
+        own = self._view.self_data_centre
+        if self._dispatcher_of(service) != self._self_id:
+            return
+        if before.dispatcher(service, own) == self._self_id:
+            return
+        former = {
+            before.dispatcher(service, own),
+            self._roles.predecessor(service, self._self_id),
+        }
+        for host in sorted(h for h in former if h):
+            record = self._view.hosts.get(host)
+            if host != self._self_id and record and record.status != HostStatus.DEAD:
+                self._mailbox.post(host, SlotTakeover(service))
+
     def _dispatcher_of(self, service: ServiceId) -> HostId | None:
         return self._roles.dispatcher(service, self._view.self_data_centre)
 
@@ -327,6 +369,9 @@
         match message:
             case SlotAnswer() | SlotRenewed() | SlotRecall() | NotDispatcher():
                 self._to_client(message, host, now)
+            case SlotTakeover():
+                if dispatcher := self._dispatchers.get(message.service):
+                    dispatcher.yield_half(now)
             case SlotAsk() | SlotReturn() | SlotRenew() | LoanAsk() | LoanGrant():
                 self._to_dispatcher(message, host, now)
 
@@ -344,7 +389,7 @@
             case SlotAnswer():
                 client.answer(message, host, now)
             case SlotRenewed():
-                client.renewed(message)
+                client.renewed(message, host)
             case SlotRecall():
                 client.recall()
             case NotDispatcher():
--- a/src/catkinspan/coordination/slots/dispatcher.py
+++ b/src/catkinspan/coordination/slots/dispatcher.py
@@ -47,6 +47,7 @@
 from catkinspan.coordination.slots.pool import (
     Borrowed,
     OpenServers,
+    Part,
     PoolServer,
     SlotPool,
 )
@@ -121,7 +122,9 @@
         self._mailbox = mailbox
         self._rng = rng
         self._allowed = allowed
-        self._pool = SlotPool(careful_until=now + CAREFUL_SECONDS)
+        self._pool = SlotPool()
+        self._pool.restrict(Part.FIRST_HALF, now + CAREFUL_SECONDS)
+        self._retires_at: float | None = None
         self._queue: FairQueue[Waiting] = FairQueue()
         self._tickets: dict[tuple[HostId, int], Waiting] = {}
         self._leases: dict[tuple[HostId, int], Lease] = {}
@@ -138,6 +141,11 @@
         """Return whether nothing is leased, lent, borrowed or waiting."""
         return not (self._leases or self._pool.borrowed or len(self._queue))
 
+    @property
+    def retires_at(self) -> float | None:
+        """Return when the dispatcher stops, or None while it holds the role."""
+        return self._retires_at
+
     def snapshot(self, now: float) -> DispatcherSlots:
         """Return the state for operators."""
         return DispatcherSlots(
@@ -145,7 +153,7 @@
             used=self._pool.used,
             borrowed=len(self._pool.borrowed),
             lent=sum(1 for lease in self._leases.values() if lease.loan),
-            careful=now < self._pool.careful_until,
+            careful=self._pool.part_at(now) is not Part.ALL,
             waiting=self._queue.lengths,
         )
 
@@ -258,6 +266,20 @@
         self._serve(now)
         self._send()
 
+    def yield_half(self, now: float) -> None:
+        """Leave half of the slots to another host that has taken the role."""
+        self._pool.restrict(Part.SECOND_HALF, now + CAREFUL_SECONDS)
+
+    def retire(self, now: float) -> None:
+        """Serve hosts that do not know the new dispatcher yet, for a moment."""
+        if self._retires_at is None:
+            self._retires_at = now + CAREFUL_SECONDS
+            self.yield_half(now)
+
+    def hold(self) -> None:
+        """Hold the role on, after it came back before the end."""
+        self._retires_at = None
+
     def stop(self) -> None:
         """Hand back loans, and let hosts ask the next dispatcher."""
         for loan in self._pool.borrowed.values():
--- a/src/catkinspan/coordination/slots/models.py
+++ b/src/catkinspan/coordination/slots/models.py
@@ -198,6 +198,13 @@
     service: ServiceId
 
 
+@frozen
+class SlotTakeover(PeerMessage):
+    """Tells the former dispatcher that the sender has taken its role."""
+
+    service: ServiceId
+
+
 @frozen
 class WorkspaceDemand:
     """Slots that a workspace uses or waits for at one dispatcher."""
@@ -240,6 +247,7 @@
     SlotRenew,
     SlotRenewed,
     SlotRecall,
+    SlotTakeover,
     LoanAsk,
     LoanGrant,
 )
--- a/src/catkinspan/coordination/slots/pool.py
+++ b/src/catkinspan/coordination/slots/pool.py
@@ -1,6 +1,7 @@
 """The slots that a dispatcher leases: those of its servers and borrowed ones."""
 
 from collections.abc import Collection, Mapping
+from enum import Enum, auto
 from random import Random
 
 from attrs import define, field
@@ -15,6 +16,17 @@
 from catkinspan.state.ids import HostId, ServerId
 
 
+class Part(Enum):
+    """Slots of each server that a dispatcher uses while its role moves."""
+
+    ALL = auto()
+    FIRST_HALF = auto()
+    """For the new dispatcher; rounded up."""
+
+    SECOND_HALF = auto()
+    """For its predecessor; rounded down."""
+
+
 @define
 class PoolServer:
     """A server whose slots the dispatcher leases."""
@@ -29,10 +41,15 @@
     full_until: float = float("-inf")
     """Time until which no slot is leased, after the server shed a leased request."""
 
-    def free(self, careful: bool) -> int:
+    def free(self, part: "Part") -> int:
         """Return the slots that may be leased now."""
-        slots = (self.slots + 1) // 2 if careful else self.slots
-        return slots - self.used
+        match part:
+            case Part.FIRST_HALF:
+                return (self.slots + 1) // 2 - self.used
+            case Part.SECOND_HALF:
+                return self.slots // 2 - self.used
+            case Part.ALL:
+                return self.slots - self.used
 
 
 @define
@@ -97,7 +114,8 @@
 
     servers: dict[ServerId, PoolServer] = field(factory=dict)
     borrowed: dict[tuple[HostId, int], Borrowed] = field(factory=dict)
-    careful_until: float = 0.0
+    part: Part = Part.ALL
+    part_until: float = 0.0
 
     @property
     def capacity(self) -> int:
@@ -110,19 +128,27 @@
         own = sum(s.used for s in self.servers.values())
         return own + sum(1 for loan in self.borrowed.values() if loan.busy)
 
+    def restrict(self, part: Part, until: float) -> None:
+        """Use a part of the slots for a time."""
+        self.part, self.part_until = part, until
+
+    def part_at(self, now: float) -> Part:
+        """Return the part of the slots to use now."""
+        return self.part if now < self.part_until else Part.ALL
+
     def free(self, now: float) -> int:
         """Return the own slots that may be leased now."""
-        careful = now < self.careful_until
+        part = self.part_at(now)
         servers = self.servers.values()
-        return sum(max(0, s.free(careful)) for s in servers if not s.trial)
+        return sum(max(0, s.free(part)) for s in servers if not s.trial)
 
     def open(self, now: float) -> "OpenServers":
         """Return the servers with a slot that may be leased now."""
-        careful = now < self.careful_until
+        part = self.part_at(now)
         usual: list[ServerId] = []
         trial: list[ServerId] = []
         for server in self.servers.values():
-            if now < server.full_until or server.free(careful) <= 0:
+            if now < server.full_until or server.free(part) <= 0:
                 continue
             if not server.trial:
                 usual.append(server.id)
@@ -155,11 +181,11 @@
         rng: Random,
     ) -> PoolServer | Borrowed | None:
         """Return a server or loan with a free slot, the least used server first."""
-        careful = now < self.careful_until
+        part = self.part_at(now)
         best: PoolServer | None = None
         best_key = (0.0, 0.0)
         for server in self.servers.values():
-            free = server.free(careful)
+            free = server.free(part)
             if free <= 0 or server.id in exclude or now < server.full_until:
                 continue
             if allowed is not None and server.id not in allowed:
--- a/src/catkinspan/coordination/slots/roles.py
+++ b/src/catkinspan/coordination/slots/roles.py
@@ -31,6 +31,11 @@
             self._dispatchers[key] = owner(f"slots/{service}/{centre}", hosts)
         return self._dispatchers[key]
 
+    def predecessor(self, service: ServiceId, host: HostId) -> HostId | None:
+        """Return the dispatcher of the own data centre as it was without a host."""
+        hosts = [h for h in self._hosts.get(self._own, ()) if h != host]
+        return owner(f"slots/{service}/{self._own}", hosts)
+
     def partners(self, service: ServiceId) -> tuple[HostId, ...]:
         """Return the dispatchers of other data centres to borrow from.
 
