Prefer near servers without a lease, and charge resends of shed requests less

At 1,105 hosts a service has fewer slots than a data centre has hosts, so most requests go without a lease. Kept leases were idle there and cost renewals: 9.9 of 67 messages a second for each host.

--- a/bench/slots.py
+++ b/bench/slots.py
@@ -20,6 +20,7 @@
 from catkinspan.coordination.outbox import Outbox
 from catkinspan.coordination.outcomes import Candidate
 from catkinspan.coordination.retries.coordinator import RetryCoordinator, backoff
+from catkinspan.coordination.slots.const import LARGE_FLEET_ASKS
 from catkinspan.coordination.slots.coordinator import SlotCoordinator
 from catkinspan.coordination.slots.fairness import water_fill
 from catkinspan.coordination.slots.models import (
@@ -313,6 +314,8 @@
         )
         self.tally = Tally()
         self.measure_from = 0.0
+        self.shed_ran = True
+        """Whether a retry after a shed is charged in full."""
         self._sent = 0
         self._deferred: dict[HostId, list[Callable[[], None]]] = {}
         self._ids = 0
@@ -490,7 +493,12 @@
         node = running.node
         self._release(running, shed=True)
         allowed = node.retries.may_retry(
-            SERVICE, request.attempt, self.policy.max_attempts, request.deadline, now
+            SERVICE,
+            request.attempt,
+            self.policy.max_attempts,
+            request.deadline,
+            now,
+            ran=self.shed_ran,
         )
         counts = running.arrived_at >= self.measure_from
         if not allowed:
@@ -600,6 +608,32 @@
     return FairnessResult(worst, fleet.tally)
 
 
+LARGE = Deployment("1 of 180", 61, 3, hosts=1105, centres=13)
+LARGE_SERVICES = 180
+LARGE_RATE = 310_000 / LARGE_SERVICES
+LARGE_SECONDS = 4.0
+
+
+def large(seed: int, coordinated: bool, shed_ran: bool = True) -> Tally:
+    """Run one of the 180 services of the fleet to design for.
+
+    The host's ask budget is shared by all services, so this one gets its part.
+    """
+    fleet = Fleet(LARGE, seed, coordinated)
+    fleet.shed_ran = shed_ran
+    if coordinated:
+        part = LARGE_FLEET_ASKS / LARGE_SERVICES
+        for node in fleet.nodes.values():
+            # In the steady state the budget is used up but for a part of one ask.
+            node.slots._budget.limit(0.0, 0.0, fleet.rng.random())
+            node.slots._budget.limit(part, 0.0, LARGE_FLEET_ASKS)
+    fleet.measure_from = 1.0
+    for workspace in WORKSPACES:
+        fleet.arrivals(workspace, LARGE_RATE / 8, 1.0 + LARGE_SECONDS)
+    fleet.channel.run(1.5 + LARGE_SECONDS)
+    return fleet.tally
+
+
 def run() -> None:
     """Print the tables."""
     names = {True: "leases", False: "alone"}
--- a/src/catkinspan/coordination/retries/const.py
+++ b/src/catkinspan/coordination/retries/const.py
@@ -11,7 +11,12 @@
 HEDGE_FLOOR = 1.0
 """Retries that hedges leave in the budget, because a retry answers a failure."""
 
-BASE_BACKOFF_SECONDS = 0.002
+NOT_RUN_COST = 0.25
+"""Part of a retry that is charged for an attempt that provably did not run. It loads
+the upstream with a refusal only, but without any charge an overloaded upstream would
+get every request `max_attempts` times."""
+
+BASE_BACKOFF_SECONDS = 0.001
 """Upper end of the wait before the second attempt."""
 
 MAX_BACKOFF_SECONDS = 0.25
--- a/src/catkinspan/coordination/retries/coordinator.py
+++ b/src/catkinspan/coordination/retries/coordinator.py
@@ -14,6 +14,7 @@
     LEAST_ATTEMPT_SECONDS,
     MAX_BACKOFF_SECONDS,
     MAX_SAVED_RETRIES,
+    NOT_RUN_COST,
     RESERVE_RETRIES,
 )
 from catkinspan.coordination.retries.models import RetriesSnapshot, RetryBudget
@@ -37,13 +38,13 @@
         self.first_tries += 1
         self.left = min(MAX_SAVED_RETRIES, self.left + self.ratio)
 
-    def spend(self, floor: float) -> bool:
-        """Take one retry if at least `floor` remain."""
+    def spend(self, cost: float, floor: float) -> bool:
+        """Take the cost of a retry if at least `floor` remain."""
         # Adding 0.1 ten times gives a little less than 1.
-        if self.left - 1.0 < floor - 1e-9:
+        if self.left - cost < floor - 1e-9:
             self.refused += 1
             return False
-        self.left -= 1.0
+        self.left -= cost
         self.spent += 1
         return True
 
@@ -82,11 +83,17 @@
         max_attempts: int,
         deadline: float,
         now: float,
+        *,
+        ran: bool = True,
     ) -> bool:
-        """Return whether another attempt may start, and charge the budget if so."""
+        """Return whether another attempt may start, and charge the budget if so.
+
+        With `ran=False` the last attempt provably did not run, for example because the
+        server shed it; this charges `NOT_RUN_COST` only.
+        """
         if not _has_room(attempts_made, max_attempts, deadline, now):
             return False
-        return self._budget(service).spend(floor=0.0)
+        return self._budget(service).spend(1.0 if ran else NOT_RUN_COST, floor=0.0)
 
     def may_hedge(
         self,
@@ -102,7 +109,7 @@
         """
         if not _has_room(attempts_made, max_attempts, deadline, now):
             return False
-        return self._budget(service).spend(floor=HEDGE_FLOOR)
+        return self._budget(service).spend(1.0, floor=HEDGE_FLOOR)
 
     def snapshot(self) -> RetriesSnapshot:
         """Return the budgets for operators."""
--- a/src/catkinspan/coordination/slots/budget.py
+++ b/src/catkinspan/coordination/slots/budget.py
@@ -16,8 +16,7 @@
     """
 
     def __init__(self) -> None:
-        self._rate = SMALL_FLEET_ASKS
-        self._tokens = SMALL_FLEET_ASKS
+        self._rate = self._burst = self._tokens = SMALL_FLEET_ASKS
         self._at = 0.0
 
     @property
@@ -27,9 +26,15 @@
 
     def resize(self, hosts: int, now: float) -> None:
         """Set the rate for a number of hosts."""
-        self._refill(now)
         small = hosts <= SMALL_FLEET_HOSTS
-        self._rate = SMALL_FLEET_ASKS if small else LARGE_FLEET_ASKS
+        self.limit(SMALL_FLEET_ASKS if small else LARGE_FLEET_ASKS, now)
+
+    def limit(self, rate: float, now: float, burst: float | None = None) -> None:
+        """Set the asks a second, and at once; the same number unless given."""
+        self._refill(now)
+        self._rate = rate
+        self._burst = rate if burst is None else burst
+        self._tokens = min(self._tokens, self._burst)
 
     def available(self, first_attempt: bool, now: float) -> bool:
         """Return whether an ask may be sent.
@@ -38,7 +43,7 @@
         gain more from a leased slot.
         """
         self._refill(now)
-        kept = self._rate * RETRY_SHARE if first_attempt else 0.0
+        kept = self._burst * RETRY_SHARE if first_attempt else 0.0
         return self._tokens >= 1.0 + kept
 
     def take(self, first_attempt: bool, now: float) -> bool:
@@ -50,5 +55,5 @@
 
     def _refill(self, now: float) -> None:
         earned = max(0.0, now - self._at) * self._rate
-        self._tokens = min(self._rate, self._tokens + earned)
+        self._tokens = min(self._burst, self._tokens + earned)
         self._at = now
--- a/src/catkinspan/coordination/slots/client.py
+++ b/src/catkinspan/coordination/slots/client.py
@@ -23,7 +23,7 @@
     TICKETS_PER_WORKSPACE,
     UNANSWERED_LIMIT,
 )
-from catkinspan.coordination.slots.direct import choose
+from catkinspan.coordination.slots.direct import Locality, choose
 from catkinspan.coordination.slots.fairness import FairQueue
 from catkinspan.coordination.slots.mailbox import Mailbox
 from catkinspan.coordination.slots.models import (
@@ -109,6 +109,7 @@
         rng: Random,
         budget: AskBudget,
         candidates: Callable[[ServiceId, float], Sequence[Candidate]],
+        locality: Locality,
     ) -> None:
         self._service = service
         self._mailbox = mailbox
@@ -145,6 +146,7 @@
         self._draining = False
         self._grant_gap: dict[WorkspaceId, tuple[float, float]] = {}
         self.max_queue = 0
+        self.locality = locality
 
     @property
     def idle(self) -> bool:
@@ -382,7 +384,9 @@
     def _choose(self, usable: Sequence[Candidate]) -> Candidate | None:
         # Only a dispatcher can hold a server on trial to a trickle.
         proven = [c for c in usable if not c.trial]
-        return choose(proven or usable, self._direct_load, self._load, self._rng)
+        return choose(
+            proven or usable, self._direct_load, self._load, self.locality, self._rng
+        )
 
     def _granted(
         self, pending: Pending, lease: HeldLease, usable: Sequence[Candidate]
--- a/src/catkinspan/coordination/slots/coordinator.py
+++ b/src/catkinspan/coordination/slots/coordinator.py
@@ -13,6 +13,7 @@
 from catkinspan.coordination.slots.client import AttemptKey, SlotClient
 from catkinspan.coordination.slots.connections import ConnectionShares
 from catkinspan.coordination.slots.const import DEFAULT_MAX_QUEUE
+from catkinspan.coordination.slots.direct import Locality
 from catkinspan.coordination.slots.dispatcher import Dispatcher
 from catkinspan.coordination.slots.mailbox import Mailbox
 from catkinspan.coordination.slots.models import (
@@ -70,6 +71,7 @@
         self._view = FleetView(self_id, data_centre)
         self._roles = Roles(self._view)
         self._shares = ConnectionShares(self._view)
+        self._locality = Locality.of(self._view)
         self._tree = SettingsTree()
         self._upstreams: dict[ServerId, Upstream] = {}
         self._clients: dict[ServiceId, SlotClient] = {}
@@ -157,11 +159,15 @@
         self._view = view
         self._roles = Roles(view)
         self._shares = ConnectionShares(view)
+        self._locality = Locality.of(view)
+        for client in self._clients.values():
+            client.locality = self._locality
         self._usable.clear()
         self._budget.resize(len(view.usable), now)
         self._forget_dead(view, now)
         for name, dispatcher in self._dispatchers.items():
             self._keep_or_retire(name, dispatcher, now)
+            dispatcher.hosts = self._roles.hosts_here
             dispatcher.replace_partners(self._roles.partners(name))
         for name in self._clients:
             self._take_over(name, before)
@@ -219,7 +225,12 @@
         client = self._clients.get(service)
         if client is None:
             client = SlotClient(
-                service, self._mailbox, self._rng, self._budget, self._connectable
+                service,
+                self._mailbox,
+                self._rng,
+                self._budget,
+                self._connectable,
+                self._locality,
             )
             client.max_queue = self._max_queue(service)
             self._clients[service] = client
@@ -238,6 +249,7 @@
                 service, self._mailbox, self._rng, self._allowed_for(service), now
             )
             dispatcher.max_queue = self._max_queue(service)
+            dispatcher.hosts = self._roles.hosts_here
             dispatcher.replace_partners(self._roles.partners(service))
             self._dispatchers[service] = dispatcher
         if dispatcher.idle:
--- a/src/catkinspan/coordination/slots/dispatcher.py
+++ b/src/catkinspan/coordination/slots/dispatcher.py
@@ -135,6 +135,8 @@
         self._hold_seconds: float | None = None
         self._recalled_at = float("-inf")
         self.max_queue = 0
+        self.hosts = 0
+        """Hosts of the data centre."""
 
     @property
     def idle(self) -> bool:
@@ -409,8 +411,14 @@
         return lease
 
     def _may_keep(self, found: PoolServer | Borrowed, now: float) -> bool:
+        """Return whether the host may use the slot for its next requests too.
+
+        With fewer slots than hosts, a kept slot would mostly be idle.
+        """
         if isinstance(found, Borrowed) or found.trial or len(self._queue):
             return False
+        if self._pool.capacity < self.hosts:
+            return False
         return self._pool.free(now) > self._pool.capacity * KEEP_SHARE
 
     def _adopt(self, held: Held, host: HostId, now: float) -> Lease:
--- a/src/catkinspan/coordination/slots/roles.py
+++ b/src/catkinspan/coordination/slots/roles.py
@@ -23,6 +23,11 @@
         self._centres = sorted(by_centre)
         self._dispatchers: dict[tuple[ServiceId, DataCentre], HostId | None] = {}
 
+    @property
+    def hosts_here(self) -> int:
+        """Return the number of usable hosts in the own data centre."""
+        return len(self._hosts.get(self._own, ()))
+
     def dispatcher(self, service: ServiceId, centre: DataCentre) -> HostId | None:
         """Return the host that dispatches a service in a data centre."""
         key = (service, centre)
