--- a/src/catkinspan/coordination/slots/client.py
+++ b/src/catkinspan/coordination/slots/client.py
@@ -23,7 +23,7 @@
     TICKETS_PER_WORKSPACE,
     UNANSWERED_LIMIT,
 )
-from catkinspan.coordination.slots.direct import Locality, choose
+from catkinspan.coordination.slots.direct import ServerSet
 from catkinspan.coordination.slots.fairness import FairQueue
 from catkinspan.coordination.slots.mailbox import Mailbox
 from catkinspan.coordination.slots.models import (
@@ -108,14 +108,13 @@
         mailbox: Mailbox,
         rng: Random,
         budget: AskBudget,
-        candidates: Callable[[ServiceId, float], Sequence[Candidate]],
-        locality: Locality,
+        servers: Callable[[ServiceId, float], ServerSet],
     ) -> None:
         self._service = service
         self._mailbox = mailbox
         self._rng = rng
         self._budget = budget
-        self._candidates = candidates
+        self._servers = servers
         self._queue: FairQueue[Pending] = FairQueue()
         self._pending: dict[AttemptKey, Pending] = {}
         self._tickets: dict[int, Pending] = {}
@@ -140,18 +139,18 @@
         self._new_returns: list[tuple[HostId, int]] = []
         self._withdrawn: list[int] = []
         self._new_sheds: list[int] = []
-        self._checked: Sequence[Candidate] = ()
+        self._checked: ServerSet | None = None
         self._settled: list[SlotSettled] = []
         self._refusals: Counter[SlotRefusal] = Counter()
         self._draining = False
         self._grant_gap: dict[WorkspaceId, tuple[float, float]] = {}
         self.max_queue = 0
-        self.locality = locality
 
     @property
     def idle(self) -> bool:
-        """Return whether nothing is leased, running or waiting."""
-        return not (self._leases or self._pending or self._direct)
+        """Return whether nothing is leased or waits, so that no tick is due."""
+        waits = self._pending or self._switch_back_at is not None
+        return not (self._leases or waits)
 
     def snapshot(self, now: float) -> ServiceSlots:
         """Return the state for operators."""
@@ -181,7 +180,7 @@
             return self._granted(pending, lease, usable)
         if self._asks_dispatcher(now, request.attempt == 1):
             return self._wait(pending, now)
-        chosen = self._choose(usable)
+        chosen = self._choose(request, now)
         if chosen and not self._has_waiting_without_ticket():
             return self._run_direct(pending, chosen)
         return self._wait(pending, now)
@@ -337,15 +336,8 @@
             )
             self._mailbox.post(host, message)
 
-    def _usable(self, request: SlotRequest, now: float) -> list[Candidate]:
-        usable = [
-            c
-            for c in self._candidates(self._service, now)
-            if c.upstream.id not in request.exclude
-            and (request.idempotent or not c.trial)
-        ]
-        preferred = [c for c in usable if not c.avoided]
-        return preferred or usable
+    def _usable(self, request: SlotRequest, now: float) -> Sequence[Candidate]:
+        return self._servers(self._service, now).usable(request)
 
     def _hear(self, now: float) -> None:
         """Leave fallback, since the dispatcher answers."""
@@ -381,12 +373,9 @@
                 return lease
         return None
 
-    def _choose(self, usable: Sequence[Candidate]) -> Candidate | None:
-        # Only a dispatcher can hold a server on trial to a trickle.
-        proven = [c for c in usable if not c.trial]
-        return choose(
-            proven or usable, self._direct_load, self._load, self.locality, self._rng
-        )
+    def _choose(self, request: SlotRequest, now: float) -> Candidate | None:
+        servers = self._servers(self._service, now)
+        return servers.choose(request, self._direct_load, self._load, self._rng)
 
     def _granted(
         self, pending: Pending, lease: HeldLease, usable: Sequence[Candidate]
@@ -476,11 +465,9 @@
     def _send_ask(self, pending: Pending, now: float) -> None:
         request = pending.request
         pending.sent_at = now
-        avoided = {
-            c.upstream.id for c in self._candidates(self._service, now) if c.avoided
-        }
-        usable = {c.upstream.id for c in self._usable(request, now)}
-        exclude = tuple(sorted(request.exclude | (avoided - usable)))
+        unused = self._servers(self._service, now).unused
+        usable = {c.upstream.id for c in self._usable(request, now)} if unused else ()
+        exclude = tuple(sorted(request.exclude.union(unused).difference(usable)))
         left_ms = int((request.wait_until - now) * 1000)
         ask = Ask(
             pending.ticket,
@@ -550,14 +537,14 @@
         def fits(pending: Pending) -> bool:
             if pending.ticket and not fallback:
                 return False
-            return self._choose(self._usable(pending.request, now)) is not None
+            return self._choose(pending.request, now) is not None
 
         while len(self._queue):
             pending = self._queue.pop(fits)
             if pending is None:
                 return
             self._forget(pending)
-            chosen = self._choose(self._usable(pending.request, now))
+            chosen = self._choose(pending.request, now)
             if chosen:
                 self._settle(pending, self._run_direct(pending, chosen))
 
@@ -588,8 +575,8 @@
         self._asked.clear()
 
     def _drop_late(self, now: float) -> None:
-        candidates = self._candidates(self._service, now)
-        changed, self._checked = candidates is not self._checked, candidates
+        servers = self._servers(self._service, now)
+        changed, self._checked = servers is not self._checked, servers
         for pending in list(self._pending.values()):
             if self._too_late(pending, now):
                 reason = SlotRefusal.NO_CAPACITY_BEFORE_DEADLINE
--- a/src/catkinspan/coordination/slots/coordinator.py
+++ b/src/catkinspan/coordination/slots/coordinator.py
@@ -13,7 +13,7 @@
 from catkinspan.coordination.slots.client import AttemptKey, SlotClient
 from catkinspan.coordination.slots.connections import ConnectionShares
 from catkinspan.coordination.slots.const import DEFAULT_MAX_QUEUE
-from catkinspan.coordination.slots.direct import Locality
+from catkinspan.coordination.slots.direct import Locality, ServerSet
 from catkinspan.coordination.slots.dispatcher import Dispatcher
 from catkinspan.coordination.slots.mailbox import Mailbox
 from catkinspan.coordination.slots.models import (
@@ -78,9 +78,7 @@
         self._dispatchers: dict[ServiceId, Dispatcher] = {}
         self._incarnations: dict[HostId, int] = {}
         self._services: dict[AttemptKey, ServiceId] = {}
-        self._usable: dict[
-            ServiceId, tuple[tuple[Candidate, ...], list[Candidate]]
-        ] = {}
+        self._server_sets: dict[ServiceId, tuple[tuple[Candidate, ...], ServerSet]] = {}
         self._touched: set[ServiceId] = set()
         self._settled: list[SlotSettled] = []
         self._draining = False
@@ -160,9 +158,7 @@
         self._roles = Roles(view)
         self._shares = ConnectionShares(view)
         self._locality = Locality.of(view)
-        for client in self._clients.values():
-            client.locality = self._locality
-        self._usable.clear()
+        self._server_sets.clear()
         self._budget.resize(len(view.usable), now)
         self._forget_dead(view, now)
         for name, dispatcher in self._dispatchers.items():
@@ -229,8 +225,7 @@
                 self._mailbox,
                 self._rng,
                 self._budget,
-                self._connectable,
-                self._locality,
+                self._servers,
             )
             client.max_queue = self._max_queue(service)
             self._clients[service] = client
@@ -287,20 +282,23 @@
         entry = self._tree.services.get(service)
         return entry.policy.max_queue if entry else DEFAULT_MAX_QUEUE
 
-    def _connectable(self, service: ServiceId, now: float) -> list[Candidate]:
-        """Return the candidates that this host may connect to."""
+    def _servers(self, service: ServiceId, now: float) -> ServerSet:
+        """Return the servers that this host may connect to.
+
+        They are sorted out anew only when the source returns another tuple.
+        """
         candidates = self._candidates.available(service, now)
-        known = self._usable.get(service)
+        known = self._server_sets.get(service)
         if known and known[0] is candidates:
             return known[1]
-        limit = self._shares.limit
         usable = [
             c
             for c in candidates
-            if not c.upstream.leaving and limit(c.upstream, self._self_id)
+            if not c.upstream.leaving and self._shares.limit(c.upstream, self._self_id)
         ]
-        self._usable[service] = (candidates, usable)
-        return usable
+        servers = ServerSet(usable, self._locality)
+        self._server_sets[service] = (candidates, servers)
+        return servers
 
     def _own_servers(
         self, service: ServiceId, now: float
