--- a/src/catkinspan/coordination/slots/roles.py
+++ b/src/catkinspan/coordination/slots/roles.py
@@ -23,6 +23,11 @@
         self._centres = sorted(by_centre)
         self._dispatchers: dict[tuple[ServiceId, DataCentre], HostId | None] = {}
 
+    @property
+    def hosts_here(self) -> int:
+        """Return the number of usable hosts in the own data centre."""
+        return len(self._hosts.get(self._own, ()))
+
     def dispatcher(self, service: ServiceId, centre: DataCentre) -> HostId | None:
         """Return the host that dispatches a service in a data centre."""
         key = (service, centre)
@@ -31,6 +36,11 @@
             self._dispatchers[key] = owner(f"slots/{service}/{centre}", hosts)
         return self._dispatchers[key]
 
+    def predecessor(self, service: ServiceId, host: HostId) -> HostId | None:
+        """Return the dispatcher of the own data centre as it was without a host."""
+        hosts = [h for h in self._hosts.get(self._own, ()) if h != host]
+        return owner(f"slots/{service}/{self._own}", hosts)
+
     def partners(self, service: ServiceId) -> tuple[HostId, ...]:
         """Return the dispatchers of other data centres to borrow from.
 
