Bound the cost of health at the size to design for

Reports were repeated each second, since the last reported rate was never stored; voters and judgements were computed on each tick. Adds floor schedules to the benchmark.

--- a/bench/health.py
+++ b/bench/health.py
@@ -4,10 +4,13 @@
 which each host ejects a server by itself after consecutive errors.
 """
 
+import time
 from collections import Counter
+from concurrent.futures import ProcessPoolExecutor
 from functools import partial
-from math import pi, sin
+from math import log, pi, sin
 from random import Random
+from statistics import median
 
 import orjson
 from attrs import Factory, define, evolve, frozen
@@ -15,9 +18,17 @@
 
 from catkinspan.coordination.concern import BaseConcern
 from catkinspan.coordination.health.coordinator import HealthCoordinator
-from catkinspan.coordination.health.models import ServerEjected
+from catkinspan.coordination.health.models import (
+    HealthDigest,
+    HostReport,
+    Phase,
+    ServerEjected,
+    ServerEvidence,
+    Signal,
+    Verdict,
+)
 from catkinspan.coordination.health.profiles import floor_of
-from catkinspan.coordination.models import Event, PeerMessage
+from catkinspan.coordination.models import Event, Origin, PeerMessage
 from catkinspan.coordination.outbox import Outbox
 from catkinspan.coordination.outcomes import (
     AttemptOutcome,
@@ -26,11 +37,14 @@
     OutcomeKind,
 )
 from catkinspan.state.hosts import FleetView, HostRecord
-from catkinspan.state.ids import DataCentre, HostId, ServerId, ServiceId
+from catkinspan.state.ids import DataCentre, HostId, RequestId, ServerId, ServiceId
 from catkinspan.state.policy import HealthProfile, Policy
 from catkinspan.state.tree import Address, Service, SettingsTree, Upstream
 from catkinspan.testing.channel import FakeChannel
 from catkinspan.testing.servers import (
+    HEALTHY_ERROR_RATE,
+    LATENCY_SIGMA,
+    WORKSPACE,
     Fault,
     FaultKind,
     HealthNode,
@@ -41,7 +55,7 @@
 SERVICE = ServiceId("service")
 PLACES = (DataCentre("a"), DataCentre("b"), DataCentre("c"))
 HOSTS = 40
-WARM_UP = 40.0
+WARM_UP = 26.0
 """Seconds before a fault: voters abstain for 24 s after their start."""
 
 CONSECUTIVE_ERRORS = 5
@@ -51,6 +65,10 @@
 """Share of the hosts that must have stopped using a server for its detection."""
 
 DETECTION_LIMIT = 30.0
+RUNS = 11
+HOUR = 3600.0
+SCHEDULES = 200
+PROCESSES = 4
 FAULTS = (
     Fault(FaultKind.SLOW, 10.0),
     Fault(FaultKind.ERRORS, 0.2),
@@ -86,10 +104,15 @@
         self.bytes = 0
         self.by_type: Counter[str] = Counter()
 
+    @classmethod
+    def size(cls, message: PeerMessage) -> int:
+        """Return the bytes of a message with its frame."""
+        return len(orjson.dumps(cls.converter.unstructure(message))) + FRAME_BYTES
+
     def send(self, to: HostId, message: PeerMessage) -> None:
         """Queue a message to a peer and count it."""
         super().send(to, message)
-        size = len(orjson.dumps(self.converter.unstructure(message))) + FRAME_BYTES
+        size = self.size(message)
         self.messages += 1
         self.bytes += size
         self.by_type[type(message).__name__] += size
@@ -403,3 +426,406 @@
             broken |= len(out) > len(published) - floor
             union |= out
     return int(broken or len(published) - len(union) < floor)
+
+
+@frozen
+class ScheduleResult:
+    """What a schedule of random faults led to."""
+
+    violations: int
+    ejections: int
+    largest_union: int
+    """Most servers that hosts left out by verdicts at one moment."""
+
+    allowed: int
+
+
+def floor_schedule(
+    deployment: Deployment, seed: int, seconds: float = 60.0
+) -> ScheduleResult:
+    """Run random faults, partitions, pauses, drains and differing views.
+
+    Twelve hosts at a load of a third of capacity, scaled down by ten for the larger
+    services, with clocks of different rate and offset and 5% of messages lost.
+    """
+    rng = Random(seed)
+    fleet = make_fleet(
+        deployment,
+        seed,
+        rng.choice(list(HealthProfile)),
+        hosts=12,
+        loss=0.05,
+        skewed_clocks=True,
+    )
+    if deployment.servers > 10:
+        rate = fleet.load.rate(0.0) / 4.0
+        fleet.load.rate = lambda now: rate
+    for _ in range(rng.randint(4, 10)):
+        at = rng.uniform(24.0, seconds - 5.0)
+        action = rng.choice(SCHEDULE_ACTIONS)
+        fleet.channel.at(at, partial(action, fleet, rng))
+    for server in rng.sample(list(fleet.load.servers), deployment.servers // 2):
+        at = rng.uniform(24.0, seconds - 5.0)
+        fleet.channel.at(at, partial(_break_server, fleet, server, rng))
+    violations = 0
+    largest = 0
+    while fleet.channel.now < seconds:
+        fleet.run(fleet.channel.now + 0.1, step=0.1)
+        violations += floor_violations(fleet)
+        largest = max(largest, len(ejected_union(fleet)))
+        fleet.collect()
+    ejections = sum(isinstance(event, ServerEjected) for _, event in fleet.events)
+    published = len(fleet.service.upstreams)
+    floor = floor_of(published, fleet.service.policy.healthy_floor)
+    return ScheduleResult(violations, ejections, largest, published - floor)
+
+
+def _break_server(fleet: Fleet, server: ServerId, rng: Random) -> None:
+    fault = rng.choice((*FAULTS, Fault(FaultKind.RESET), Fault(FaultKind.CROSSED)))
+    fleet.load.servers[server].fault = fault
+    heals_at = fleet.channel.now + rng.uniform(2.0, 30.0)
+
+    def heal() -> None:
+        fleet.load.servers[server].fault = None
+
+    fleet.channel.at(heals_at, heal)
+
+
+def _partition(fleet: Fleet, rng: Random) -> None:
+    one, other = rng.sample(PLACES, 2)
+    both_ways = rng.random() < 0.5
+    for a in (h for h, p in fleet.places.items() if p == one):
+        for b in (h for h, p in fleet.places.items() if p == other):
+            fleet.channel.cut(a, b)
+            if both_ways:
+                fleet.channel.cut(b, a)
+    wait = rng.uniform(1.0, 15.0)
+    fleet.channel.at(fleet.channel.now + wait, fleet.channel.heal_all)
+
+
+def _pause(fleet: Fleet, rng: Random) -> None:
+    host = rng.choice(list(fleet.nodes))
+    if host not in fleet.channel.members:
+        return
+    gap = rng.uniform(1.0, 20.0)
+    fleet.channel.pause(host)
+
+    def wake() -> None:
+        member = fleet.channel.members.get(host)
+        if member is None or member.paused_since is None:
+            return
+        member.node.resume(gap, member.local_time(fleet.channel.now))
+        fleet.channel.wake(host)
+
+    fleet.channel.at(fleet.channel.now + gap, wake)
+
+
+def _replace_host(fleet: Fleet, rng: Random) -> None:
+    """Replace a host by a new process that knows nothing."""
+    host = rng.choice(list(fleet.nodes))
+    old = fleet.channel.members[host]
+    if old.paused_since is not None:
+        return
+    fleet.channel.detach(host)
+    outbox = fleet.outboxes[host]
+    node = HealthCoordinator(host, fleet.places[host], outbox, Random(rng.random()))
+    fleet.nodes[host] = node
+    offset = rng.uniform(0.0, 1e5)
+    fleet.channel.attach(host, node, outbox, old.incarnation + 1, clock_offset=offset)
+    now = offset + fleet.channel.now
+    node.apply_tree(SettingsTree(services={SERVICE: fleet.service}), now)
+    node.apply_view(make_view(host, fleet.places), now)
+    fleet.channel.flush(host)
+
+
+def _split_views(fleet: Fleet, rng: Random) -> None:
+    """Let some hosts believe that others are dead, so that roles have two holders."""
+    dead = set(rng.sample(list(fleet.places), 4))
+    for host in rng.sample(list(fleet.places), 6):
+        member = fleet.channel.members[host]
+        view = make_view(host, fleet.places)
+        usable = tuple(h for h in view.usable if h == host or h not in dead)
+        node = fleet.nodes[host]
+        if isinstance(node, HealthCoordinator) and member.paused_since is None:
+            now = member.local_time(fleet.channel.now)
+            node.apply_view(evolve(view, usable=usable), now)
+            fleet.channel.flush(host)
+
+
+def _drain_server(fleet: Fleet, rng: Random) -> None:
+    host = rng.choice(list(fleet.places))
+    member = fleet.channel.members[host]
+    node = fleet.nodes[host]
+    if isinstance(node, HealthCoordinator) and member.paused_since is None:
+        server = rng.choice(list(fleet.load.servers))
+        node.record_drain(SERVICE, server, member.local_time(fleet.channel.now))
+        fleet.channel.flush(host)
+
+
+SCHEDULE_ACTIONS = (_partition, _pause, _replace_host, _split_views, _drain_server)
+
+
+def ejected_union(fleet: Fleet) -> set[ServerId]:
+    """Return the servers that at least one running host leaves out by a verdict."""
+    union: set[ServerId] = set()
+    for host, node in fleet.nodes.items():
+        member = fleet.channel.members.get(host)
+        if member is None or member.paused_since is not None:
+            continue
+        now = member.local_time(fleet.channel.now)
+        if isinstance(node, HealthCoordinator):
+            standing = node.standing(SERVICE, now)
+            union |= standing.ejected if standing else frozenset()
+    return union
+
+
+@frozen
+class SizeCost:
+    """Cost of one host at the size to design for."""
+
+    sent: float
+    """Bytes sent per second."""
+
+    received: float
+    """Bytes received per second."""
+
+    core: float
+    """Share of a core, on the machine of the run."""
+
+    roles: int
+    """Services that the host assesses."""
+
+
+def full_size_cost(seconds: float = 60.0, ejected: int = 22, seed: int = 1) -> SizeCost:
+    """Run one host of 1,100 with 180 services of 61 servers, its peers imitated.
+
+    The host sees its 282 requests a second with healthy error and latency rates. Peers
+    send it the digests and reports that 84 hosts of its data centre send on average for
+    the services it assesses, and verdicts on `ejected` servers in all.
+    """
+    rng = Random(seed)
+    places = {HostId(f"h{i:04}"): DataCentre(f"d{i % 13:02}") for i in range(1100)}
+    host = HostId("h0000")
+    outbox = CountingOutbox()
+    node = HealthCoordinator(host, places[host], outbox, rng)
+    names = [ServiceId(f"service-{i:03}") for i in range(180)]
+    services = {name: _service_at_size(name) for name in names}
+    node.apply_tree(SettingsTree(services=services), 0.0)
+    node.apply_view(make_view(host, places), 0.0)
+    assessed = [n for n in names if node.assessor_of(n) == host]
+    peers = [h for h, place in places.items() if place == places[host] and h != host]
+    received = 0
+    spent = 0.0
+    requests = 0
+    now = 0.0
+    for tick in range(int((seconds + 10.0) / 0.05)):
+        now = tick * 0.05
+        inbox = _peer_messages(assessed, peers, names, ejected, rng, now)
+        attempts = [_attempt(rng.choice(names), rng, requests + i) for i in range(14)]
+        requests += len(attempts)
+        if tick == 200:
+            outbox.bytes = received = 0
+            spent = 0.0
+        received += sum(CountingOutbox.size(message) for message, _ in inbox)
+        began = time.process_time()
+        for message, origin in inbox:
+            node.handle(message, origin, now)
+        for started, outcome in attempts:
+            node.available(started.service, now)
+            node.record_start(started, now)
+            node.record(outcome, now + outcome.latency)
+        node.tick(now)
+        spent += time.process_time() - began
+        outbox.take_envelopes()
+        outbox.take_events()
+    return SizeCost(
+        outbox.bytes / seconds, received / seconds, spent / seconds, len(assessed)
+    )
+
+
+def _service_at_size(name: ServiceId) -> Service:
+    upstreams = tuple(
+        Upstream(
+            ServerId(f"{name}/{i:02}"),
+            Address("127.0.1.1", 8000 + i),
+            DataCentre(f"d{i % 13:02}"),
+            3,
+            350,
+        )
+        for i in range(61)
+    )
+    return Service(name, upstreams, Policy())
+
+
+def _attempt(
+    name: ServiceId, rng: Random, number: int
+) -> tuple[AttemptStarted, AttemptOutcome]:
+    server = ServerId(f"{name}/{rng.randrange(61):02}")
+    latency = rng.lognormvariate(log(0.035), LATENCY_SIGMA)
+    failed = rng.random() < HEALTHY_ERROR_RATE
+    kind = OutcomeKind.SERVER_ERROR if failed else OutcomeKind.OK
+    request = RequestId(str(number))
+    route = f"{name}/{number % 4}"
+    started = AttemptStarted(request, 1, name, server, route)
+    outcome = AttemptOutcome(
+        request, 1, name, server, WORKSPACE, kind, latency, True, request_class=route
+    )
+    return started, outcome
+
+
+def _peer_messages(
+    assessed: list[ServiceId],
+    peers: list[HostId],
+    names: list[ServiceId],
+    ejected: int,
+    rng: Random,
+    now: float,
+) -> list[tuple[PeerMessage, Origin]]:
+    """Return what peers send in one tick."""
+    rate = 282.0 / 180.0
+    unusual = HEALTHY_ERROR_RATE + 0.003
+    messages: list[tuple[PeerMessage, Origin]] = []
+    for name in assessed:
+        if rng.random() < len(peers) * rate * unusual * 0.05:
+            server = ServerId(f"{name}/{rng.randrange(61):02}")
+            entry = ServerEvidence(server, Signal.SLOW, 1.0)
+            digest = HealthDigest(name, rate / 61.0, (entry,))
+            messages.append((digest, Origin(rng.choice(peers), 1)))
+    for peer in peers:
+        if rng.random() < 0.05 / 30.0:
+            rates = {name: round(rate / 61.0, 4) for name in assessed}
+            messages.append((HostReport(now + 5.0, rates), Origin(peer, 1)))
+    for index in range(ejected):
+        if rng.random() < 0.05 / 8.0:
+            name = names[index % len(names)]
+            verdict = Verdict(
+                name,
+                ServerId(f"{name}/01"),
+                Phase.EJECTED,
+                now + 20.0,
+                0.0,
+                reason="stall",
+                hosts=tuple(peers[:5]),
+                data_centres=(DataCentre("d01"), DataCentre("d02")),
+            )
+            messages.append((verdict, Origin(HostId("h0000"), 1)))
+    return messages
+
+
+def _detections(
+    deployment: Deployment,
+    fault: Fault,
+    profile: HealthProfile,
+    load: float,
+    baseline: bool,
+    runs: int,
+) -> list[float]:
+    return [
+        detection_time(deployment, fault, seed, profile, baseline, load)
+        for seed in range(runs)
+    ]
+
+
+def _show(seconds: float) -> str:
+    return f"> {DETECTION_LIMIT:.0f}" if seconds == float("inf") else f"{seconds:.2f}"
+
+
+VARIANTS = (
+    (HealthProfile.BALANCED, False),
+    (HealthProfile.CAUTIOUS, False),
+    (HealthProfile.FAST, False),
+    (HealthProfile.BALANCED, True),
+)
+LOADS = (1 / 3, 1 / 10)
+
+
+def print_detection(pool: ProcessPoolExecutor) -> None:
+    """Print the detection times of all deployments, faults, loads and variants."""
+    print(f"detection in s, median / worst of {RUNS} runs, {HOSTS} hosts")
+    cases = [
+        (deployment, load, fault, profile, baseline)
+        for deployment in DEPLOYMENTS
+        for load in LOADS
+        for fault in FAULTS
+        for profile, baseline in VARIANTS
+    ]
+    jobs = [
+        pool.submit(_detections, deployment, fault, profile, load, baseline, RUNS)
+        for deployment, load, fault, profile, baseline in cases
+    ]
+    for (deployment, load, fault, profile, baseline), job in zip(
+        cases, jobs, strict=True
+    ):
+        times = job.result()
+        name = "each host alone" if baseline else profile.value
+        print(
+            f"{deployment.name:24} load {load:4.2f} {fault.kind.value:7} {name:16}"
+            f" {_show(median(times)):>6} / {_show(max(times)):>6}",
+            flush=True,
+        )
+
+
+def print_hours(pool: ProcessPoolExecutor) -> None:
+    """Print false ejections, floor violations and messages of an hour."""
+    print(f"{HOUR:.0f} s with healthy servers, swings, one-way cuts, a cold start")
+    cases = [
+        (deployment, load, profile, baseline)
+        for deployment in DEPLOYMENTS
+        for load in LOADS
+        for profile, baseline in VARIANTS
+        if profile is HealthProfile.BALANCED or load < 0.2
+    ]
+    jobs = [
+        pool.submit(healthy_run, deployment, 7, HOUR, profile, baseline, load)
+        for deployment, load, profile, baseline in cases
+    ]
+    for (deployment, load, profile, baseline), job in zip(cases, jobs, strict=True):
+        result = job.result()
+        name = "each host alone" if baseline else profile.value
+        print(
+            f"{deployment.name:24} load {load:4.2f} {name:16}"
+            f" false ejections {result.ejections:4} ({result.servers} servers)"
+            f" floor broken {result.floor_violations:4}"
+            f" messages {result.messages:5.2f}/s bytes {result.bytes:6.1f}/s"
+            f" a host, {result.requests} requests",
+            flush=True,
+        )
+
+
+def print_floor(pool: ProcessPoolExecutor) -> None:
+    """Print the floor over many random schedules."""
+    for deployment in DEPLOYMENTS:
+        run_one = partial(floor_schedule, deployment)
+        results = list(pool.map(run_one, range(SCHEDULES // len(DEPLOYMENTS))))
+        print(
+            f"{deployment.name:24} {len(results)} schedules, floor broken in "
+            f"{sum(r.violations > 0 for r in results)}, ejections "
+            f"{sum(r.ejections for r in results)}, largest union "
+            f"{max(r.largest_union for r in results)} of {results[0].allowed}",
+            flush=True,
+        )
+
+
+def print_size() -> None:
+    """Print the cost of one host at the size to design for."""
+    for ejected in (22, 110):
+        cost = full_size_cost(ejected=ejected)
+        print(
+            f"1,100 hosts, 180 services, {ejected} of 11,000 servers ejected: "
+            f"sent {cost.sent:.0f} B/s, received {cost.received:.0f} B/s, "
+            f"{100.0 * cost.core:.2f}% of a core, assesses {cost.roles} services",
+            flush=True,
+        )
+
+
+def run() -> None:
+    """Print all tables."""
+    print_size()
+    with ProcessPoolExecutor(PROCESSES) as pool:
+        print_floor(pool)
+        print_detection(pool)
+        print_hours(pool)
+
+
+if __name__ == "__main__":
+    run()
--- a/src/catkinspan/coordination/health/arbiter.py
+++ b/src/catkinspan/coordination/health/arbiter.py
@@ -7,6 +7,7 @@
 from catkinspan.coordination.health.const import (
     FORGIVE_SECONDS,
     HELD_EVENT_SECONDS,
+    JUDGE_SECONDS,
     MAX_HOLD_SECONDS,
     MAX_REPORTED_HOSTS,
     MAX_TRIAL_SECONDS,
@@ -108,6 +109,7 @@
         """Slots by the own settings: published servers above the floor."""
 
         self._rng = rng
+        self._next_judgement = 0.0
         self._cases: dict[ServerId, Case] = {}
         self._levels: dict[ServerId, tuple[int, float]] = {}
         self._faulty_since: dict[ServerId, float] = {}
@@ -129,7 +131,9 @@
         return now - self._held.get(server, float("-inf")) < HELD_EVENT_SECONDS
 
     def take_evidence(self, evidence: PooledEvidence, now: float) -> None:
-        """Add the evidence of a data centre."""
+        """Add the evidence of a data centre and judge it on the next tick."""
+        if evidence.entries:
+            self._next_judgement = now
         for entry in evidence.entries:
             case = self._cases.get(entry.server)
             if case is not None and case.phase is Phase.EJECTED:
@@ -165,9 +169,11 @@
     def tick(self, rank: int, voters: tuple[HostId, ...], now: float) -> Output:
         """Judge the servers and advance the cases."""
         output = Output()
-        self.pool.advance(now)
         self._adopt(rank, now)
-        self._open_cases(rank, now, output)
+        if now >= self._next_judgement:
+            self._next_judgement = now + JUDGE_SECONDS
+            self.pool.advance(now)
+            self._open_cases(rank, now, output)
         for server, case in list(self._cases.items()):
             self._advance(server, case, voters, now, output)
         return output
@@ -186,7 +192,7 @@
 
     def _open_cases(self, rank: int, now: float, output: Output) -> None:
         faulty = {}
-        for server in self.pool.suspects:
+        for server in self.pool.outliers:
             judgement = self.pool.judge(server)
             if judgement.faulty and server not in self._cases:
                 faulty[server] = judgement
@@ -372,6 +378,7 @@
     def _verdict(self, server: ServerId, case: Case, now: float) -> Verdict:
         phase = case.phase or Phase.EJECTED
         judgement = case.judgement
+        left = case.since + case.hold - now
         return Verdict(
             self.service,
             server,
@@ -379,10 +386,8 @@
             case.permit.valid_until,
             slot=case.permit.slot,
             level=case.level,
-            age=now - case.since,
-            hold_left=max(0.0, case.since + case.hold - now)
-            if phase is Phase.EJECTED
-            else 0.0,
+            age=round(now - case.since, 1),
+            hold_left=round(max(0.0, left), 1) if phase is Phase.EJECTED else 0.0,
             reason=judgement.reason,
             hosts=judgement.hosts[:MAX_REPORTED_HOSTS],
             data_centres=judgement.data_centres,
--- a/src/catkinspan/coordination/health/assessor.py
+++ b/src/catkinspan/coordination/health/assessor.py
@@ -1,10 +1,13 @@
 """The assessor of one service for one data centre."""
 
+from collections.abc import Collection
+
 from attrs import Factory, define
 
 from catkinspan.coordination.health.const import (
     AVOID_SECONDS,
     DIGEST_SECONDS,
+    JUDGE_SECONDS,
     MAX_AVOID_SECONDS,
     MAX_EVIDENCE_ENTRIES,
     PATH_CONFIRM_SECONDS,
@@ -47,6 +50,12 @@
     _trials: dict[ServerId, int] = Factory(dict)
     _paths: dict[ServerId, _BadPath] = Factory(dict)
     _next_evidence: float = 0.0
+    _next_judgement: float = 0.0
+
+    @property
+    def has_paths(self) -> bool:
+        """Return whether bad paths are known or being confirmed."""
+        return bool(self._paths)
 
     def take_digest(self, digest: HealthDigest, host: HostId, now: float) -> None:
         """Add a host's evidence."""
@@ -75,23 +84,24 @@
 
         The `valid_until` of each is on the own clock.
         """
+        if now < self._next_judgement:
+            return []
+        self._next_judgement = now + JUDGE_SECONDS
         self.pool.advance(now)
+        faulty = {
+            server: judgement
+            for server in self.pool.outliers
+            if server not in ejected and (judgement := self.pool.judge(server)).faulty
+        }
         verdicts = []
-        for server in self.pool.suspects:
-            judgement = self.pool.judge(server)
-            path = self._paths.get(server)
-            if server in ejected or not judgement.faulty:
-                if path is not None and path.avoided_until is None:
-                    del self._paths[server]
-                continue
-            if path is None:
-                path = self._paths[server] = _BadPath(now)
+        for server, judgement in faulty.items():
+            path = self._paths.setdefault(server, _BadPath(now))
             path.judgement = judgement
             if path.avoided_until is None and now - path.since < PATH_CONFIRM_SECONDS:
                 continue
             if path.avoided_until is None or now >= path.avoided_until:
                 verdicts.append(self._avoid(server, path, judgement, now))
-        self._forget_settled(now)
+        self._forget_settled(faulty.keys(), now)
         return verdicts
 
     def _avoid(
@@ -111,10 +121,12 @@
             data_centres=judgement.data_centres,
         )
 
-    def _forget_settled(self, now: float) -> None:
+    def _forget_settled(self, faulty: Collection[ServerId], now: float) -> None:
         for server, path in list(self._paths.items()):
             until = path.avoided_until
-            if until is not None and now > until + 2.0 * MAX_AVOID_SECONDS:
+            is_unconfirmed = until is None and server not in faulty
+            is_old = until is not None and now > until + 2.0 * MAX_AVOID_SECONDS
+            if is_unconfirmed or is_old:
                 del self._paths[server]
 
 
--- a/src/catkinspan/coordination/health/const.py
+++ b/src/catkinspan/coordination/health/const.py
@@ -35,6 +35,12 @@
 CLOCK_MARGIN = 0.05
 """Share of a lease given up for clocks that run at different rates."""
 
+JUDGE_SECONDS = 0.25
+"""Longest time between two judgements while evidence is held."""
+
+EXPIRY_SECONDS = 0.25
+"""Time between two checks for what has expired."""
+
 SLOW_RATIO = 4.0
 """Latency over the reference of the request class that counts as slow."""
 
@@ -43,6 +49,9 @@
 STALL_UNKNOWN_SECONDS = 1.5
 """Age of an attempt that counts as stalled while its class has no reference."""
 
+COLD_STALL_FACTOR = 4.0
+"""Longer wait before an attempt at a cold server counts as stalled."""
+
 STALL_REPEAT_SECONDS = 0.5
 REFERENCE_SAMPLES = 20
 """Samples of a class before its reference is used."""
@@ -95,4 +104,4 @@
 """Time that a drain signal holds unless it is repeated or the list confirms it."""
 
 DRAIN_RESEND_SECONDS = (0.3, 1.0)
-MAX_REPORTED_HOSTS = 5
+MAX_REPORTED_HOSTS = 3
--- a/src/catkinspan/coordination/health/coordinator.py
+++ b/src/catkinspan/coordination/health/coordinator.py
@@ -11,11 +11,12 @@
 from catkinspan.coordination.health.assessor import Assessor, path_threshold
 from catkinspan.coordination.health.const import (
     DRAIN_RESEND_SECONDS,
+    EXPIRY_SECONDS,
     RATE_CHANGE,
     RATE_CHECK_SECONDS,
     REPORT_SECONDS,
 )
-from catkinspan.coordination.health.links import Links
+from catkinspan.coordination.health.links import Links, round_down
 from catkinspan.coordination.health.models import (
     MESSAGES,
     DrainNotice,
@@ -34,7 +35,7 @@
     Verdict,
 )
 from catkinspan.coordination.health.observer import Observer
-from catkinspan.coordination.health.permits import PermitVoter, voters_of
+from catkinspan.coordination.health.permits import PermitVoter
 from catkinspan.coordination.health.pool import Pool
 from catkinspan.coordination.health.profiles import PROFILES, floor_of
 from catkinspan.coordination.health.rates import RateTable
@@ -101,6 +102,7 @@
 
         self._reported_rate = 0.0
         self._rates_checked_at = 0.0
+        self._next_expiry = 0.0
         self._heard: dict[HostId, float] = {}
         self._notices: list[tuple[float, DrainNotice]] = []
         self._handlers: dict[type[PeerMessage], Callable[[Any, Origin, float], None]]
@@ -125,6 +127,10 @@
         held = self._standings.get(service)
         return held.standing(now).candidates if held else ()
 
+    def assessor_of(self, service: ServiceId) -> HostId | None:
+        """Return the assessor of a service for the own data centre."""
+        return self._roles.assessor(service)
+
     def standing(self, service: ServiceId, now: float) -> Standing | None:
         """Return which servers of a service this host leaves out, and why."""
         held = self._standings.get(service)
@@ -323,6 +329,9 @@
             if is_new and server in held.standing(now).avoided:
                 event = PathAvoided(service, server, "attempts of this host")
                 self._outbox.emit(event)
+        if now < self._next_expiry:
+            return
+        self._next_expiry = now + EXPIRY_SECONDS
         for service in list(self._unsettled):
             held = self._standings[service]
             for server in held.expire(now):
@@ -336,7 +345,7 @@
             if evidence is not None:
                 for arbiter in self._roles.of(name).arbiters:
                     self._links.post(arbiter, evidence)
-            if not pool.suspects:
+            if not (pool.suspects or assessor.has_paths):
                 continue
             ejected = frozenset(self._standings[name].ejections)
             for verdict in assessor.bad_paths(ejected, now):
@@ -347,7 +356,7 @@
             if not arbiter.is_active:
                 continue
             rank = self._roles.of(name).arbiters.index(self._self_id)
-            voters = voters_of(name, self._roles.view)
+            voters = self._roles.voters(name)
             output = arbiter.tick(rank, voters, now)
             self._send_output(name, output, voters, now)
 
@@ -372,7 +381,7 @@
         until, echo = self._links.translate(host, verdict.valid_until, now)
         if until == float("-inf") and verdict.phase is not Phase.RETURNED:
             return
-        until = max(until, 0.0)
+        until = round_down(max(until, 0.0))
         self._links.post(host, evolve(verdict, valid_until=until, echo=echo))
 
     def _spread(self, verdict: Verdict, now: float) -> None:
@@ -513,6 +522,7 @@
         low, high = sorted((total, self._reported_rate))
         if high > RATE_CHANGE * low and high > 1.0:
             self._reported.clear()
+            self._reported_rate = total
         self._update_pools(now)
         self._report_clock(now)
 
@@ -543,7 +553,8 @@
         for host, own in rates.items():
             key = (host, data_centre)
             if now >= self._reported.get(key, float("-inf")) + REPORT_SECONDS:
-                self._links.post(host, HostReport(now, own, data_centre))
+                report = HostReport(round_down(now), own, data_centre)
+                self._links.post(host, report)
                 self._reported[key] = now
 
     def _update_pools(self, now: float) -> None:
--- a/src/catkinspan/coordination/health/links.py
+++ b/src/catkinspan/coordination/health/links.py
@@ -2,6 +2,7 @@
 
 from collections import deque
 from collections.abc import Callable
+from math import floor
 
 from attrs import define
 
@@ -20,6 +21,14 @@
     received_at: float
 
 
+def round_down(seconds: float) -> float:
+    """Return an instant rounded down to milliseconds.
+
+    Rounding an expiry or the time of a report down can only shorten a lease.
+    """
+    return floor(seconds * 1000.0) / 1000.0
+
+
 class Links:
     """Posts messages, also to the own host, and reads other hosts' clocks.
 
--- a/src/catkinspan/coordination/health/observer.py
+++ b/src/catkinspan/coordination/health/observer.py
@@ -7,6 +7,7 @@
 from attrs import Factory, define
 
 from catkinspan.coordination.health.const import (
+    COLD_STALL_FACTOR,
     DIGEST_BURST,
     DIGEST_SECONDS,
     DIGESTS_PER_SECOND,
@@ -258,7 +259,10 @@
             attempt.is_slow = True
             if not self._is_cold(*place):
                 self.add(*place, Signal.SLOW)
-        stall_at = attempt.at + self._stall_after(*_class_of(started))
+        stall_after = self._stall_after(*_class_of(started))
+        if self._is_cold(*place):
+            stall_after = max(STALL_UNKNOWN_SECONDS, COLD_STALL_FACTOR * stall_after)
+        stall_at = attempt.at + stall_after
         if now < stall_at:
             heappush(self._due, _Due(stall_at, key))
             return
--- a/src/catkinspan/coordination/health/pool.py
+++ b/src/catkinspan/coordination/health/pool.py
@@ -117,6 +117,16 @@
         """Return the servers with evidence against them."""
         return tuple(self._scores)
 
+    @property
+    def outliers(self) -> Sequence[ServerId]:
+        """Return the servers whose evidence may suffice, before any comparison."""
+        least = self.threshold
+        return tuple(
+            server
+            for server, scores in self._scores.items()
+            if sum(score.value for score in scores.values()) >= least
+        )
+
     def set_servers(self, servers: Iterable[ServerId]) -> None:
         """Compare these servers from now on."""
         self._servers = tuple(servers)
@@ -259,7 +269,11 @@
         for host, part in shares.items():
             place = self._places[host]
             by_place[place] = by_place.get(place, 0.0) + part
-        worst = max(by_place.values())
-        if worst > SKEWED_SHARE * total:
-            needed = self.threshold * SKEWED_REST_SHARE
-        return total - worst >= needed
+        place = max(by_place, key=lambda name: by_place[name])
+        rest = total - by_place[place]
+        if by_place[place] <= SKEWED_SHARE * total:
+            return rest >= needed
+        # One attempt can leave both slow and stalled evidence, so next to a bad path
+        # a single unlucky request must not suffice.
+        elsewhere = sum(1 for host in shares if self._places[host] != place)
+        return elsewhere > 1 and rest >= self.threshold * SKEWED_REST_SHARE
--- a/src/catkinspan/coordination/health/profiles.py
+++ b/src/catkinspan/coordination/health/profiles.py
@@ -25,7 +25,7 @@
 
 WEIGHTS: Mapping[Signal, SignalWeight] = {
     Signal.FAILURE: SignalWeight(0.005, 0.2),
-    Signal.STALL: SignalWeight(0.0001, 0.1),
+    Signal.STALL: SignalWeight(0.0001, 0.3),
     Signal.SLOW: SignalWeight(0.005, 0.25),
     Signal.SHED: SignalWeight(0.25, 0.9, threshold=8.0),
     Signal.PROBE: SignalWeight(0.02, 0.5, threshold=2.0),
--- a/src/catkinspan/coordination/health/references.py
+++ b/src/catkinspan/coordination/health/references.py
@@ -14,7 +14,7 @@
 from catkinspan.state.ids import ServerId
 
 _MIN_LATENCY = 1e-5
-_MIN_STEP = 0.03
+_STEP = 0.03
 _FAILURE_GAIN = 0.05
 
 
@@ -22,8 +22,9 @@
 class ClassReference:
     """Running median of a class's latency, and its last failures.
 
-    The median moves by a step in the direction of each sample (Robbins and Monro,
-    1951), so a few slow servers do not shift it. Since all servers serve the class,
+    It starts as the geometric mean of the first samples and then moves by a step in
+    the direction of each sample (Robbins and Monro, 1951), so a few slow servers do
+    not shift it. Since all servers serve the class,
     a class that is slow everywhere makes no server look slow.
     """
 
@@ -44,11 +45,10 @@
         value = log(max(latency, _MIN_LATENCY))
         self.samples += 1
         self.failure_rate *= 1.0 - _FAILURE_GAIN
-        if self.samples == 1:
-            self._log_median = value
+        if self.samples <= REFERENCE_SAMPLES:
+            self._log_median += (value - self._log_median) / self.samples
             return
-        step = max(_MIN_STEP, 1.0 / self.samples)
-        self._log_median += step if value > self._log_median else -step
+        self._log_median += _STEP if value > self._log_median else -_STEP
 
     def add_failure(self, server: ServerId) -> bool:
         """Return whether the failure speaks against the server, not the class."""
--- a/src/catkinspan/coordination/health/roles.py
+++ b/src/catkinspan/coordination/health/roles.py
@@ -3,6 +3,7 @@
 from attrs import frozen
 
 from catkinspan.coordination.health.const import ARBITERS
+from catkinspan.coordination.health.permits import voters_of
 from catkinspan.coordination.rendezvous import owner, ranked
 from catkinspan.state.hosts import FleetView
 from catkinspan.state.ids import DataCentre, HostId, ServiceId
@@ -27,6 +28,7 @@
             place = view.hosts[host].data_centre
             self._places[place] = (*self._places.get(place, ()), host)
         self._roles: dict[ServiceId, Roles] = {}
+        self._voters: dict[ServiceId, tuple[HostId, ...]] = {}
         self._own: dict[ServiceId, HostId | None] = {}
 
     def hosts_in(self, place: DataCentre) -> tuple[HostId, ...]:
@@ -47,6 +49,12 @@
             roles = self._roles[service] = self._find(service)
         return roles
 
+    def voters(self, service: ServiceId) -> tuple[HostId, ...]:
+        """Return the voters on the permits of a service."""
+        if service not in self._voters:
+            self._voters[service] = voters_of(service, self.view)
+        return self._voters[service]
+
     def _find(self, service: ServiceId) -> Roles:
         assessors = {
             place: holder
--- a/src/catkinspan/coordination/health/standing.py
+++ b/src/catkinspan/coordination/health/standing.py
@@ -20,7 +20,7 @@
 from catkinspan.state.ids import ServerId
 from catkinspan.state.tree import Service, Upstream
 
-CACHE_SECONDS = 0.1
+CACHE_SECONDS = 0.25
 """Life of a cached answer while a server is returning, cold, avoided or ejected."""
 
 
@@ -92,6 +92,9 @@
     """When each cold server was first seen."""
 
     next_trial: dict[ServerId, float] = Factory(dict)
+    _plain: dict[ServerId, Candidate] = Factory(dict)
+    """Candidates of servers that are simply in use, kept for speed."""
+
     _cached: Standing | None = None
     _cached_until: float = 0.0
 
@@ -118,6 +121,7 @@
         for server in self.cold.keys() - ids:
             del self.cold[server]
         self.service = service
+        self._plain.clear()
         self.invalidate()
 
     def take_verdict(
@@ -202,7 +206,12 @@
             return self._cached
         standing = self._compute(now)
         self._cached = standing
-        self._cached_until = float("inf") if self.is_plain else now + CACHE_SECONDS
+        self._cached_until = float("inf")
+        if not self.is_plain:
+            # An expired verdict must not live on in the cache.
+            ends = [held.verdict.valid_until for held in self.ejections.values()]
+            valid = [end for end in ends if end > now]
+            self._cached_until = min([now + CACHE_SECONDS, *valid])
         return standing
 
     def allowed_slots(self, promised: frozenset[ServerId], now: float) -> int:
@@ -277,8 +286,12 @@
     ) -> Candidate | None:
         server = upstream.id
         if server not in ejected:
-            share = self._cold_share(server, now)
-            return Candidate(upstream, share, avoided=server in avoided)
+            if server in self.cold or server in avoided:
+                share = self._cold_share(server, now)
+                return Candidate(upstream, share, avoided=server in avoided)
+            if server not in self._plain:
+                self._plain[server] = Candidate(upstream)
+            return self._plain[server]
         held = self.ejections[server]
         phase = held.verdict.phase
         if phase is Phase.SLOW_START:
--- a/src/catkinspan/testing/servers.py
+++ b/src/catkinspan/testing/servers.py
@@ -205,19 +205,31 @@
         return self._channel.members[host].local_time(self._channel.now)
 
     def _pick(self, candidates: tuple[Candidate, ...]) -> SimulatedServer | None:
+        """Return the less loaded of two servers; a trial comes first."""
+        for candidate in candidates:
+            if candidate.trial and self._has_slot(candidate):
+                return self.servers[candidate.upstream.id]
+        one, other = self._draw(candidates), self._draw(candidates)
+        if one is None or other is None:
+            return self._first_free(candidates)
+        return min(one, other, key=lambda server: server.busy)
+
+    def _draw(self, candidates: tuple[Candidate, ...]) -> SimulatedServer | None:
+        for _ in range(4):
+            candidate = candidates[int(self._rng.random() * len(candidates))]
+            if not candidate.avoided and self._has_slot(candidate):
+                return self.servers[candidate.upstream.id]
+        return None
+
+    def _first_free(self, candidates: tuple[Candidate, ...]) -> SimulatedServer | None:
         for avoided in (False, True):
             free = [
-                self.servers[candidate.upstream.id]
+                candidate
                 for candidate in candidates
                 if candidate.avoided is avoided and self._has_slot(candidate)
             ]
-            trial = [c for c in candidates if c.trial and self._has_slot(c)]
-            if trial and not avoided:
-                return self.servers[trial[0].upstream.id]
             if free:
-                one = free[int(self._rng.random() * len(free))]
-                other = free[int(self._rng.random() * len(free))]
-                return min(one, other, key=lambda server: server.busy)
+                return self.servers[self._rng.choice(free).upstream.id]
         return None
 
     def _has_slot(self, candidate: Candidate) -> bool:
