--- a/src/catkinspan/coordination/health/assessor.py
+++ b/src/catkinspan/coordination/health/assessor.py
@@ -59,6 +59,8 @@
 
     def take_digest(self, digest: HealthDigest, host: HostId, now: float) -> None:
         """Add a host's evidence."""
+        if digest.entries:
+            self._next_judgement = now
         for entry in digest.entries:
             key = (entry.server, entry.signal, host)
             self._pending[key] = self._pending.get(key, 0.0) + entry.count
--- a/src/catkinspan/coordination/health/const.py
+++ b/src/catkinspan/coordination/health/const.py
@@ -35,7 +35,7 @@
 CLOCK_MARGIN = 0.05
 """Share of a lease given up for clocks that run at different rates."""
 
-JUDGE_SECONDS = 0.25
+JUDGE_SECONDS = 0.5
 """Longest time between two judgements while evidence is held."""
 
 EXPIRY_SECONDS = 0.25
--- a/src/catkinspan/coordination/health/coordinator.py
+++ b/src/catkinspan/coordination/health/coordinator.py
@@ -103,6 +103,7 @@
         self._reported_rate = 0.0
         self._rates_checked_at = 0.0
         self._next_expiry = 0.0
+        self._next_report = 0.0
         self._heard: dict[HostId, float] = {}
         self._notices: list[tuple[float, DrainNotice]] = []
         self._handlers: dict[type[PeerMessage], Callable[[Any, Origin, float], None]]
@@ -192,6 +193,7 @@
             for upstream in service.upstreams
         }
         self._assign_roles(now)
+        self._next_report = now
 
     def apply_view(self, view: FleetView, now: float) -> None:
         """Take over a changed view of the fleet."""
@@ -199,6 +201,7 @@
         self._roles = RoleTable(view)
         self._assign_roles(now)
         self._update_pools(now)
+        self._next_report = now
         self._report_clock(now)
 
     def handle(self, message: PeerMessage, origin: Origin, now: float) -> None:
@@ -233,6 +236,7 @@
             held.avoids.clear()
             held.invalidate()
         self._reported.clear()
+        self._next_report = now
         self._report_clock(now)
 
     def _forget_service(self, name: ServiceId) -> None:
@@ -522,12 +526,15 @@
         low, high = sorted((total, self._reported_rate))
         if high > RATE_CHANGE * low and high > 1.0:
             self._reported.clear()
+            self._next_report = now
             self._reported_rate = total
         self._update_pools(now)
         self._report_clock(now)
 
     def _report_clock(self, now: float) -> None:
         """Send the own clock and rates to the assessors, and rates to arbiters."""
+        if now < self._next_report:
+            return
         rates: dict[HostId, dict[ServiceId, float]] = {}
         pooled: dict[HostId, dict[ServiceId, float]] = {}
         for name, held in self._standings.items():
@@ -543,6 +550,12 @@
                 pooled.setdefault(arbiter, {})[name] = round(role.pool.rate, 4)
         self._post_reports(rates, False, now)
         self._post_reports(pooled, True, now)
+        self._reported = {
+            (host, is_pooled): at
+            for (host, is_pooled), at in self._reported.items()
+            if host in (pooled if is_pooled else rates)
+        }
+        self._next_report = min(self._reported.values(), default=now) + REPORT_SECONDS
 
     def _post_reports(
         self,
--- a/src/catkinspan/coordination/health/pool.py
+++ b/src/catkinspan/coordination/health/pool.py
@@ -165,7 +165,8 @@
 
     def advance(self, now: float) -> None:
         """Account for the time since the last evidence and drop what is settled."""
-        weights = {signal: self._weights(signal) for signal in Signal}
+        present = {signal for scores in self._scores.values() for signal in scores}
+        weights = {signal: self._weights(signal) for signal in present}
         for server in list(self._scores):
             scores = self._scores[server]
             for signal, score in list(scores.items()):
