Check the invariants of whole hosts under seeded faults

Cause found by it: a request whose 5xx was dropped for a retry that got no slot had no refusal, and the host answered 500 by its fault handler.

--- a/Makefile
+++ b/Makefile
@@ -35,6 +35,7 @@
 	$(BIN)/python -m bench
 
 slopes: $(STAMP)
+	$(BIN)/pip install -q --disable-pip-version-check matplotlib==3.11.2
 	$(BIN)/python -m bench.slopes
 
 clean:
--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -3,7 +3,7 @@
 import importlib
 import sys
 
-BENCHES = ("rates", "configuration", "health", "slots", "claims", "path")
+BENCHES = ("rates", "configuration", "health", "slots", "claims", "invariants", "path")
 
 
 def main(names: list[str]) -> int:
--- a/src/catkinspan/coordination/requests/errors.py
+++ b/src/catkinspan/coordination/requests/errors.py
@@ -34,6 +34,7 @@
     UPSTREAM_TIMEOUT = "upstream_timeout"
     UPSTREAM_RESET = "upstream_reset"
     UPSTREAM_TRUNCATED = "upstream_truncated"
+    UPSTREAM_ERROR = "upstream_error"
     UPSTREAM_CROSSED = "upstream_crossed"
     INTERNAL_ERROR = "internal_error"
 
--- a/src/catkinspan/coordination/requests/refusals.py
+++ b/src/catkinspan/coordination/requests/refusals.py
@@ -90,6 +90,10 @@
         RefusalKind.UPSTREAM_TRUNCATED,
         "the upstream's answer ended before it was whole",
     ),
+    OutcomeKind.SERVER_ERROR: (
+        RefusalKind.UPSTREAM_ERROR,
+        "the upstream server failed, and no other one was free in time",
+    ),
     OutcomeKind.CROSSED: (
         RefusalKind.UPSTREAM_CROSSED,
         "the upstream answered another request",
--- a/src/catkinspan/protocol/http/keys.py
+++ b/src/catkinspan/protocol/http/keys.py
@@ -1,6 +1,5 @@
 """Where callers may put their key, and its removal from what goes upstream."""
 
-import hashlib
 from collections.abc import Iterable
 from urllib.parse import parse_qsl, unquote, urlencode
 
@@ -20,11 +19,6 @@
     return keys
 
 
-def key_digest(key: str) -> bytes:
-    """Return the SHA-256 digest under which a key is published."""
-    return hashlib.sha256(key.encode()).digest()
-
-
 def without_key_headers(
     headers: Iterable[tuple[bytes, bytes]], key: str | None
 ) -> list[tuple[bytes, bytes]]:
--- a/src/catkinspan/protocol/http/responses.py
+++ b/src/catkinspan/protocol/http/responses.py
@@ -36,6 +36,7 @@
     RefusalKind.UPSTREAM_TIMEOUT: 504,
     RefusalKind.UPSTREAM_RESET: 502,
     RefusalKind.UPSTREAM_TRUNCATED: 502,
+    RefusalKind.UPSTREAM_ERROR: 502,
     RefusalKind.UPSTREAM_CROSSED: 502,
     RefusalKind.INTERNAL_ERROR: 500,
 }
--- a/src/catkinspan/testing/channel.py
+++ b/src/catkinspan/testing/channel.py
@@ -101,6 +101,12 @@
         """Return the attached hosts."""
         return self._members
 
+    def watch_sends(
+        self, on_send: Callable[[HostId, HostId, PeerMessage], None]
+    ) -> None:
+        """Call `on_send` for each message from now on."""
+        self._on_send = on_send
+
     def attach(
         self,
         host: HostId,
--- a/src/catkinspan/transport/callers/exchange.py
+++ b/src/catkinspan/transport/callers/exchange.py
@@ -9,6 +9,7 @@
 from loguru import logger
 
 from catkinspan.coordination.clock import Clock
+from catkinspan.coordination.keys.coordinator import digest_of
 from catkinspan.coordination.outcomes import AttemptOutcome, OutcomeKind
 from catkinspan.coordination.requests.errors import Refusal, RefusalKind
 from catkinspan.coordination.requests.models import (
@@ -25,7 +26,7 @@
 )
 from catkinspan.protocol.http.const import BODY_PREFIX_BYTES
 from catkinspan.protocol.http.heads import CallerHead, bad_request
-from catkinspan.protocol.http.keys import key_digest, path_holds_key
+from catkinspan.protocol.http.keys import path_holds_key
 from catkinspan.protocol.http.responses import passed_response, refusal_response
 from catkinspan.protocol.http.upstream import upstream_request
 from catkinspan.state.ids import RequestId
@@ -131,7 +132,7 @@
     @property
     def key_digest(self) -> bytes | None:
         """Return the digest of the key that the request used."""
-        return key_digest(self._key) if self._key else None
+        return digest_of(self._key) if self._key else None
 
     async def async_run(self) -> RequestRecord:
         """Serve the request and return its record."""
