Split the exchange into body, response and the exchange itself

Behaviour stays, with one correction found on reading: a hedge of a request with a streaming body would have divided the body between two servers, so only requests without a body are hedged.

--- a/src/catkinspan/coordination/requests/coordinator.py
+++ b/src/catkinspan/coordination/requests/coordinator.py
@@ -475,6 +475,9 @@
         after = request.route.policy.hedge_after
         if after is None or not request.is_idempotent or request.attempts_made > 1:
             return
+        if request.arrived.content_length != 0:
+            # A body that streams to one server cannot go to a second one as well.
+            return
         request.hedge_at = now + after.total_seconds()
         self._timed.add(request.id)
 
--- a/src/catkinspan/transport/callers/exchange.py
+++ b/src/catkinspan/transport/callers/exchange.py
@@ -5,7 +5,6 @@
 from typing import Any
 
 import h11
-import xxhash
 from loguru import logger
 
 from catkinspan.coordination.clock import Clock
@@ -24,13 +23,13 @@
     RequestAbandoned,
     RequestArrived,
 )
-from catkinspan.protocol.http.const import BODY_PREFIX_BYTES
 from catkinspan.protocol.http.heads import CallerHead, bad_request
 from catkinspan.protocol.http.keys import path_holds_key
 from catkinspan.protocol.http.responses import passed_response, refusal_response
 from catkinspan.protocol.http.upstream import upstream_request
 from catkinspan.state.ids import RequestId
 from catkinspan.state.node import HttpLimits
+from catkinspan.transport.callers.body import BodyStatus, RequestBody
 from catkinspan.transport.callers.const import HOLD_SECONDS
 from catkinspan.transport.callers.messages import (
     Drain,
@@ -38,6 +37,7 @@
     RequestRecord,
     Submit,
 )
+from catkinspan.transport.callers.response import RunningAttempt
 from catkinspan.transport.callers.stream import CallerStream
 from catkinspan.transport.mailbox import InboxFullError, Mailbox
 from catkinspan.transport.socket_port import SocketClosed, SocketData
@@ -54,26 +54,6 @@
 )
 from catkinspan.transport.upstreams.pool import PoolMessage
 
-_NO_BODY_STATUS = frozenset({204, 304})
-
-
-class _RunningAttempt:
-    """An attempt of this request, with what it has delivered so far."""
-
-    def __init__(
-        self, attempt: AttemptTask, task: "asyncio.Task[None]", assigned: Assigned
-    ) -> None:
-        self.attempt = attempt
-        self.task = task
-        self.assigned = assigned
-        self.response: h11.Response | None = None
-        self.held: list[bytes] = []
-        self.held_bytes = 0
-        self.hold_until = 0.0
-        self.whole = False
-        self.reported = False
-        """Whether the host task has the outcome already (a 5xx response)."""
-
 
 class Exchange:
     """Runs one request through the host task and its attempts."""
@@ -102,17 +82,13 @@
         self._tls = tls
         self._draining = draining
         self._key = head.presented_key
-        self._attempts: dict[int, _RunningAttempt] = {}
+        self._attempts: dict[int, RunningAttempt] = {}
         self._attempt_count = 0
         self._committed: int | None = None
-        self._prefix = b""
-        self._body_complete = not head.has_body
-        self._body_bytes = 0
-        self._body_streamed = False
+        timeout = limits.body_timeout.total_seconds()
+        self._body = RequestBody(stream, head, timeout, clock)
         self._wants_prefix = False
         self._demanded_by: int | None = None
-        self._body_due: float | None = None
-        self._max_body_bytes = 0
         self._submitted = False
         self._done = False
         self._last_assigned: Assigned | None = None
@@ -224,14 +200,14 @@
             for running in self._attempts.values()
             if running.response is not None and self._committed is None
         ]
-        if self._body_due is not None:
-            times.append(self._body_due)
+        if self._body.due is not None:
+            times.append(self._body.due)
         far = self._clock.monotonic() + self._limits.idle_timeout.total_seconds()
         return min(times, default=far)
 
     async def _async_on_timer(self) -> None:
         now = self._clock.monotonic()
-        if self._body_due is not None and now >= self._body_due:
+        if self._body.due is not None and now >= self._body.due:
             self._on_slow_body()
             return
         for number, running in list(self._attempts.items()):
@@ -251,88 +227,48 @@
     # The caller's body
 
     def _start_body(self, wanted: BodyWanted) -> None:
-        self._max_body_bytes = wanted.max_body_bytes
-        length = self._head.content_length
-        if length is not None and length > wanted.max_body_bytes:
-            self._refuse_large_body()
-            return
         self._wants_prefix = True
-        if self._head.expects_continue:
-            self._stream.send(
-                h11.InformationalResponse(
-                    status_code=100, headers=[], reason=b"Continue"
-                )
-            )
-        self._read_body()
+        try:
+            self._on_prefix(self._body.begin(wanted.max_body_bytes))
+        except h11.RemoteProtocolError:
+            self._cut()
 
     def _read_body(self) -> None:
         """Take what has arrived of the body, if anyone waits for it."""
         try:
             if self._wants_prefix:
-                self._read_prefix()
+                self._on_prefix(self._body.read_prefix())
             elif self._demanded_by is not None:
-                self._read_chunk(self._demanded_by)
+                self._pass_chunk(self._demanded_by)
         except h11.RemoteProtocolError:
             self._cut()
 
-    def _read_prefix(self) -> None:
-        pieces = [self._prefix]
-        size = len(self._prefix)
-        while size < BODY_PREFIX_BYTES and not self._body_complete:
-            piece = self._next_piece()
-            if piece is None:
-                break
-            pieces.append(piece)
-            size += len(piece)
-        self._prefix = b"".join(pieces)
-        if self._body_bytes > self._max_body_bytes:
-            self._refuse_large_body()
-            return
-        if not self._body_complete and size < BODY_PREFIX_BYTES:
-            self._expect_body()
+    def _on_prefix(self, status: BodyStatus) -> None:
+        if status is BodyStatus.WAITING:
             return
         self._wants_prefix = False
-        self._body_due = None
-        digest = xxhash.xxh3_128(self._prefix)
-        digest.update(str(self._head.content_length).encode())
-        received = BodyReceived(self._request_id, digest.digest())
-        self._host.force(Progress(received))
+        if status is BodyStatus.READY:
+            received = BodyReceived(self._request_id, self._body.digest)
+            self._host.force(Progress(received))
+            return
+        self._host.force(Progress(RequestAbandoned(self._request_id)))
+        message = "the body is larger than the route allows"
+        remedy = "send a smaller body"
+        self._respond_refusal(Refusal(RefusalKind.BODY_TOO_LARGE, message, remedy))
 
-    def _read_chunk(self, attempt: int) -> None:
+    def _pass_chunk(self, attempt: int) -> None:
         running = self._attempts.get(attempt)
         if running is None:
             return
-        piece = self._next_piece()
-        if piece is None and not self._body_complete:
-            self._expect_body()
+        chunk = self._body.read_chunk()
+        if chunk is BodyStatus.WAITING:
             return
         self._demanded_by = None
-        self._body_due = None
-        self._body_streamed = True
-        if self._body_bytes > self._max_body_bytes:
+        if not isinstance(chunk, BodyChunk):
             # The upstream has part of the body, so this cannot be "not run".
             self._cut()
             return
-        running.attempt.inbox.force(BodyChunk(piece or b"", self._body_complete))
-
-    def _next_piece(self) -> bytes | None:
-        event = self._stream.next_event()
-        if isinstance(event, h11.Data):
-            self._body_bytes += len(event.data)
-            return bytes(event.data)
-        if isinstance(event, h11.EndOfMessage):
-            self._body_complete = True
-        return None
-
-    def _expect_body(self) -> None:
-        timeout = self._limits.body_timeout.total_seconds()
-        self._body_due = self._clock.monotonic() + timeout
-
-    def _refuse_large_body(self) -> None:
-        self._host.force(Progress(RequestAbandoned(self._request_id)))
-        message = f"the body is larger than {self._max_body_bytes} bytes"
-        refusal = Refusal(RefusalKind.BODY_TOO_LARGE, message, "send a smaller body")
-        self._respond_refusal(refusal)
+        running.attempt.inbox.force(chunk)
 
     # Attempts
 
@@ -343,11 +279,15 @@
             self._head, self._request_id, self._key, assigned.key_query_parameter
         )
         spec = AttemptSpec(
-            assigned, request, self._prefix, self._body_complete, assigned.idempotent
+            assigned,
+            request,
+            self._body.prefix,
+            self._body.is_complete and self._body.is_replayable,
+            assigned.idempotent,
         )
         attempt = AttemptTask(spec, self._mailbox, self._pool, self._clock, self._tls)
         task = asyncio.create_task(attempt.async_run())
-        self._attempts[assigned.attempt] = _RunningAttempt(attempt, task, assigned)
+        self._attempts[assigned.attempt] = RunningAttempt(attempt, task, assigned)
         self._attempt_count += 1
         self._last_assigned = assigned
 
@@ -368,33 +308,27 @@
             case AttemptFailed(number, outcome):
                 self._on_failed(number, running, outcome)
 
-    async def _async_on_head(self, running: _RunningAttempt, head: AttemptHead) -> None:
+    async def _async_on_head(self, running: RunningAttempt, head: AttemptHead) -> None:
         running.response = head.response
         running.hold_until = self._clock.monotonic() + HOLD_SECONDS
         if head.outcome.kind is OutcomeKind.SERVER_ERROR:
             running.reported = True
             self._report(head.outcome)
             return
-        length = _content_length(head.response)
-        too_large = length is not None and length > running.assigned.hold_bytes
-        if too_large or _is_event_stream(head.response):
+        if running.must_stream:
             await self._async_commit(head.attempt)
 
     async def _async_on_data(
-        self, number: int, running: _RunningAttempt, data: bytes
+        self, number: int, running: RunningAttempt, data: bytes
     ) -> None:
         if self._committed == number:
             await self._async_write(h11.Data(data=data))
             return
-        running.held.append(data)
-        running.held_bytes += len(data)
-        if running.held_bytes <= running.assigned.hold_bytes:
-            return
-        if not running.reported:
+        if running.hold(data) and not running.reported:
             await self._async_commit(number)
 
     async def _async_on_end(
-        self, number: int, running: _RunningAttempt, outcome: AttemptOutcome
+        self, number: int, running: RunningAttempt, outcome: AttemptOutcome
     ) -> None:
         running.whole = True
         if not running.reported:
@@ -404,7 +338,7 @@
             await self._async_deliver(number)
 
     def _on_failed(
-        self, number: int, running: _RunningAttempt, outcome: AttemptOutcome
+        self, number: int, running: RunningAttempt, outcome: AttemptOutcome
     ) -> None:
         del self._attempts[number]
         if self._demanded_by == number:
@@ -415,7 +349,7 @@
             self._cut()
 
     def _report(self, outcome: AttemptOutcome) -> None:
-        replayable = not self._body_streamed and self._committed is None
+        replayable = self._body.is_replayable and self._committed is None
         self._host.force(Progress(AttemptFinished(outcome, replayable)))
 
     async def _async_commit(self, number: int) -> None:
@@ -424,7 +358,7 @@
         assert running.response is not None
         self._committed = number
         self._drop_losers(number)
-        length = _held_length(running, self._head.method)
+        length = running.length_for(self._head.method)
         self._begin_response(running.response, length)
         held, running.held = running.held, []
         for data in held:
@@ -445,7 +379,7 @@
         self._finish(running.response.status_code, "passed")
 
     def _begin_response(self, response: h11.Response, length: int | None) -> None:
-        close = self._draining or not self._body_complete
+        close = self._draining or not self._body.is_complete
         head = passed_response(response, self._request_id, length, close)
         self._status = head.status_code
         self._stream.send(head)
@@ -478,21 +412,8 @@
             running.task.cancel()
             del self._attempts[number]
             if not running.reported:
-                self._report_cancelled(running.assigned)
-
-    def _report_cancelled(self, assigned: Assigned) -> None:
-        outcome = AttemptOutcome(
-            request_id=assigned.request_id,
-            attempt=assigned.attempt,
-            service=assigned.service,
-            server=assigned.server,
-            workspace=assigned.workspace,
-            kind=OutcomeKind.CANCELLED,
-            latency=0.0,
-            bytes_written=True,
-            request_class=assigned.route,
-        )
-        self._host.force(Progress(AttemptFinished(outcome, replayable=False)))
+                outcome = running.cancelled_outcome()
+                self._host.force(Progress(AttemptFinished(outcome, replayable=False)))
 
     # Ends
 
@@ -501,7 +422,7 @@
             self._cut()
             return
         self._stop_attempts()
-        close = self._draining or not self._body_complete
+        close = self._draining or not self._body.is_complete
         response, body = refusal_response(refusal, self._request_id, close)
         self._stream.send(response, h11.Data(data=body), h11.EndOfMessage())
         logger.info("refused: {}", refusal)
@@ -511,7 +432,7 @@
         self._done = True
         self._status = status
         self._end_kind = kind
-        if self._body_complete and self._stream.http.their_state is h11.SEND_BODY:
+        if self._body.is_complete and self._stream.http.their_state is h11.SEND_BODY:
             self._stream.next_event()
 
     def _abandon(self) -> None:
@@ -531,22 +452,3 @@
         for running in self._attempts.values():
             running.task.cancel()
         self._attempts.clear()
-
-
-def _content_length(response: h11.Response) -> int | None:
-    value = dict(response.headers).get(b"content-length")
-    return int(value) if value is not None else None
-
-
-def _is_event_stream(response: h11.Response) -> bool:
-    content_type = dict(response.headers).get(b"content-type", b"")
-    return content_type.startswith(b"text/event-stream")
-
-
-def _held_length(running: _RunningAttempt, method: str) -> int | None:
-    """Return the length to announce for a response that is held whole."""
-    if not running.whole or running.response is None or method == "HEAD":
-        return None
-    if running.response.status_code in _NO_BODY_STATUS:
-        return None
-    return running.held_bytes
