--- a/bench/configuration_fleet.py
+++ b/bench/configuration_fleet.py
@@ -205,6 +205,13 @@
         return self.replicas.get(host, self.published)
 
 
+def _without_defaults(message: PeerMessage) -> dict[str, object]:
+    fields = attrs.fields_dict(type(message))
+    plain = attrs.asdict(message, recurse=False)
+    wanted = {n: v for n, v in plain.items() if fields[n].default != v}
+    return {name: attrs.asdict(message)[name] for name in wanted}
+
+
 class CountingOutbox(Outbox):
     """Counts messages and estimated bytes by message class."""
 
@@ -212,6 +219,7 @@
         super().__init__()
         self.messages: dict[str, int] = {}
         self.bytes: dict[str, int] = {}
+        self.small_bytes = 0
         self.counting = False
         self.log: list[Event] = []
 
@@ -222,6 +230,7 @@
             return
         name = type(message).__name__
         size = FRAME_BYTES + len(orjson.dumps(attrs.asdict(message)))
+        self.small_bytes += FRAME_BYTES + len(orjson.dumps(_without_defaults(message)))
         self.messages[name] = self.messages.get(name, 0) + 1
         self.bytes[name] = self.bytes.get(name, 0) + size
 
@@ -373,8 +382,9 @@
             "root": json.dumps({"max_hosts": count}),
             "hosts": hosts_text(self.ids, data_centres=data_centres),
             "workspaces/00": shard_text(0, 8),
+            **(documents or {}),
         }
-        published = Published().changed(**texts, **(documents or {}))
+        published = Published().changed(**texts)
         self.platform = VirtualPlatform(published)
         self.hosts: dict[HostId, FleetHost] = {}
         self._data_centres = data_centres
@@ -442,6 +452,7 @@
             node.outbox.counting = True
             node.outbox.messages.clear()
             node.outbox.bytes.clear()
+            node.outbox.small_bytes = 0
         calls = self.platform.calls
         self.run_for(seconds)
         boxes = [node.outbox for node in self.hosts.values()]
@@ -456,6 +467,7 @@
         return Traffic(
             count / seconds / len(boxes),
             sum(rates) / len(rates),
+            sum(box.small_bytes for box in boxes) / seconds / len(boxes),
             max(rates),
             (self.platform.calls - calls) / seconds,
             by_class,
@@ -470,6 +482,9 @@
     bytes: float
     """Mean bytes for each host and second."""
 
+    small_bytes: float
+    """The same if the codec leaves out fields that have their default value."""
+
     worst_bytes: float
     platform_calls: float
     """Calls a second over the whole fleet, waiting watches included."""
--- a/src/catkinspan/coordination/configuration/coordinator.py
+++ b/src/catkinspan/coordination/configuration/coordinator.py
@@ -216,11 +216,8 @@
         """Take over the peers and find out whether this host is a reader."""
         if view.usable is self._usable:
             return
-        had_peers = bool(self._peers)
         self._usable = view.usable
         self._peers = tuple(host for host in view.usable if host != self._id)
-        if self._peers and not had_peers:
-            self._begin_inquiry(now)
         self._is_reader = is_elected(view)
 
     def handle(self, message: PeerMessage, origin: Origin, now: float) -> None:
--- a/tests/coordination/configuration/test_spread.py
+++ b/tests/coordination/configuration/test_spread.py
@@ -1,15 +1,21 @@
 """Guards that an accepted configuration reaches all hosts despite failures."""
 
+from random import Random
+
 import pytest
 from bench.configuration_fleet import INVALID, Fleet, shard_text
 
-from catkinspan.coordination.configuration.const import HISTORY_REVISIONS
+from catkinspan.coordination.configuration.const import HISTORY_REVISIONS, PUSH_FANOUT
+from catkinspan.coordination.configuration.fetch import Fetcher
 from catkinspan.coordination.configuration.models import (
+    PLATFORM,
     ConfigurationRejected,
     Manifest,
     ManifestEntry,
+    PatchSet,
 )
 from catkinspan.coordination.keys.models import CloseKeyConnections
+from catkinspan.coordination.outbox import Outbox
 from catkinspan.state.ids import HostId, Revision
 
 SEED = 13
@@ -70,6 +76,7 @@
     fleet = Fleet(12, SEED, documents={"workspaces/old": shard_text(90, 4)})
     cut = [host for host in fleet.ids if not fleet.hosts[host].configuration.is_reader]
     behind = cut[0]
+    fleet.platform.unreachable.add(behind)
     fleet.channel.pause(behind)
     fleet.platform.published = fleet.platform.published.without("workspaces/old")
     for number in range(HISTORY_REVISIONS + 5):
@@ -182,6 +189,31 @@
     assert revisions(fleet) == {3}
 
 
+def test_change_is_pushed_to_a_bounded_number_of_peers() -> None:
+    # Failure: a change waits for the next probes, or one host sends it to all.
+    fleet = Fleet(40, SEED)
+    node = next(n for n in fleet.hosts.values() if not n.configuration.is_reader)
+    node.outbox.take_envelopes()
+    changed = fleet.platform.published.changed(root='{"max_hosts": 41}')
+    node.configuration.offer(changed.delta(Revision(1), ()), PLATFORM, 0.0)
+    sent = node.outbox.take_envelopes()
+    assert len({envelope.to for envelope in sent}) == PUSH_FANOUT
+    assert {type(envelope.message) for envelope in sent} == {PatchSet}
+
+
+def test_fetch_asks_each_source_before_it_asks_one_again() -> None:
+    # Failure: chance sends the requests to the same peers that do not hear them.
+    outbox = Outbox()
+    fetcher = Fetcher(outbox, Random(SEED))
+    sources = [HostId(f"host-{n:04}") for n in range(8)]
+    for host in sources:
+        fetcher.observe(host, Revision(9))
+    for number in range(len(sources)):
+        fetcher.step(Revision(1), number * 1.0)
+    asked = [envelope.to for envelope in outbox.take_envelopes()]
+    assert sorted(asked) == sources
+
+
 def test_announced_sizes_are_bounded() -> None:
     # Failure: a faulty manifest makes a host hold gigabytes of chunks.
     fleet = Fleet(3, SEED)
--- a/tests/coordination/membership/test_coordinator.py
+++ b/tests/coordination/membership/test_coordinator.py
@@ -150,6 +150,15 @@
     assert place.host not in membership.view.usable
 
 
+def test_probes_from_before_a_pause_prove_nothing() -> None:
+    # Failure: a host that wakes suspects the peers whose acks were lost meanwhile.
+    membership, _ = coordinator(A, B, C)
+    membership.tick(0.0)
+    membership.resume(10.0, 10.0)
+    membership.tick(10.0)
+    assert {r.status for r in membership.view.hosts.values()} == {HostStatus.ALIVE}
+
+
 def test_connectivity_without_peers_and_before_the_first_ack() -> None:
     # Failure: a lone host counts as isolated, or a cut-off one as connected.
     alone, _ = coordinator(A)
