Pass on the return of a host that counted as dead before it started

Cause: a host listed before its first start counts as dead after 3.8 s, and its first contact was no news, so at 1,100 hosts others would learn of it only by their own probes, up to 137 s later. Change: a first contact is no news only if the host did not count as dead. A unit test holds both cases.

--- a/src/catkinspan/coordination/membership/coordinator.py
+++ b/src/catkinspan/coordination/membership/coordinator.py
@@ -294,10 +294,10 @@
         if member is None:
             return
         before = member.shown_status
-        is_first_contact = member.listed and not member.incarnation
+        is_expected = member.listed and not member.incarnation and not member.is_dead
         if not member.merge(update, now):
             return
-        if is_first_contact and member.status is HostStatus.ALIVE:
+        if is_expected and member.status is HostStatus.ALIVE:
             self._view.mark(member.id)
         else:
             self._note_change(member)
--- a/tests/coordination/membership/test_coordinator.py
+++ b/tests/coordination/membership/test_coordinator.py
@@ -139,6 +139,22 @@
     assert HostUpdate(B, HostStatus.ALIVE, 9, 0) in envelope.message.updates
 
 
+def test_first_contact_is_news_only_of_a_host_that_counted_as_dead() -> None:
+    # Failure: a mass start floods the links, or a host that was listed before it
+    # started stays dead for the peers that did not hear it.
+    membership, outbox = coordinator(A, B, C)
+    membership.handle(Probe(1, NO_REVISION), Origin(B, 9), 1.0)
+    membership.handle(Probe(1, NO_REVISION), Origin(C, 9), 1.0)
+    assert not any(e.message.updates for e in outbox.take_envelopes())
+    late, outbox = coordinator(A, B, C)
+    tell(late, B, HostStatus.DEAD, incarnation=0)
+    late.handle(Probe(1, NO_REVISION), Origin(B, 9), 2.0)
+    outbox.take_envelopes()
+    late.handle(Probe(2, NO_REVISION), Origin(C, 1), 3.0)
+    (envelope,) = outbox.take_envelopes()
+    assert HostUpdate(B, HostStatus.ALIVE, 9, 0) in envelope.message.updates
+
+
 def test_unlisted_host_is_known_but_not_usable() -> None:
     # Failure: a host that the list does not have yet is not probed or answered.
     membership, _ = coordinator(A, B, C)
