--- a/bench/rates.py
+++ b/bench/rates.py
@@ -38,7 +38,7 @@
 from catkinspan.state.tree import Workspace
 
 SEEDS = 200
-WORKERS = 4
+WORKERS = 6
 WARM_UP_SECONDS = 30.0
 DETECTION_SECONDS = 2.0
 KINDS = {"5/10": (5.0, 10.0), "200/400": (200.0, 400.0)}
@@ -401,13 +401,13 @@
     held_us = _time(rounds, lambda n: _take(host, items, n))
     tick_us = _time(rounds, lambda n: host.rates.tick(20 + n * 0.05))
     name = items[0].id
-    entry = AskEntry(name, 1, 0, 0, 0, 123456)
-    grant = GrantEntry(name, 1, 0, 0)
+    entry = AskEntry(name, 1, 0, 0, 0, 17)
+    grant = GrantEntry(1)
     update = LendingUpdate(EPOCH_MS + 7, EPOCH_MS + 9, hosts, 64, (17,))
-    one_ask = message_bytes(TokenAsk(123456, 10, (entry,)))
-    two_asks = message_bytes(TokenAsk(123456, 10, (entry, entry)))
-    one_grant = message_bytes(TokenGrant(123456, EPOCH_MS, (grant,)))
-    two_grants = message_bytes(TokenGrant(123456, EPOCH_MS, (grant, grant)))
+    one_ask = message_bytes(TokenAsk(EPOCH_MS + 9, 10, (entry,)))
+    two_asks = message_bytes(TokenAsk(EPOCH_MS + 9, 10, (entry, entry)))
+    one_grant = message_bytes(TokenGrant(EPOCH_MS + 9, (grant,)))
+    two_grants = message_bytes(TokenGrant(EPOCH_MS + 9, (grant, grant)))
     return Slopes(
         message_bytes(update),
         one_ask,
@@ -435,8 +435,8 @@
 
 
 def _ask(host: Host, origin: Origin, items: list[Workspace], n: int) -> None:
-    entry = AskEntry(items[n % len(items)].id, 1, 0, 0, 0, n)
-    host.rates.handle(TokenAsk(n + 1, 10, (entry,)), origin, 5.0 + n * 0.001)
+    entry = AskEntry(items[n % len(items)].id, 1)
+    host.rates.handle(TokenAsk(EPOCH_MS + n, 10, (entry,)), origin, 5.0 + n * 0.001)
     host.outbox.take_envelopes()
 
 
--- a/bench/rates_fleet.py
+++ b/bench/rates_fleet.py
@@ -9,7 +9,7 @@
 from typing import Protocol
 
 import orjson
-from attrs import asdict, define
+from attrs import define, fields, has
 
 from catkinspan.coordination.const import PAUSE_SECONDS
 from catkinspan.coordination.models import Origin, PeerMessage
@@ -31,8 +31,20 @@
 
 
 def message_bytes(message: PeerMessage) -> int:
-    """Return the size of a message as tagged JSON, without the batch's frame."""
-    return len(orjson.dumps([type(message).__name__, asdict(message)]))
+    """Return the size as tagged JSON without default values and the batch's frame."""
+    return len(orjson.dumps([type(message).__name__, _plain(message)]))
+
+
+def _plain(value: object) -> object:
+    if isinstance(value, tuple):
+        return [_plain(item) for item in value]
+    if not has(type(value)):
+        return value
+    return {
+        item.name: _plain(getattr(value, item.name))
+        for item in fields(type(value))
+        if getattr(value, item.name) != item.default
+    }
 
 
 @define
--- a/bench/rates_reference.py
+++ b/bench/rates_reference.py
@@ -3,6 +3,7 @@
 from attrs import define
 
 from bench.rates_fleet import Fleet, Tally
+from catkinspan.coordination.rates.shards import role_name, shard_of
 from catkinspan.coordination.rendezvous import owner
 from catkinspan.state.ids import HostId, WorkspaceId
 from catkinspan.state.tree import Workspace
@@ -83,7 +84,8 @@
         process = fleet.hosts.get(host)
         if process is None or host in fleet.paused:
             return False
-        holder = owner(f"bucket/{name}", process.listed - process.dead)
+        shard = shard_of(name, fleet.tree.fleet.rate_shards)
+        holder = owner(role_name(shard), process.listed - process.dead)
         if holder is None or not fleet.channel.connects(host, holder):
             return False
         return self._take(fleet, holder, name, now)
--- a/src/catkinspan/coordination/rates/asker.py
+++ b/src/catkinspan/coordination/rates/asker.py
@@ -128,6 +128,7 @@
     sequence: int
     sent_at: float
     life: float
+    workspaces: tuple[WorkspaceId, ...]
 
 
 @define
@@ -155,10 +156,9 @@
     """
 
     def __init__(self, incarnation: int, outbox: Outbox) -> None:
-        self._incarnation = incarnation
         self._outbox = outbox
         self._links: dict[HostId, Link] = {}
-        self._sequence = 0
+        self._sequence = incarnation
         self._settled: list[RateSettled] = []
         self._waiting_on: dict[RequestId, tuple[HostId, WorkspaceId]] = {}
 
@@ -219,18 +219,15 @@
         link = self._links.get(host)
         if link is None or link.open is None:
             return
-        if (grant.incarnation, grant.sequence) != (
-            self._incarnation,
-            link.open.sequence,
-        ):
+        if grant.sequence != link.open.sequence:
             return
         ask, link.open = link.open, None
         link.round_trip.add(now - ask.sent_at)
         link.unanswered = 0
-        for entry in grant.entries:
-            pocket = link.pockets.get(entry.workspace)
+        for workspace, entry in zip(ask.workspaces, grant.entries, strict=False):
+            pocket = link.pockets.get(workspace)
             if pocket is not None:
-                self._receive(entry, pocket, ask, link, now)
+                self._receive(workspace, entry, pocket, ask, link, now)
         self._ask(host, link, now)
 
     def tick(self, now: float) -> None:
@@ -258,10 +255,16 @@
                 del self._links[grantor]
 
     def _receive(
-        self, entry: GrantEntry, pocket: Pocket, ask: OpenAsk, link: Link, now: float
+        self,
+        workspace: WorkspaceId,
+        entry: GrantEntry,
+        pocket: Pocket,
+        ask: OpenAsk,
+        link: Link,
+        now: float,
     ) -> None:
         pocket.accepted = ask.sequence
-        link.active[entry.workspace] = pocket
+        link.active[workspace] = pocket
         pocket.receive(entry.granted, ask.sent_at + ask.life)
         pocket.receive(entry.ahead, ask.sent_at + PREFETCH_LIFE_SECONDS)
         asked, pocket.asked = pocket.asked, 0
@@ -270,12 +273,12 @@
                 self._settle(request, pocket, True)
             elif position < asked and entry.hold_ms:
                 self._settle(request, pocket, False)
-        if not entry.hold_ms:
+        if not entry.hold_ms or entry.granted:
             pocket.refusals = 0
-        else:
+        if entry.hold_ms:
             self._hold(pocket, entry.hold_ms / 1000, now)
         if pocket.waiting:
-            link.dirty[entry.workspace] = None
+            link.dirty[workspace] = None
 
     def _hold(self, pocket: Pocket, seconds: float, now: float) -> None:
         pocket.refusals += 1
@@ -292,15 +295,16 @@
     def _ask(self, grantor: HostId, link: Link, now: float) -> None:
         if link.open is not None or not link.dirty:
             return
+        self._sequence += 1
         entries = []
         for workspace in link.dirty:
             pocket = link.pockets.get(workspace)
             if pocket is not None:
                 entries.append(self._entry(workspace, pocket, now))
         link.dirty.clear()
+        named = tuple(entry.workspace for entry in entries)
         life_ms = int(link.round_trip.bound * 1000)
-        self._sequence += 1
-        link.open = OpenAsk(self._sequence, now, life_ms / 1000)
+        link.open = OpenAsk(self._sequence, now, life_ms / 1000, named)
         self._outbox.send(grantor, TokenAsk(self._sequence, life_ms, tuple(entries)))
 
     def _entry(self, workspace: WorkspaceId, pocket: Pocket, now: float) -> AskEntry:
@@ -309,7 +313,8 @@
         ahead = max(0, wanted - held) if wanted >= MIN_PREFETCH_TOKENS else 0
         pocket.asked = len(pocket.waiting)
         returned, pocket.returned = pocket.returned, 0
-        return AskEntry(workspace, pocket.asked, ahead, held, returned, pocket.accepted)
+        taken_ago = self._sequence - pocket.accepted
+        return AskEntry(workspace, pocket.asked, ahead, held, returned, taken_ago)
 
     def _tick_link(self, grantor: HostId, link: Link, now: float) -> None:
         if link.open is not None and now >= link.open.sent_at + link.open.life:
--- a/src/catkinspan/coordination/rates/bucket.py
+++ b/src/catkinspan/coordination/rates/bucket.py
@@ -2,9 +2,16 @@
 
 from attrs import define, field
 
-from catkinspan.coordination.rates.const import EPSILON, MINT_FACTOR
+from catkinspan.coordination.rates.const import (
+    ASKER_MEMORY_SECONDS,
+    EPSILON,
+    HIGH_PRESSURE,
+    MINT_FACTOR,
+    PRESSURE_WEIGHT,
+)
 from catkinspan.coordination.rates.leases import LeaseTable
 from catkinspan.coordination.rates.ledger import Ledger
+from catkinspan.state.ids import HostId
 from catkinspan.state.tree import Workspace
 
 
@@ -17,6 +24,39 @@
     )
 
 
+@define
+class Pressure:
+    """Whether a workspace asks for far more than its rate, and how many hosts ask.
+
+    Under high pressure each host gets a slice of what is minted during a hold, and
+    asks once in a hold, so the grantor's inbox does not grow with the overload.
+    """
+
+    short_share: float = 0.0
+    """Decaying share of the asks that could not be met."""
+
+    _askers: dict[HostId, float] = field(factory=dict)
+
+    @property
+    def is_high(self) -> bool:
+        """Return whether the workspace is overloaded."""
+        return self.short_share > HIGH_PRESSURE
+
+    def note_answer(self, is_short: bool) -> None:
+        """Count an answered ask."""
+        self.short_share += PRESSURE_WEIGHT * (is_short - self.short_share)
+
+    def note_asker(self, host: HostId, now: float) -> None:
+        """Remember who asked."""
+        self._askers[host] = now
+
+    def askers(self, now: float) -> int:
+        """Return the number of hosts that asked lately."""
+        oldest = now - ASKER_MEMORY_SECONDS
+        self._askers = {h: at for h, at in self._askers.items() if at >= oldest}
+        return max(1, len(self._askers))
+
+
 @define
 class Bucket:
     """Tokens in stock and tokens granted but unspent.
@@ -31,6 +71,7 @@
     updated: float
     touched: float
     ledger: Ledger = field(factory=Ledger)
+    pressure: Pressure = field(factory=Pressure)
 
     def settle(self, share: float, now: float) -> None:
         """Mint up to now, and forget grants whose life has ended on the way."""
--- a/src/catkinspan/coordination/rates/const.py
+++ b/src/catkinspan/coordination/rates/const.py
@@ -12,11 +12,16 @@
 """Factor on the rate, so that a host with a fast clock mints no more than its share."""
 
 LENDING_PERIOD_SECONDS = 1.25
-"""Shortest time between two lending updates to the same peer."""
+"""Time between two lending updates to the same peer in a small fleet."""
+
+SMALL_FLEET_HOSTS = 64
+
+HOUSEKEEPING_SECONDS = 0.25
+"""Interval of renewing self-leases, ending leases and releasing shards."""
 
 LENDING_MESSAGES_PER_SECOND = 20
-"""Largest number of lending updates that a host sends each second (about 2 KB); the
-period of lending grows with the fleet to keep it."""
+"""Largest number of lending updates that a host of a larger fleet sends each second
+(about 2 KB); the period of lending grows with the fleet to keep it."""
 
 LEASE_PERIODS = 3.6
 """Length of a lease in lending periods. A lease is renewed with a stamp up to two
@@ -29,10 +34,10 @@
 """Shortest time between two updates to a peer outside the period."""
 
 KEPT_STAMPS = 8
-PREFETCH_LIFE_SECONDS = 1.0
+PREFETCH_LIFE_SECONDS = 1.5
 """Life of tokens that are granted ahead of demand."""
 
-PREFETCH_SECONDS = 1.0
+PREFETCH_SECONDS = 1.5
 """Span of expected local demand that a host asks for ahead."""
 
 PREFETCH_RESERVE = 0.5
@@ -58,6 +63,14 @@
 the hold doubles with each refusal in a row, so an overloaded workspace cannot flood
 its grantor."""
 
+HIGH_PRESSURE = 0.4
+"""Share of unmet asks above which a workspace counts as overloaded."""
+
+PRESSURE_WEIGHT = 0.02
+"""Weight of one ask in the share of unmet asks; about the last 50 asks count."""
+
+ASKER_MEMORY_SECONDS = 2.0
+
 UNANSWERED_ASKS = 3
 """Asks in a row without an answer after which a host treats its grantor as out of
 reach."""
@@ -72,6 +85,9 @@
 
 RANK_INTERVAL_SECONDS = 1.0
 
+SPARE_INCARNATIONS = 100
+"""Departed hosts whose last incarnation is remembered in any case."""
+
 CONFIRMING_PEERS = 3
 """Peers that must know no newer incarnation of a host before it mints."""
 
--- a/src/catkinspan/coordination/rates/coordinator.py
+++ b/src/catkinspan/coordination/rates/coordinator.py
@@ -7,7 +7,12 @@
 from catkinspan.coordination.models import Origin, PeerMessage
 from catkinspan.coordination.outbox import Outbox
 from catkinspan.coordination.rates.asker import Asker
-from catkinspan.coordination.rates.const import EVICT_SECONDS, REFUSAL_SECONDS
+from catkinspan.coordination.rates.const import (
+    EVICT_SECONDS,
+    HOUSEKEEPING_SECONDS,
+    REFUSAL_SECONDS,
+    SPARE_INCARNATIONS,
+)
 from catkinspan.coordination.rates.grantor import Grantor
 from catkinspan.coordination.rates.lending import Lending
 from catkinspan.coordination.rates.models import (
@@ -59,23 +64,21 @@
         self._asker = Asker(incarnation, outbox)
         self._refusals = RefusalCounter(REFUSAL_SECONDS)
         self._incarnations: dict[HostId, int] = {}
-        self._clean_at = 0.0
+        self._clean_at = float("-inf")
+        self._housekeeping_at = float("-inf")
 
     def apply_tree(self, tree: SettingsTree, now: float) -> None:
-        """Take over rates and bursts.
-
-        The number of shards of the first tree holds for the life of the process: a
-        workspace that changes its shard could use one right in two places.
-        """
+        """Take over rates and bursts."""
         self._tree = tree
         self._grantor.apply_limits(tree.workspaces, now)
-        self._lending.apply(self._view, tree.fleet.rate_shards, now)
+        self._lending.apply_tree(tree, now)
 
     def apply_view(self, view: FleetView, now: float) -> None:
         """Take over the host list and the grantors of the shards."""
         self._view = view
+        self._forget_departed(view)
         self._right.apply_view(view, now)
-        self._lending.apply(view, self._tree.fleet.rate_shards, now)
+        self._lending.apply_view(view, now)
         self._lending.release_idle(now)
 
     def handle(self, message: PeerMessage, origin: Origin, now: float) -> None:
@@ -91,7 +94,6 @@
             case TokenAsk():
                 self._answer_ask(message, origin, now)
             case TokenGrant():
-                self._right.note_incarnation(message.incarnation)
                 self._asker.handle_grant(message, origin.host, now)
             case LendingUpdate():
                 self._lending.handle_update(message, origin, now)
@@ -105,10 +107,13 @@
     def tick(self, now: float) -> None:
         """Renew leases, end what is due and forget what is idle."""
         self._right.tick(now)
-        self._grantor.tick(now)
         self._lending.tick(now)
-        self._lending.release_idle(now)
         self._asker.tick(now)
+        if now >= self._housekeeping_at:
+            self._housekeeping_at = now + HOUSEKEEPING_SECONDS
+            self._grantor.tick(now)
+            self._lending.use_at_home(now)
+            self._lending.release_idle(now)
         if now >= self._clean_at:
             self._clean_at = now + EVICT_SECONDS
             self._asker.forget_idle(now)
@@ -167,6 +172,13 @@
             tuple(self._workspace_rates(name, now) for name in known),
         )
 
+    def _forget_departed(self, view: FleetView) -> None:
+        if len(self._incarnations) <= 2 * len(view.hosts) + SPARE_INCARNATIONS:
+            return
+        known = self._incarnations.items()
+        self._incarnations = {h: n for h, n in known if h in view.hosts}
+        self._grantor.forget_departed(view.hosts.keys())
+
     def _take(
         self, request_id: RequestId, workspace: WorkspaceId, now: float
     ) -> RateVerdict:
--- a/src/catkinspan/coordination/rates/grantor.py
+++ b/src/catkinspan/coordination/rates/grantor.py
@@ -1,6 +1,7 @@
 """The grantor's side: leases, buckets and grants of the shards that it serves."""
 
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
+from math import ceil
 
 from attrs import define, field
 
@@ -76,6 +77,10 @@
         self._shards.clear()
         self._rest_until = now + PREFETCH_LIFE_SECONDS * DRIFT_MARGIN
 
+    def forget_departed(self, known: Collection[HostId]) -> None:
+        """Forget the sequence numbers of hosts that have left."""
+        self._last_asks = {h: n for h, n in self._last_asks.items() if h in known}
+
     def lend(
         self,
         shard_id: int,
@@ -131,7 +136,7 @@
             self._grant(entry, holder, ask.sequence, life, shards, now)
             for entry in ask.entries
         )
-        return TokenGrant(ask.sequence, incarnation, entries)
+        return TokenGrant(ask.sequence, entries)
 
     def tick(self, now: float) -> None:
         """End leases that are due, and forget idle buckets now and then."""
@@ -157,21 +162,27 @@
         shard = self._current(shard_of(entry.workspace, shards), now)
         bucket = self._bucket(shard, entry.workspace, now)
         if bucket is None:
-            return GrantEntry(entry.workspace, 0, 0, _hold_ms(MAX_HOLD_SECONDS))
+            return GrantEntry(0, 0, _hold_ms(MAX_HOLD_SECONDS))
         table, ledger = shard.table, bucket.ledger
-        back = ledger.report(holder, entry.held, entry.accepted, entry.returned)
+        accepted = sequence - entry.taken_ago
+        back = ledger.report(holder, entry.held, accepted, entry.returned)
         bucket.add(back, table.total)
+        bucket.pressure.note_asker(holder[0], now)
         expiry = now + life * DRIFT_MARGIN
         granted = min(entry.need, bucket.whole_tokens(table.share_until(expiry)))
         bucket.tokens -= granted
         ledger.issue(holder, granted, expiry, sequence)
+        is_short = granted < entry.need
+        bucket.pressure.note_answer(is_short)
         ahead = 0
-        if granted == entry.need and entry.ahead > 0:
+        if not is_short and entry.ahead > 0:
             ahead = self._grant_ahead(entry, holder, sequence, shard, bucket, now)
         hold = 0
-        if granted < entry.need:
+        if bucket.pressure.is_high:
+            hold = _hold_ms(MAX_HOLD_SECONDS)
+        elif is_short:
             hold = _hold_ms(bucket.seconds_to_token(table.total))
-        return GrantEntry(entry.workspace, granted, ahead, hold)
+        return GrantEntry(granted, ahead, hold)
 
     def _grant_ahead(
         self,
@@ -184,9 +195,13 @@
     ) -> int:
         expiry = now + PREFETCH_LIFE_SECONDS * DRIFT_MARGIN
         share = shard.table.share_until(expiry)
-        reserve = bucket.limits.burst * share * PREFETCH_RESERVE
-        spare = bucket.whole_tokens(share) - reserve
-        fair = int(spare / (bucket.ledger.holders + 1))
+        stock = bucket.whole_tokens(share)
+        if bucket.pressure.is_high:
+            minted = bucket.limits.rate * share * MAX_HOLD_SECONDS
+            fair = min(stock, ceil(minted / bucket.pressure.askers(now)))
+        else:
+            reserve = bucket.limits.burst * share * PREFETCH_RESERVE
+            fair = int((stock - reserve) / (bucket.ledger.holders + 1))
         amount = max(0, min(entry.ahead, fair))
         bucket.tokens -= amount
         bucket.ledger.issue(holder, amount, expiry, sequence)
--- a/src/catkinspan/coordination/rates/leases.py
+++ b/src/catkinspan/coordination/rates/leases.py
@@ -11,13 +11,16 @@
     LEASE_PERIODS,
     LENDING_MESSAGES_PER_SECOND,
     LENDING_PERIOD_SECONDS,
+    SMALL_FLEET_HOSTS,
 )
 from catkinspan.state.ids import HostId
 
 
 def lending_period(max_hosts: int) -> float:
     """Return the seconds between two lending updates to the same peer."""
-    return max(LENDING_PERIOD_SECONDS, max_hosts / LENDING_MESSAGES_PER_SECOND)
+    if max_hosts <= SMALL_FLEET_HOSTS:
+        return LENDING_PERIOD_SECONDS
+    return max_hosts / LENDING_MESSAGES_PER_SECOND
 
 
 def lease_seconds(max_hosts: int) -> float:
--- a/src/catkinspan/coordination/rates/lending.py
+++ b/src/catkinspan/coordination/rates/lending.py
@@ -22,9 +22,10 @@
 )
 from catkinspan.coordination.rates.models import LeaseRelease, LendingUpdate
 from catkinspan.coordination.rates.right import MintingRight
-from catkinspan.coordination.rates.shards import Grantors
+from catkinspan.coordination.rates.shards import Grantors, shard_of
 from catkinspan.state.hosts import FleetView
 from catkinspan.state.ids import HostId
+from catkinspan.state.tree import SettingsTree
 
 NEVER = float("-inf")
 
@@ -89,6 +90,7 @@
         self._grantors = Grantors()
         self._view: FleetView | None = None
         self._shards = 0
+        self._populated: set[int] = set()
         self._stamp = incarnation
         self._peers: dict[HostId, Peer] = {}
         self._schedule: list[tuple[float, HostId]] = []
@@ -109,13 +111,26 @@
         """Return the grantor of a shard in the own view."""
         return self._grantors.of(shard)
 
-    def apply(self, view: FleetView | None, shards: int, now: float) -> None:
-        """Take over a changed view or number of shards."""
-        self._shards = self._shards or shards
+    def apply_tree(self, tree: SettingsTree, now: float) -> None:
+        """Take over which shards hold workspaces.
+
+        The number of shards of the first tree holds for the life of the process: a
+        workspace that changes its shard could use one right in two places.
+        """
+        self._shards = self._shards or tree.fleet.rate_shards
+        self._populated = {shard_of(name, self._shards) for name in tree.workspaces}
+        self._choose_peers(now)
+
+    def apply_view(self, view: FleetView, now: float) -> None:
+        """Take over a changed view of the fleet."""
         self._view = view
+        self._choose_peers(now)
+
+    def _choose_peers(self, now: float) -> None:
+        view = self._view
         if view is None or not self._shards:
             return
-        self._grantors.update(frozenset(view.usable), self._shards)
+        self._grantors.update(frozenset(view.usable), self._shards, self._populated)
         serving = bool(self._grantors.served_by(self._self_id))
         wanted = set(view.usable) if serving else set(self._grantors.hosts)
         wanted.discard(self._self_id)
@@ -155,14 +170,16 @@
                 loan.until = now
 
     def tick(self, now: float) -> None:
-        """Send due updates and renew the leases of the own right to this host."""
-        if self._view is None:
-            return
-        self._send_due(now)
-        if self._right.obstacle(now) is not None:
+        """Send the updates that are due."""
+        if self._view is not None:
+            self._send_due(now)
+
+    def use_at_home(self, now: float) -> None:
+        """Renew the leases of the own right to this host where nobody else has it."""
+        if self._view is None or self._right.obstacle(now) is not None:
             return
         share = 1.0 / self._view.max_hosts
-        for shard in range(self._shards):
+        for shard in self._populated:
             self._use_at_home(shard, share, now)
 
     def resume(self) -> None:
--- a/src/catkinspan/coordination/rates/models.py
+++ b/src/catkinspan/coordination/rates/models.py
@@ -77,8 +77,8 @@
     returned: int = 0
     """Granted tokens dropped unspent since the last ask."""
 
-    accepted: int = 0
-    """Sequence number of the last ask whose grant for the workspace was taken."""
+    taken_ago: int = 1
+    """How many asks ago the last grant for the workspace was taken."""
 
 
 @frozen
@@ -86,6 +86,8 @@
     """Asks a grantor for tokens; voids the grants of all earlier asks."""
 
     sequence: int
+    """The asker's incarnation plus a number, so that none occurs in two processes."""
+
     life_ms: int
     """Life of the tokens for waiting requests, counted from this message."""
 
@@ -94,13 +96,12 @@
 
 @frozen
 class GrantEntry:
-    """Tokens for one workspace."""
+    """Tokens for one entry of the ask."""
 
-    workspace: WorkspaceId
     granted: int
     ahead: int = 0
     hold_ms: int = 0
-    """Time until the next token, when fewer than needed were granted."""
+    """Time during which the asker shall not ask again for the workspace."""
 
 
 @frozen
@@ -108,10 +109,8 @@
     """Answers an ask; valid only while that ask is the asker's latest."""
 
     sequence: int
-    incarnation: int
-    """The asker's incarnation."""
-
     entries: tuple[GrantEntry, ...]
+    """In the order of the ask's entries."""
 
 
 @frozen
--- a/src/catkinspan/coordination/rates/right.py
+++ b/src/catkinspan/coordination/rates/right.py
@@ -104,7 +104,7 @@
     def obstacle(self, now: float) -> str | None:
         """Return why the host must not mint, or None."""
         if self._view is None or self._rest_until is None:
-            return "no view of the fleet yet"
+            return "no tick since the start or a pause, or no view of the fleet"
         if self._superseded:
             return "a newer process of this host is known"
         if self._draining or self._is_leaving(self._view):
--- a/src/catkinspan/coordination/rates/shards.py
+++ b/src/catkinspan/coordination/rates/shards.py
@@ -46,8 +46,10 @@
         """Return the hosts that serve a shard."""
         return tuple(self._served)
 
-    def update(self, members: frozenset[HostId], shards: int) -> None:
-        """Take over the hosts that may serve."""
+    def update(
+        self, members: frozenset[HostId], shards: int, populated: set[int]
+    ) -> None:
+        """Take over the hosts that may serve and the shards that hold workspaces."""
         joined = members - self._members
         if shards != len(self._owners):
             self._owners = [None] * shards
@@ -57,7 +59,7 @@
         self._members = members
         self._served = {}
         for shard, holder in enumerate(self._owners):
-            if holder is not None:
+            if holder is not None and shard in populated:
                 self._served[holder] = (*self._served.get(holder, ()), shard)
 
     def _choose(
