--- a/src/catkinspan/coordination/rates/coordinator.py
+++ b/src/catkinspan/coordination/rates/coordinator.py
@@ -157,7 +157,7 @@
             if loan.until > now
         }
         lenders = {
-            shard_id: tuple(sorted(shard.table.leases))
+            shard_id: tuple(sorted(shard.table.current(now)))
             for shard_id, shard in self._grantor.shards.items()
         }
         names = set(self._asker.pockets()) | set(self._refusals.names(now))
--- a/src/catkinspan/coordination/rates/grantor.py
+++ b/src/catkinspan/coordination/rates/grantor.py
@@ -60,16 +60,16 @@
         return self._shards
 
     def apply_limits(self, limits: Mapping[WorkspaceId, Workspace], now: float) -> None:
-        """Take over rates and bursts."""
+        """Take over rates and bursts.
+
+        The bucket of a withdrawn workspace stays until it is idle, so that a
+        workspace that is published again does not find its burst refilled.
+        """
         self._limits = limits
         for shard in self._shards.values():
-            for workspace, bucket in list(shard.buckets.items()):
+            for workspace, bucket in shard.buckets.items():
                 bucket.settle(shard.table.total, now)
-                current = limits.get(workspace)
-                if current is None:
-                    del shard.buckets[workspace]
-                    continue
-                bucket.limits = current
+                bucket.limits = limits.get(workspace, bucket.limits)
                 bucket.clamp(shard.table.total)
 
     def restart(self, now: float) -> None:
@@ -210,13 +210,15 @@
     def _bucket(
         self, shard: Shard, workspace: WorkspaceId, now: float
     ) -> Bucket | None:
+        limits = self._limits.get(workspace)
+        if limits is None:
+            return None
         bucket = shard.buckets.get(workspace)
         if bucket is not None:
             bucket.settle(shard.table.total, now)
             bucket.touched = now
             return bucket
-        limits = self._limits.get(workspace)
-        if limits is None or not shard.table.leases:
+        if not shard.table.leases:
             return None
         bucket = Bucket(limits, saved_tokens(limits, shard.table, now), now, now)
         shard.buckets[workspace] = bucket
--- a/src/catkinspan/coordination/rates/leases.py
+++ b/src/catkinspan/coordination/rates/leases.py
@@ -73,6 +73,10 @@
         while (expiry := self.next_expiry()) <= now:
             yield expiry, self._expiries[0][1]
 
+    def current(self, now: float) -> Iterator[HostId]:
+        """Yield the lenders whose leases run now."""
+        return (host for host, lease in self.leases.items() if lease.expiry > now)
+
     def changes(self, lender: HostId, share: float) -> bool:
         """Return whether a lease of this share would change the total."""
         lease = self.leases.get(lender)
--- a/src/catkinspan/coordination/rates/right.py
+++ b/src/catkinspan/coordination/rates/right.py
@@ -50,8 +50,9 @@
 
     def apply_view(self, view: FleetView, now: float) -> None:
         """Take over the host list and the known incarnations."""
+        before = () if self._view is None else self._view.listed
         self._view = view
-        for host in view.listed:
+        for host in (*before, *view.listed):
             self._seen_listed[host] = now
         own = view.hosts.get(self._self_id)
         if own is not None:
