Keep a departed id's rank for at least the longest lease

At 1,100 hosts a lease lasts 198 s, more than the 30 s after which the rank of a departed host was taken over, so S + 1 rights could be in use. Found by review.

--- a/src/catkinspan/coordination/rates/const.py
+++ b/src/catkinspan/coordination/rates/const.py
@@ -80,8 +80,8 @@
 """Time constant of the local demand estimate."""
 
 LIST_MEMORY_SECONDS = 30.0
-"""Time that an id which left the host list still takes a rank; above the 13 s within
-which a list is in force everywhere."""
+"""Shortest time that an id which left the host list still takes a rank; above the
+13 s within which a list is in force everywhere."""
 
 RANK_INTERVAL_SECONDS = 1.0
 
--- a/src/catkinspan/coordination/rates/leases.py
+++ b/src/catkinspan/coordination/rates/leases.py
@@ -11,6 +11,7 @@
     LEASE_PERIODS,
     LENDING_MESSAGES_PER_SECOND,
     LENDING_PERIOD_SECONDS,
+    LIST_MEMORY_SECONDS,
     SMALL_FLEET_HOSTS,
 )
 from catkinspan.state.ids import HostId
@@ -33,6 +34,14 @@
     return lease_seconds(max_hosts) * DRIFT_MARGIN
 
 
+def list_memory(max_hosts: int) -> float:
+    """Return the seconds for which an id that left the list still takes a rank.
+
+    No shorter than the longest lease: the rights of the departed host may be in use.
+    """
+    return max(LIST_MEMORY_SECONDS, lender_wait(max_hosts))
+
+
 @define
 class Lease:
     """Minting rights that a host has lent."""
--- a/src/catkinspan/coordination/rates/right.py
+++ b/src/catkinspan/coordination/rates/right.py
@@ -6,10 +6,9 @@
 from catkinspan.coordination.rates.const import (
     CONFIRM_RETRY_SECONDS,
     CONFIRMING_PEERS,
-    LIST_MEMORY_SECONDS,
     RANK_INTERVAL_SECONDS,
 )
-from catkinspan.coordination.rates.leases import lender_wait
+from catkinspan.coordination.rates.leases import lender_wait, list_memory
 from catkinspan.coordination.rates.models import IncarnationQuery, IncarnationReply
 from catkinspan.state.hosts import FleetView, HostStatus
 from catkinspan.state.ids import HostId
@@ -76,7 +75,7 @@
             return
         if self._rest_until is None:
             self._rest_until = now + lender_wait(self._view.max_hosts)
-            self._list_rest_until = now + LIST_MEMORY_SECONDS
+            self._list_rest_until = now + list_memory(self._view.max_hosts)
         if now >= self._rank_at:
             self._rank_at = now + RANK_INTERVAL_SECONDS
             self._update_rank(now)
@@ -135,7 +134,7 @@
         self._rank = None
         if self._self_id not in self._view.listed:
             return
-        oldest = now - LIST_MEMORY_SECONDS
+        oldest = now - list_memory(self._view.max_hosts)
         if any(at < oldest for at in self._seen_listed.values()):
             self._seen_listed = {
                 host: at for host, at in self._seen_listed.items() if at >= oldest
--- a/tests/coordination/rates/test_leases.py
+++ b/tests/coordination/rates/test_leases.py
@@ -10,6 +10,7 @@
     lease_seconds,
     lender_wait,
     lending_period,
+    list_memory,
 )
 from tests.coordination.rates.support import A, B
 
@@ -36,6 +37,11 @@
     assert lease_seconds(slots) > 3 * lending_period(slots)
 
 
+@pytest.mark.parametrize("slots", [1, 40, 1100])
+def test_rank_is_taken_over_only_after_the_leases_of_its_holder(slots: int) -> None:
+    assert list_memory(slots) >= lender_wait(slots)
+
+
 def test_total_follows_the_leases() -> None:
     table = LeaseTable()
     table.renew(A, 0.25, 1, 10.0, 0.0)
