Grant nothing ahead of demand from small buckets

With skewed traffic the workspace of rate 5 and burst 10 was wrongly refused 0.109% of 28515 requests at 80% of its rate (target under 0.1%): tokens granted ahead lay on hosts.

--- a/src/catkinspan/coordination/rates/const.py
+++ b/src/catkinspan/coordination/rates/const.py
@@ -40,6 +40,10 @@
 PREFETCH_SECONDS = 1.5
 """Span of expected local demand that a host asks for ahead."""
 
+MIN_PREFETCH_CAP = 50.0
+"""Smallest cap of a bucket that grants ahead of demand; tokens that lie on hosts would
+take a noticeable part of a smaller one."""
+
 PREFETCH_RESERVE = 0.5
 """Fraction of its cap that a grantor keeps back from grants ahead of demand."""
 
--- a/src/catkinspan/coordination/rates/grantor.py
+++ b/src/catkinspan/coordination/rates/grantor.py
@@ -12,6 +12,7 @@
     EVICT_SECONDS,
     MAX_ASK_LIFE_SECONDS,
     MAX_HOLD_SECONDS,
+    MIN_PREFETCH_CAP,
     PREFETCH_LIFE_SECONDS,
     PREFETCH_RESERVE,
 )
@@ -175,7 +176,8 @@
         is_short = granted < entry.need
         bucket.pressure.note_answer(is_short)
         ahead = 0
-        if not is_short and entry.ahead > 0:
+        cap = bucket.limits.burst * table.total
+        if not is_short and entry.ahead > 0 and cap >= MIN_PREFETCH_CAP:
             ahead = self._grant_ahead(entry, holder, sequence, shard, bucket, now)
         hold = 0
         if bucket.pressure.is_high:
