--- a/src/catkinspan/coordination/rates/asker.py
+++ b/src/catkinspan/coordination/rates/asker.py
@@ -160,6 +160,7 @@
         self._links: dict[HostId, Link] = {}
         self._sequence = incarnation
         self._settled: list[RateSettled] = []
+        self._refused: list[WorkspaceId] = []
         self._waiting_on: dict[RequestId, tuple[HostId, WorkspaceId]] = {}
 
     def take_settled(self) -> list[RateSettled]:
@@ -167,6 +168,11 @@
         settled, self._settled = self._settled, []
         return settled
 
+    def take_refused(self) -> list[WorkspaceId]:
+        """Return and forget the workspaces whose waits ended without a token."""
+        refused, self._refused = self._refused, []
+        return refused
+
     def pocket(self, grantor: HostId, workspace: WorkspaceId) -> Pocket | None:
         """Return the tokens and waits of a workspace."""
         link = self._links.get(grantor)
@@ -289,7 +295,9 @@
 
     def _settle(self, request: RequestId, pocket: Pocket, admitted: bool) -> None:
         del pocket.waiting[request]
-        self._waiting_on.pop(request, None)
+        _, workspace = self._waiting_on.pop(request)
+        if not admitted:
+            self._refused.append(workspace)
         self._settled.append(RateSettled(request, admitted))
 
     def _ask(self, grantor: HostId, link: Link, now: float) -> None:
--- a/src/catkinspan/coordination/rates/coordinator.py
+++ b/src/catkinspan/coordination/rates/coordinator.py
@@ -109,6 +109,8 @@
         self._right.tick(now)
         self._lending.tick(now)
         self._asker.tick(now)
+        for workspace in self._asker.take_refused():
+            self._refusals.count(workspace, now)
         if now >= self._housekeeping_at:
             self._housekeeping_at = now + HOUSEKEEPING_SECONDS
             self._grantor.tick(now)
--- a/tests/coordination/rates/test_asker.py
+++ b/tests/coordination/rates/test_asker.py
@@ -100,6 +100,7 @@
     entry.take("r1", 1.0)
     entry.grant(entry.last_ask().sequence, 1.004, 0, 0, 100)
     assert entry.asker.take_settled() == [RateSettled(RequestId("r1"), False)]
+    assert entry.asker.take_refused() == [SHOP]
     assert entry.take("r2", 1.05) is RateVerdict.REFUSED
     assert entry.take("r3", 1.11) is RateVerdict.PENDING
 
--- a/tests/coordination/rates/test_lending.py
+++ b/tests/coordination/rates/test_lending.py
@@ -98,6 +98,18 @@
     assert lender.rates._lending.loans[0].until == 12.0
 
 
+def test_snapshot_tells_operators_what_holds_a_workspace_back() -> None:
+    grantor, lender = lent_pair()
+    verdicts = [grantor.rates.take(RequestId(f"r{n}"), SHOP, 12.0) for n in range(25)]
+    refused = verdicts.count(RateVerdict.REFUSED)
+    snapshot = grantor.rates.snapshot(12.0)
+    (rates,) = snapshot.workspaces
+    assert snapshot.minting
+    assert (rates.grantor, rates.cap) == (grantor.host, 20.0)
+    assert rates.recent_refusals == refused > 0
+    assert rates.stock is not None and rates.stock < 1
+
+
 def test_draining_grantor_returns_rights_at_once() -> None:
     grantor, lender = lent_pair()
     grantor.rates.drain(12.0)
