--- a/src/catkinspan/coordination/rates/leases.py
+++ b/src/catkinspan/coordination/rates/leases.py
@@ -11,13 +11,17 @@
     LEASE_PERIODS,
     LENDING_MESSAGES_PER_SECOND,
     LENDING_PERIOD_SECONDS,
+    LIST_MEMORY_SECONDS,
+    SMALL_FLEET_HOSTS,
 )
 from catkinspan.state.ids import HostId
 
 
 def lending_period(max_hosts: int) -> float:
     """Return the seconds between two lending updates to the same peer."""
-    return max(LENDING_PERIOD_SECONDS, max_hosts / LENDING_MESSAGES_PER_SECOND)
+    if max_hosts <= SMALL_FLEET_HOSTS:
+        return LENDING_PERIOD_SECONDS
+    return max_hosts / LENDING_MESSAGES_PER_SECOND
 
 
 def lease_seconds(max_hosts: int) -> float:
@@ -30,6 +34,14 @@
     return lease_seconds(max_hosts) * DRIFT_MARGIN
 
 
+def list_memory(max_hosts: int) -> float:
+    """Return the seconds for which an id that left the list still takes a rank.
+
+    No shorter than the longest lease: the rights of the departed host may be in use.
+    """
+    return max(LIST_MEMORY_SECONDS, lender_wait(max_hosts))
+
+
 @define
 class Lease:
     """Minting rights that a host has lent."""
@@ -70,6 +82,10 @@
         while (expiry := self.next_expiry()) <= now:
             yield expiry, self._expiries[0][1]
 
+    def current(self, now: float) -> Iterator[HostId]:
+        """Yield the lenders whose leases run now."""
+        return (host for host, lease in self.leases.items() if lease.expiry > now)
+
     def changes(self, lender: HostId, share: float) -> bool:
         """Return whether a lease of this share would change the total."""
         lease = self.leases.get(lender)
