Divide capacity between dispatchers by rate, not by slots

A data centre whose only server is gray but kept by the floor counted its slow slots in full and borrowed nothing. The bench counts what ends within the measured time; the queue left at its end was counted as goodput before.

--- a/bench/slots.py
+++ b/bench/slots.py
@@ -195,6 +195,9 @@
 
     arrived: Counter[WorkspaceId] = field(factory=Counter)
     done: Counter[WorkspaceId] = field(factory=Counter)
+    done_in_time: Counter[WorkspaceId] = field(factory=Counter)
+    """Requests that ended within the measured time, whenever they arrived."""
+
     refused: Counter[str] = field(factory=Counter)
     failed: int = 0
     attempts: int = 0
@@ -320,6 +323,7 @@
         )
         self.tally = Tally()
         self.measure_from = 0.0
+        self.measure_until = float("inf")
         self.shed_ran = True
         """Whether a retry after a shed is charged in full."""
         self._sent = 0
@@ -491,8 +495,11 @@
         """Count a completed request."""
         now = self.channel.now
         request = running.request
-        if running.arrived_at >= self.measure_from and now <= request.deadline:
-            self.tally.done[request.workspace] += 1
+        if now <= request.deadline:
+            if running.arrived_at >= self.measure_from:
+                self.tally.done[request.workspace] += 1
+            if self.measure_from <= now < self.measure_until:
+                self.tally.done_in_time[request.workspace] += 1
         self._release(running)
 
     def shed(self, running: Running, server: ServerId) -> None:
@@ -609,7 +616,7 @@
     fleet.channel.at(start, turn_gray)
     eject = set(gray[:ejectable])
     fleet.channel.at(start + 2.0, lambda: fleet.availability.eject(eject))
-    fleet.measure_from = start
+    fleet.measure_from, fleet.measure_until = start, end
     rate = load * deployment.capacity / 8
     rates = {w: rate * (5 if w == WORKSPACES[0] else 1) for w in WORKSPACES}
     for workspace, own_rate in rates.items():
@@ -617,11 +624,14 @@
     fleet.channel.run(end + 5.0)
     left = deployment.servers - len(gray)
     slow = 2.0 / seconds * len(gray) + (1 - 2.0 / seconds) * (len(gray) - len(eject))
-    capacity = deployment.capacity * (left + slow / 10) / deployment.servers
+    # The drawn service times differ from their mean, which the workspace with the
+    # largest demand would feel several times over.
+    drawn = attrs.evolve(deployment, mean_seconds=fleet.servers.mean_drawn)
+    capacity = drawn.capacity * (left + slow / 10) / deployment.servers
     arrived = fleet.tally.arrived
     demands = {w: (1.0, arrived[w] / seconds) for w in WORKSPACES}
     shares = water_fill(capacity, demands)
-    done = {w: fleet.tally.done[w] / seconds for w in WORKSPACES}
+    done = {w: fleet.tally.done_in_time[w] / seconds for w in WORKSPACES}
     relative = [done[w] / shares[w] for w in WORKSPACES]
     used = sum(done.values()) / min(capacity, sum(d for _, d in demands.values()))
     return FairnessResult(min(relative), relative[0], used, fleet.tally)
--- a/src/catkinspan/coordination/slots/dispatcher.py
+++ b/src/catkinspan/coordination/slots/dispatcher.py
@@ -53,7 +53,6 @@
 )
 from catkinspan.state.ids import HostId, ServerId, ServiceId, WorkspaceId
 
-_HOLD_SMOOTHING = 0.05
 _RECALL_GAP_SECONDS = 0.02
 
 
@@ -132,7 +131,6 @@
         self._partners = Partners()
         self._answers = _Answers()
         self._first_lease = self._next_lease = rng.getrandbits(24) << 16
-        self._hold_seconds: float | None = None
         self._recalled_at = float("-inf")
         self.max_queue = 0
         self.hosts = 0
@@ -219,15 +217,15 @@
         if partner is None:
             return
         partner.demand, partner.demand_at = message.demand, now
-        fair = self._fair_for(message)
+        capacity, fair = self._shares_of(message)
         renewed = self._renew_loans(message, host, now)
-        excess = message.capacity - int(fair + 1) if len(self._queue) else 0
+        excess = int(capacity - fair) if len(self._queue) else 0
         recalled = renewed[: max(0, excess)]
         wants = min(message.wants, MAX_LOAN)
         if len(self._queue):
             # Small differences are noise; moving slots for them costs more than it
             # gives. A borrower has none to spare.
-            missing = fair - message.capacity * (1 + LOAN_HYSTERESIS)
+            missing = fair - capacity * (1 + LOAN_HYSTERESIS)
             wants = 0 if self._pool.borrowed else max(0, min(wants, int(missing)))
         partner.owed = wants
         partner.owed_until = now + LOAN_BACKOFF_SECONDS
@@ -321,14 +319,14 @@
         queued.append(waiting.ask.ticket)
 
     def _expected_wait(self, waiting: Waiting) -> float:
-        capacity = self._pool.capacity
-        if self._hold_seconds is None or not capacity:
+        rate = self._pool.rate
+        if not rate:
             return 0.0
         ahead = self._queue.length(waiting.workspace) + 1
         others = self._queue.total_weight(besides=waiting.workspace)
         by_share = ahead * (others + waiting.weight) / max(waiting.weight, 1e-3)
         turns = min(by_share, len(self._queue) + 1)
-        return turns * self._hold_seconds / capacity
+        return turns / rate
 
     def _deny(self, waiting: Waiting, reason: SlotRefusal) -> None:
         denial = Denial(waiting.ask.ticket, reason)
@@ -437,18 +435,12 @@
             return
         self._by_ticket.pop((lease.host, lease.ticket), None)
         if measured and lease.timed:
-            self._measure(now - lease.granted_at)
+            self._pool.measure(lease.server, now - lease.granted_at)
         if lease.borrowed:
             self._free_loan(lease.borrowed)
         elif server := self._pool.servers.get(lease.server):
             server.used = max(0, server.used - 1)
 
-    def _measure(self, seconds: float) -> None:
-        last = self._hold_seconds
-        self._hold_seconds = (
-            seconds if last is None else last + _HOLD_SMOOTHING * (seconds - last)
-        )
-
     def _recall(self, now: float) -> None:
         if now - self._recalled_at < _RECALL_GAP_SECONDS:
             return
@@ -471,9 +463,15 @@
             weights[waiting.workspace] = waiting.weight
         return largest(WorkspaceDemand(w, weights[w], n) for w, n in slots.items())
 
-    def _fair_for(self, message: LoanAsk) -> float:
-        own = self._pool.capacity - sum(v.loan for v in self._leases.values())
-        return fair_capacity(own + message.capacity, self._demand(), message.demand)
+    def _shares_of(self, message: LoanAsk) -> tuple[float, float]:
+        """Return the borrower's capacity and its fair one, in own typical slots."""
+        lent = sum(lease.loan for lease in self._leases.values())
+        own, theirs = float(self._pool.capacity - lent), float(message.capacity)
+        typical = self._pool.typical_hold
+        if typical and message.rate:
+            own = self._pool.rate * typical - lent
+            theirs = message.rate * typical
+        return theirs, fair_capacity(own + theirs, self._demand(), message.demand)
 
     def _renew_loans(
         self, message: LoanAsk, host: HostId, now: float
@@ -521,6 +519,7 @@
             self._service,
             min(len(self._queue), MAX_LOAN),
             self._pool.capacity,
+            round(self._pool.rate, 1),
             self._demand(),
             tuple(Held(loan.lease, loan.server) for loan in due),
         )
--- a/src/catkinspan/coordination/slots/lending.py
+++ b/src/catkinspan/coordination/slots/lending.py
@@ -73,7 +73,7 @@
 
 
 def fair_capacity(
-    capacity: int,
+    capacity: float,
     lender: Sequence[WorkspaceDemand],
     borrower: Sequence[WorkspaceDemand],
 ) -> float:
--- a/src/catkinspan/coordination/slots/models.py
+++ b/src/catkinspan/coordination/slots/models.py
@@ -223,6 +223,9 @@
     capacity: int
     """Slots that the borrower has now, loans included."""
 
+    rate: float
+    """Requests a second that these slots can run; 0.0 if unknown."""
+
     demand: tuple[WorkspaceDemand, ...]
     held: tuple[Held, ...] = ()
     """Loans of this lender to renew."""
--- a/src/catkinspan/coordination/slots/pool.py
+++ b/src/catkinspan/coordination/slots/pool.py
@@ -1,8 +1,10 @@
 """The slots that a dispatcher leases: those of its servers and borrowed ones."""
 
-from collections.abc import Collection, Mapping
+from collections.abc import Collection, Iterator, Mapping
 from enum import Enum, auto
+from itertools import repeat
 from random import Random
+from statistics import median_low
 
 from attrs import define, field
 
@@ -15,6 +17,9 @@
 )
 from catkinspan.state.ids import HostId, ServerId
 
+_HOLD_SMOOTHING = 0.05
+_LEAST_HOLD_SECONDS = 0.0001
+
 
 class Part(Enum):
     """Slots of each server that a dispatcher uses while its role moves."""
@@ -114,6 +119,9 @@
 
     servers: dict[ServerId, PoolServer] = field(factory=dict)
     borrowed: dict[tuple[HostId, int], Borrowed] = field(factory=dict)
+    holds: dict[ServerId, float] = field(factory=dict)
+    """Average seconds for which a lease for one request is held, by server."""
+
     part: Part = Part.ALL
     part_until: float = 0.0
 
@@ -122,12 +130,36 @@
         """Return all slots, borrowed ones included."""
         return sum(s.slots for s in self.servers.values()) + len(self.borrowed)
 
+    @property
+    def typical_hold(self) -> float | None:
+        """Return the median of the servers' average seconds for one request."""
+        holds = [self.holds[id_] for id_ in self._slot_servers() if id_ in self.holds]
+        return median_low(holds) if holds else None
+
+    @property
+    def rate(self) -> float:
+        """Return the requests a second that the slots can run; 0.0 if unknown.
+
+        A slow server that health may not eject, because of the floor, counts by what
+        it gets done and not by its slots.
+        """
+        typical = self.typical_hold
+        if typical is None:
+            return 0.0
+        return sum(1.0 / self.holds.get(id_, typical) for id_ in self._slot_servers())
+
     @property
     def used(self) -> int:
         """Return the slots in use."""
         own = sum(s.used for s in self.servers.values())
         return own + sum(1 for loan in self.borrowed.values() if loan.busy)
 
+    def measure(self, server: ServerId, seconds: float) -> None:
+        """Average the length of a lease for one request."""
+        seconds = max(seconds, _LEAST_HOLD_SECONDS)
+        last = self.holds.get(server, seconds)
+        self.holds[server] = last + _HOLD_SMOOTHING * (seconds - last)
+
     def restrict(self, part: Part, until: float) -> None:
         """Use a part of the slots for a time."""
         self.part, self.part_until = part, until
@@ -171,6 +203,7 @@
         gone = [s.id for s in self.servers.values() if not s.slots and not s.used]
         for id_ in gone:
             del self.servers[id_]
+            self.holds.pop(id_, None)
 
     def find(
         self,
@@ -211,3 +244,10 @@
             if loan.is_open(now) and loan.server not in exclude:
                 return loan
         return None
+
+    def _slot_servers(self) -> Iterator[ServerId]:
+        """Return the server of each slot, borrowed ones included."""
+        for server in self.servers.values():
+            yield from repeat(server.id, server.slots)
+        for loan in self.borrowed.values():
+            yield loan.server
--- a/src/catkinspan/testing/servers.py
+++ b/src/catkinspan/testing/servers.py
@@ -18,6 +18,10 @@
     running: int = 0
     served: int = 0
     shed: int = 0
+    seconds: float = 0.0
+    """Service time of all requests that were started, without the slowness."""
+
+    started: int = 0
 
 
 @define
@@ -45,6 +49,12 @@
         """Return the requests that ran."""
         return sum(server.served for server in self.servers.values())
 
+    @property
+    def mean_drawn(self) -> float:
+        """Return the mean of the service times so far, without the slowness."""
+        started = sum(server.started for server in self.servers.values())
+        return sum(s.seconds for s in self.servers.values()) / max(1, started)
+
     def add(self, server: ServerId, slots: int) -> None:
         """Add a server with idle slots."""
         self.servers[server] = FakeServer(slots)
@@ -56,7 +66,10 @@
             entry.shed += 1
             return None
         entry.running += 1
-        return self.rng.expovariate(1.0 / self.mean_seconds) * entry.slowness
+        seconds = self.rng.expovariate(1.0 / self.mean_seconds)
+        entry.seconds += seconds
+        entry.started += 1
+        return seconds * entry.slowness
 
     def finish(self, server: ServerId) -> None:
         """End a running request."""
