--- a/src/catkinspan/coordination/slots/client.py
+++ b/src/catkinspan/coordination/slots/client.py
@@ -23,7 +23,7 @@
     TICKETS_PER_WORKSPACE,
     UNANSWERED_LIMIT,
 )
-from catkinspan.coordination.slots.direct import ServerSet
+from catkinspan.coordination.slots.direct import DirectLimit, ServerSet
 from catkinspan.coordination.slots.fairness import FairQueue
 from catkinspan.coordination.slots.mailbox import Mailbox
 from catkinspan.coordination.slots.models import (
@@ -122,6 +122,7 @@
         self._leases: dict[int, HeldLease] = {}
         self._by_key: dict[AttemptKey, HeldLease] = {}
         self._direct: dict[AttemptKey, ServerId] = {}
+        self._direct_limit = DirectLimit()
         self._load: Counter[ServerId] = Counter()
         self._direct_load: Counter[ServerId] = Counter()
         self._next_ticket = rng.getrandbits(24) << 6
@@ -190,6 +191,7 @@
         if server := self._direct.pop(key, None):
             self._uncount(self._load, server)
             self._uncount(self._direct_load, server)
+            self._direct_limit.note(shed, len(self._direct) + 1)
         lease = self._by_key.pop(key, None)
         if lease is not None:
             self._uncount(self._load, lease.server)
@@ -374,6 +376,8 @@
         return None
 
     def _choose(self, request: SlotRequest, now: float) -> Candidate | None:
+        if len(self._direct) >= self._direct_limit.value:
+            return None
         servers = self._servers(self._service, now)
         return servers.choose(request, self._direct_load, self._load, self._rng)
 
--- a/src/catkinspan/coordination/slots/const.py
+++ b/src/catkinspan/coordination/slots/const.py
@@ -90,8 +90,15 @@
 MIN_CONNECTIONS = 2
 """Least connections to a server for each host that uses it."""
 
-REFUSALS_KEPT_SECONDS = 60.0
-"""Time over which a snapshot counts refusals."""
+LEAST_DIRECT = 2.0
+"""Requests of a service that a host may always run at once without a lease."""
+
+DIRECT_STEP = 0.1
+"""Requests by which a served request raises the limit of those without a lease."""
+
+DIRECT_BACKOFF = 0.7
+"""Factor on that limit after a shed one. With the step, a limit of 3 is in balance at
+about one shed in ten requests."""
 
 DEFAULT_MAX_QUEUE = 200
 """Queue bound for a service without settings."""
--- a/src/catkinspan/coordination/slots/direct.py
+++ b/src/catkinspan/coordination/slots/direct.py
@@ -3,9 +3,14 @@
 from collections.abc import Callable, Mapping, Sequence
 from random import Random
 
-from attrs import frozen
+from attrs import define, frozen
 
 from catkinspan.coordination.outcomes import Candidate
+from catkinspan.coordination.slots.const import (
+    DIRECT_BACKOFF,
+    DIRECT_STEP,
+    LEAST_DIRECT,
+)
 from catkinspan.coordination.slots.models import SlotRequest
 from catkinspan.state.hosts import FleetView
 from catkinspan.state.ids import DataCentre, ServerId
@@ -29,6 +34,25 @@
         return cls(view.self_data_centre, len(hosts) / max(1, len(view.usable)))
 
 
+@define
+class DirectLimit:
+    """Requests without a lease that a host may run at once.
+
+    Additive increase and multiplicative decrease (Chiu and Jain, 1989) by sheds. What
+    exceeds the limit waits in the host's fair queue; without it, an overload would be
+    shed from all workspaces alike, however much each of them sends.
+    """
+
+    value: float = float("inf")
+
+    def note(self, shed: bool, running: int) -> None:
+        """Take into account how a request ended, and how many ran with it."""
+        if shed:
+            self.value = max(LEAST_DIRECT, min(self.value, running) * DIRECT_BACKOFF)
+        else:
+            self.value += DIRECT_STEP
+
+
 class ServerSet:
     """Candidates of one service, sorted out once for many requests.
 
--- a/src/catkinspan/coordination/slots/dispatcher.py
+++ b/src/catkinspan/coordination/slots/dispatcher.py
@@ -227,9 +227,11 @@
             # gives. A borrower has none to spare.
             missing = fair - capacity * (1 + LOAN_HYSTERESIS)
             wants = 0 if self._pool.borrowed else max(0, min(wants, int(missing)))
-        partner.owed = wants
+        partner.owed, partner.first = wants, len(self._queue) > 0
         partner.owed_until = now + LOAN_BACKOFF_SECONDS
-        self._pay_owed(now)
+        self._pay_owed(now, first=len(self._queue) > 0)
+        if partner.owed:
+            self._recall(now)
         loans = tuple(self._answers.loans.pop(host, ()))
         grant = LoanGrant(self._service, loans, renewed, recalled)
         self._mailbox.post(host, grant)
@@ -337,7 +339,7 @@
         self._tickets.pop((waiting.host, waiting.ask.ticket), None)
 
     def _serve(self, now: float) -> None:
-        self._pay_owed(now)
+        self._pay_owed(now, first=True)
         while len(self._queue) and (opened := self._pool.open(now)):
             waiting = self._queue.pop(partial(self._fits, opened))
             if waiting is None:
@@ -347,10 +349,12 @@
         if len(self._queue):
             self._recall(now)
             self._ask_partner(now)
+        else:
+            self._pay_owed(now, first=False)
 
-    def _pay_owed(self, now: float) -> None:
+    def _pay_owed(self, now: float, *, first: bool) -> None:
         """Lend free slots to the dispatchers to which they were promised."""
-        while partner := self._partners.owed(now):
+        while partner := self._partners.owed(now, first=first):
             if not self._lend_one(partner, now):
                 break
             partner.owed -= 1
@@ -500,7 +504,7 @@
         return True
 
     def _ask_partner(self, now: float) -> None:
-        partner = self._partners.next(now)
+        partner = self._partners.next(min(len(self._queue), MAX_LOAN), now)
         if partner:
             self._post_loan_ask(partner, now)
 
@@ -508,6 +512,7 @@
         """Ask for slots for the queue, and renew the loans that are due."""
         partner.asked_at = now
         partner.answered = False
+        partner.wanted = min(len(self._queue), MAX_LOAN)
         due = [
             loan
             for loan in self._pool.borrowed.values()
@@ -517,7 +522,7 @@
             loan.asked_at = now
         ask = LoanAsk(
             self._service,
-            min(len(self._queue), MAX_LOAN),
+            partner.wanted,
             self._pool.capacity,
             round(self._pool.rate, 1),
             self._demand(),
--- a/src/catkinspan/coordination/slots/lending.py
+++ b/src/catkinspan/coordination/slots/lending.py
@@ -21,6 +21,9 @@
 
     host: HostId
     asked_at: float = float("-inf")
+    wanted: int = 0
+    """Slots that the last request was for."""
+
     answered: bool = True
     not_before: float = float("-inf")
     """Time before which the partner is not asked, since it had nothing to lend."""
@@ -28,14 +31,23 @@
     owed: int = 0
     """Slots promised to the partner as soon as they become free."""
 
+    first: bool = False
+    """Whether the promise comes before the own queue, for the sake of fairness."""
+
     owed_until: float = 0.0
     demand: tuple[WorkspaceDemand, ...] = ()
     demand_at: float = float("-inf")
 
-    def may_ask(self, now: float) -> bool:
-        """Return whether a request for a loan may go out now."""
+    def may_ask(self, wants: int, now: float) -> bool:
+        """Return whether a request for a loan may go out now.
+
+        A partner without free slots has promised those that it was asked for, and is
+        asked again soon only for more.
+        """
         gap = LOAN_GAP_SECONDS if self.answered else LOAN_BACKOFF_SECONDS
-        return now >= self.not_before and now - self.asked_at >= gap
+        if now - self.asked_at < gap:
+            return False
+        return now >= self.not_before or wants > self.wanted
 
 
 @define
@@ -53,15 +65,19 @@
         """Return a partner, or None for a host that is none."""
         return self._partners.get(host)
 
-    def next(self, now: float) -> Partner | None:
+    def next(self, wants: int, now: float) -> Partner | None:
         """Return the partner that was asked longest ago and may be asked now."""
-        ready = [p for p in self._partners.values() if p.may_ask(now)]
+        ready = [p for p in self._partners.values() if p.may_ask(wants, now)]
         return min(ready, key=lambda p: p.asked_at, default=None)
 
-    def owed(self, now: float) -> Partner | None:
-        """Return a partner to which a free slot is promised."""
+    def owed(self, now: float, *, first: bool) -> Partner | None:
+        """Return a partner to which a free slot is promised.
+
+        With `first`, promises that come only after the own queue are left out.
+        """
         for partner in self._partners.values():
-            if partner.owed > 0 and now < partner.owed_until:
+            due = partner.owed > 0 and now < partner.owed_until
+            if due and (partner.first or not first):
                 return partner
         return None
 
--- a/tests/coordination/slots/test_failures.py
+++ b/tests/coordination/slots/test_failures.py
@@ -211,3 +211,20 @@
     fleet.channel.run(3.3)
     assert held
     assert not held & fleet.leases_of(host)
+
+
+def test_flood_without_any_dispatcher() -> None:
+    # Guards against a flood that takes the others' slots while all hosts choose
+    # servers directly and upstreams shed.
+    fleet = Fleet(TOWN, 10)
+    for one in fleet.hosts:
+        fleet.channel.partition([one], [h for h in fleet.hosts if h != one])
+    rate = 0.6 * TOWN.capacity / 8
+    for i, workspace in enumerate(WORKSPACES):
+        fleet.arrivals(workspace, rate * (10 if i == 0 else 1), END)
+    fleet.measure_from = 2.0
+    fleet.channel.run(END + 8.0)
+    tally = fleet.tally
+    others = [tally.done[w] / tally.arrived[w] for w in WORKSPACES[1:]]
+    assert min(others) >= 2 * tally.done[WORKSPACES[0]] / tally.arrived[WORKSPACES[0]]
+    assert tally.retries <= 0.1 * sum(tally.arrived.values()) + len(fleet.hosts)
