--- a/bench/_claims_fleet.py
+++ b/bench/_claims_fleet.py
@@ -109,6 +109,7 @@
         self.runs: Counter[bytes] = Counter()
         self.last_change = START
         self.outcomes = (Ran.YES, Ran.YES, Ran.MAYBE, Ran.NO)
+        self.waits = (0.0, 0.0, 0.01, 0.5, 2.0, 8.0)
         self.run_seconds = (0.02, 0.02, 1.0, 30.0)
         self.faults = rng.choice([ALL_FAULTS, ALL_FAULTS, LIST_FAULTS])
         self._next_id = count
@@ -187,7 +188,7 @@
         send.verdict = verdict
         if verdict.decision is not ClaimDecision.GRANTED:
             return
-        wait = self.rng.choice([0.0, 0.0, 0.01, 0.5, 2.0, 8.0])
+        wait = self.rng.choice(self.waits)
         self.channel.at(
             self.channel.now + wait, lambda: self._run(host, request_id, send)
         )
--- a/bench/claims.py
+++ b/bench/claims.py
@@ -289,7 +289,7 @@
     held, _ = tracemalloc.get_traced_memory()
     tracemalloc.stop()
     costs = []
-    for route in list(tree.routes.values())[:: max(1, count // 2000)]:
+    for route in list(tree.routes.values())[:: max(1, count // 2000) | 1]:
         before = index.lookups
         host = route.match.host or "other.example"
         found = index.match("GET", host, route.match.path_prefix + "/item/7?size=a5")
--- a/src/catkinspan/coordination/claims/coordinator.py
+++ b/src/catkinspan/coordination/claims/coordinator.py
@@ -175,6 +175,7 @@
     def tick(self, now: float) -> None:
         """Time out, ask again, renew and repeat what is due."""
         self._observe(now)
+        self._promises.expire(now)
         due = [ballot for ballot in self._steps.values() if ballot.next_step <= now]
         for ballot in due:
             self._step(ballot, now)
@@ -315,7 +316,8 @@
             self._settle(ballot, verdict, now)
 
     def _note_renewal(self, ballot: Ballot) -> None:
-        if ballot.is_won:
+        """Extend the cover; once lapsed it stays so, since another may have run."""
+        if ballot.is_won and ballot.asked_at < ballot.renewed_at + WINDOW_SECONDS:
             ballot.renewed_at = ballot.asked_at
 
     def _verdict(self, ballot: Ballot, now: float) -> ClaimVerdict | None:
--- a/src/catkinspan/coordination/claims/promises.py
+++ b/src/catkinspan/coordination/claims/promises.py
@@ -41,9 +41,17 @@
 
     def held(self, digest: bytes, now: float) -> Promise | None:
         """Return the promise for a claim."""
-        self._expire(now)
+        self.expire(now)
         return self._promises.get(digest)
 
+    def expire(self, now: float) -> None:
+        """Forget the promises whose time is over."""
+        while self._promises:
+            digest, promise = next(iter(self._promises.items()))
+            if promise.expires > now:
+                return
+            self._remove(digest)
+
     def promise(
         self,
         digest: bytes,
@@ -80,13 +88,6 @@
         else:
             held.ended = True
 
-    def _expire(self, now: float) -> None:
-        while self._promises:
-            digest, promise = next(iter(self._promises.items()))
-            if promise.expires > now:
-                return
-            self._remove(digest)
-
     def _remove(self, digest: bytes) -> None:
         workspace = self._promises.pop(digest).workspace
         self._by_workspace[workspace] -= 1
