Judge crash evidence once and carry holders over list changes

Evidence against a request is now kept only as separate incidents, since the log forgets the crashes of other requests that void it; later reports of the same incident lift a quarantine.

After a list change the holders of a group are taken over unless an added host outweighs or a removed one was among them, so that a change costs one hash for each group and added host.

--- a/bench/_claims_fleet.py
+++ b/bench/_claims_fleet.py
@@ -65,6 +65,7 @@
     number: int
     begun: float | None = None
     verdict: ClaimVerdict | None = None
+    settled_at: float = 0.0
     ran_at: float | None = None
 
 
@@ -186,6 +187,7 @@
     def settled(self, host: Host, request_id: RequestId, verdict: ClaimVerdict) -> None:
         send = host.sends[request_id]
         send.verdict = verdict
+        send.settled_at = self.channel.now
         if verdict.decision is not ClaimDecision.GRANTED:
             return
         wait = self.rng.choice(self.waits)
--- a/src/catkinspan/coordination/claims/holders.py
+++ b/src/catkinspan/coordination/claims/holders.py
@@ -29,16 +29,26 @@
     return len(holders) // 2 + 1
 
 
+def group_name(group: int) -> str:
+    """Return the name under which hosts are weighed for a group."""
+    return f"claims/{group}"
+
+
+def share_of_data_centre(count: int) -> int:
+    """Return the most holders in each of a number of data centres."""
+    return -(-HOLDERS // max(1, count))
+
+
 def choose_holders(group: int, listed: Listed) -> HolderSet:
     """Return the holders of a group: highest weights, spread over data centres.
 
     No data centre gets more than its even share, rounded up, so that the loss of one
     of three leaves a majority.
     """
-    name = f"claims/{group}"
+    name = group_name(group)
     by_weight = sorted(listed, key=lambda host: (-weight(name, host[0]), host[0]))
     data_centres = {data_centre for _, data_centre in listed}
-    share = -(-HOLDERS // max(1, len(data_centres)))
+    share = share_of_data_centre(len(data_centres))
     taken: Counter[DataCentre] = Counter()
     chosen: list[HostId] = []
     spare: list[HostId] = []
@@ -59,12 +69,38 @@
     listed: Listed
     replaced_at: float | None = None
     holders: dict[int, HolderSet] = field(factory=dict)
-
-    def holders_of(self, group: int) -> HolderSet:
-        """Return the holders of a group."""
-        if group not in self.holders:
-            self.holders[group] = choose_holders(group, self.listed)
-        return self.holders[group]
+    added: tuple[HostId, ...] = ()
+    removed: frozenset[HostId] = frozenset()
+    """Differences from the list before it."""
+
+    is_regular: bool = False
+    """Whether the data centres are those of the list before it, each with enough
+    hosts for its share, so that a host of low weight cannot become a holder."""
+
+    def follow(self, before: "_ListInForce") -> None:
+        """Note the differences from the list before, for `inherit`."""
+        old, new = set(before.listed), set(self.listed)
+        self.added = tuple(host for host, _ in new - old)
+        self.removed = frozenset(host for host, _ in old - new)
+        sizes = Counter(data_centre for _, data_centre in self.listed)
+        is_same = sizes.keys() == {data_centre for _, data_centre in before.listed}
+        share = share_of_data_centre(len(sizes))
+        self.is_regular = is_same and min(sizes.values(), default=0) >= share
+
+    def inherit(self, group: int, earlier: HolderSet) -> HolderSet | None:
+        """Return the holders of the list before, if they are the same in this one.
+
+        It costs one hash for each added host instead of one for each listed host.
+        """
+        if not self.is_regular or len(earlier) < HOLDERS:
+            return None
+        if not self.removed.isdisjoint(earlier):
+            return None
+        name = group_name(group)
+        least = min(weight(name, host) for host in earlier)
+        if any(weight(name, host) >= least for host in self.added):
+            return None
+        return earlier
 
 
 class HolderHistory:
@@ -88,9 +124,11 @@
         if self._lists and self._lists[-1].listed == listed:
             return
         self._forget(now)
+        entry = _ListInForce(listed)
         if self._lists:
             self._lists[-1].replaced_at = now
-        self._lists.append(_ListInForce(listed))
+            entry.follow(self._lists[-1])
+        self._lists.append(entry)
         if len(self._lists) > MAX_LISTS:
             self._lists.pop(0)
             self._unsettled_until = now + LIST_MEMORY_SECONDS
@@ -103,8 +141,19 @@
         """Return the distinct holder sets of a claim, the newest first."""
         self._forget(now)
         group = int.from_bytes(digest[:4], "big") % CLAIM_GROUPS
-        sets = (entry.holders_of(group) for entry in reversed(self._lists))
-        return tuple(dict.fromkeys(holders for holders in sets if holders))
+        sets = [self._holders(group, index) for index in range(len(self._lists))]
+        return tuple(dict.fromkeys(holders for holders in reversed(sets) if holders))
+
+    def _holders(self, group: int, index: int) -> HolderSet:
+        entry = self._lists[index]
+        holders = entry.holders.get(group)
+        if holders is None and index > 0:
+            earlier = self._lists[index - 1].holders.get(group)
+            holders = entry.inherit(group, earlier) if earlier else None
+        if holders is None:
+            holders = choose_holders(group, entry.listed)
+        entry.holders[group] = holders
+        return holders
 
     def _forget(self, now: float) -> None:
         oldest = now - LIST_MEMORY_SECONDS
--- a/src/catkinspan/coordination/quarantine/coordinator.py
+++ b/src/catkinspan/coordination/quarantine/coordinator.py
@@ -156,10 +156,26 @@
             self._seen.popitem(last=False)
         self._enqueue(crash)
         self._log.add(crash)
-        if crash.at <= self._cleared.get(crash.fingerprint, float("-inf")):
-            return
-        self._suspect(crash)
-        self._evaluate(crash.fingerprint, now)
+        if crash.at > self._cleared.get(crash.fingerprint, float("-inf")):
+            self._suspect(crash)
+        for fingerprint in self._concerned(crash, now):
+            self._evaluate(fingerprint, now)
+
+    def _concerned(self, crash: Crash, now: float) -> list[Fingerprint]:
+        """Return the suspects whose evidence a new crash may change."""
+        return [
+            fingerprint
+            for fingerprint in dict.fromkeys(
+                c.fingerprint
+                for c in self._log.near(crash)
+                if c.server == crash.server or self._is_quarantined(c.fingerprint, now)
+            )
+            if fingerprint in self._suspects
+        ]
+
+    def _is_quarantined(self, fingerprint: Fingerprint, now: float) -> bool:
+        suspect = self._suspects.get(fingerprint)
+        return suspect is not None and suspect.until > now
 
     def _clear(self, success: Success) -> None:
         """Drop the crashes of a request before its success."""
@@ -176,10 +192,7 @@
         if suspect is None:
             return
         suspect.crashes = [c for c in suspect.crashes if c.at > success.at]
-        if suspect.until and self._log.count(suspect.crashes) < CRASHES_TO_QUARANTINE:
-            self._end(fingerprint, suspect)
-        if not suspect.crashes:
-            self._remove(fingerprint)
+        self._lift_or_remove(fingerprint, suspect)
 
     def _enqueue(self, item: Crash | Success) -> None:
         self._news += 1
@@ -213,8 +226,10 @@
     def _evaluate(self, fingerprint: Fingerprint, now: float) -> None:
         """Start, extend or lift the quarantine of a request after a report."""
         suspect = self._suspects[fingerprint]
-        incidents = self._log.count(suspect.crashes)
+        suspect.crashes = self._log.incidents(suspect.crashes)
+        incidents = len(suspect.crashes)
         if incidents < CRASHES_TO_QUARANTINE:
+            self._lift_or_remove(fingerprint, suspect)
             return
         doublings = incidents - CRASHES_TO_QUARANTINE
         seconds = min(QUARANTINE_SECONDS * 2**doublings, MAX_QUARANTINE_SECONDS)
@@ -236,6 +251,12 @@
             )
         )
 
+    def _lift_or_remove(self, fingerprint: Fingerprint, suspect: Suspect) -> None:
+        if suspect.until and len(suspect.crashes) < CRASHES_TO_QUARANTINE:
+            self._end(fingerprint, suspect)
+        if not suspect.crashes:
+            self._remove(fingerprint)
+
     def _end(self, fingerprint: Fingerprint, suspect: Suspect) -> None:
         suspect.until = 0.0
         self._outbox.emit(
--- a/tests/coordination/claims/test_coordinator.py
+++ b/tests/coordination/claims/test_coordinator.py
@@ -263,6 +263,25 @@
         assert max(names.count(n) for n in range(3)) == 2
 
 
+def test_holders_carried_over_a_list_change_are_those_of_the_new_list() -> None:
+    """Guards against hosts that choose other holders, by the lists they saw before."""
+    rng = Random(1)
+    history = HolderHistory()
+    listed = {HostId(f"h{n}"): DataCentre(f"dc{n % 3}") for n in range(9)}
+    for step in range(150):
+        for host in rng.sample(sorted(listed), rng.randint(0, min(2, len(listed)))):
+            del listed[host]
+        for number in range(rng.randint(0, 2)):
+            dc = DataCentre(f"dc{rng.randrange(3)}")
+            listed[HostId(f"n{step}-{number}")] = dc
+        now = step * 50.0
+        history.apply_view(view_of(HostId("h0"), listed), now)
+        for group in range(40):
+            newest = history.sets_of(group.to_bytes(4, "big"), now)[:1]
+            expected = choose_holders(group, tuple(sorted(listed.items())))
+            assert newest == ((expected,) if expected else ()), (step, group)
+
+
 def test_fast_list_changes_are_not_settled() -> None:
     """Guards against a forgotten list when more changes come than are remembered."""
     history = HolderHistory()
