Let holders abstain only after long pauses, and routes fall back

A stall of a second made a holder abstain for 95 s although it still had its promises. Holders now abstain after pauses above 5 s, well under the time in which a host list spreads. A route whose upstream recognises the key by itself may run requests unclaimed while holders abstain after a start.

--- a/src/catkinspan/coordination/claims/const.py
+++ b/src/catkinspan/coordination/claims/const.py
@@ -14,6 +14,11 @@
 """Time that a holder abstains after a start or a pause. It covers the promises of
 the earlier life, and two spreads of a host list for `HolderHistory`."""
 
+ABSTAIN_PAUSE_SECONDS = 5.0
+"""Pauses up to this time do not make a holder abstain: it still has its promises, and
+its host list is younger than `LIST_SPREAD_SECONDS`. A shorter limit would let a stall
+of a busy host cost `ABSTAIN_SECONDS`."""
+
 LIST_MEMORY_SECONDS = 95.0
 """Time that a replaced host list still takes part in claims: `PROMISE_SECONDS` and
 two spreads of a list."""
--- a/src/catkinspan/coordination/claims/coordinator.py
+++ b/src/catkinspan/coordination/claims/coordinator.py
@@ -6,6 +6,7 @@
 
 from catkinspan.coordination.claims.ballot import Ballot, Phase
 from catkinspan.coordination.claims.const import (
+    ABSTAIN_PAUSE_SECONDS,
     ABSTAIN_SECONDS,
     ASK_AGAIN_SECONDS,
     CLAIM_TIMEOUT_SECONDS,
@@ -48,6 +49,18 @@
 from catkinspan.coordination.outbox import Outbox
 from catkinspan.state.hosts import FleetView
 from catkinspan.state.ids import HostId, RequestId, WorkspaceId
+from catkinspan.state.policy import Policy
+
+
+def may_run_unclaimed(refusal: ClaimRefusal, policy: Policy) -> bool:
+    """Return whether a route lets a refused request run without a claim.
+
+    Only when the holders abstain after a start, as all do after a restart of the whole
+    fleet, and only on routes whose upstream recognises the key by itself.
+    """
+    if not isinstance(refusal, Undecided) or not policy.run_unclaimed:
+        return False
+    return refusal.cause is UndecidedCause.HOLDERS_STARTED
 
 
 def refused(refusal: ClaimRefusal) -> ClaimVerdict:
@@ -186,12 +199,14 @@
             self._forget(ballot)
 
     def resume(self, gap: float, now: float) -> None:
-        """Abstain as after a start, and give up the claims that are pending.
+        """Give up the claims that are pending, and abstain after a long pause.
 
-        A newer process may have taken the place of this host during the pause.
+        A newer process may have taken the place of this host during the pause, and the
+        host list may have changed.
         """
         self._last_call = now
-        self._abstain_until = now + ABSTAIN_SECONDS
+        if gap > ABSTAIN_PAUSE_SECONDS or self._abstain_until is None:
+            self._abstain_until = now + ABSTAIN_SECONDS
         self._guard_until = now + PAUSE_GUARD_SECONDS
         for ballot in list(self._by_request.values()):
             if ballot.phase is Phase.PENDING:
--- a/src/catkinspan/state/policy.py
+++ b/src/catkinspan/state/policy.py
@@ -51,6 +51,12 @@
         "Wait before a second attempt of an idempotent request; null for none.",
         "hedge_after_ms",
     )
+    run_unclaimed: bool = setting(
+        False,
+        "",
+        "Run requests with an Idempotency-Key without a check just after a restart of "
+        "the fleet; only for upstreams that recognise the key themselves.",
+    )
     max_body_bytes: int = setting(10 * 1024 * 1024, "bytes", "Largest request body.")
     hold_bytes: int = setting(
         256 * 1024, "bytes", "Responses up to this size are held until whole."
--- a/tests/coordination/claims/test_coordinator.py
+++ b/tests/coordination/claims/test_coordinator.py
@@ -12,7 +12,10 @@
     PROMISE_SECONDS,
     WINDOW_SECONDS,
 )
-from catkinspan.coordination.claims.coordinator import ClaimCoordinator
+from catkinspan.coordination.claims.coordinator import (
+    ClaimCoordinator,
+    may_run_unclaimed,
+)
 from catkinspan.coordination.claims.errors import (
     AlreadyRan,
     AlreadyRunning,
@@ -37,6 +40,7 @@
 from catkinspan.coordination.models import Origin
 from catkinspan.coordination.outbox import Outbox
 from catkinspan.state.ids import DataCentre, HostId, RequestId, RouteId, WorkspaceId
+from catkinspan.state.policy import Policy
 from catkinspan.testing.channel import FakeChannel
 
 CLAIM = make_claim(1)
@@ -175,6 +179,25 @@
         assert refusal.cause is UndecidedCause.PAUSED
 
 
+def test_short_stall_does_not_make_a_holder_abstain() -> None:
+    """Guards against refusals for a window after each stall of a busy host."""
+    fleet = make_fleet()
+    for host in sorted(fleet.hosts):
+        fleet.pause(host, 2.0)
+    fleet.channel.run(fleet.channel.now + 4.0)
+    assert is_granted(send(fleet, 5))
+
+
+def test_only_a_start_lets_a_route_run_unclaimed() -> None:
+    """Guards against a fallback for partitions, where a first request may run."""
+    fallback = Policy(run_unclaimed=True)
+    started = Undecided(1.0, UndecidedCause.HOLDERS_STARTED)
+    assert may_run_unclaimed(started, fallback)
+    assert not may_run_unclaimed(started, Policy())
+    for refusal in (Undecided(1.0, UndecidedCause.UNREACHABLE), AlreadyRan(1.0)):
+        assert not may_run_unclaimed(refusal, fallback)
+
+
 def mature_host(host: str, listed: list[str]) -> tuple[ClaimCoordinator, Outbox]:
     outbox = Outbox()
     claims = ClaimCoordinator(HostId(host), 1, outbox, Random(1))
