--- a/bench/claims.py
+++ b/bench/claims.py
@@ -19,8 +19,14 @@
     run_schedule,
     view_of,
 )
-from catkinspan.coordination.claims.const import ABSTAIN_SECONDS
-from catkinspan.coordination.claims.models import ClaimDecision, Ran
+from catkinspan.coordination.claims.const import (
+    ABSTAIN_SECONDS,
+    CLAIM_GROUPS,
+    MAX_PROMISES,
+)
+from catkinspan.coordination.claims.holders import HolderHistory
+from catkinspan.coordination.claims.models import ClaimDecision, ClaimOwner, Ran
+from catkinspan.coordination.claims.promises import PromiseTable
 from catkinspan.coordination.models import Origin, PeerMessage
 from catkinspan.coordination.outbox import Outbox
 from catkinspan.coordination.quarantine.coordinator import QuarantineCoordinator
@@ -29,6 +35,7 @@
     RequestQuarantined,
     fingerprint,
 )
+from catkinspan.coordination.rendezvous import weight
 from catkinspan.coordination.routing.index import RouteIndex
 from catkinspan.state.ids import HostId, RouteId, ServerId, ServiceId, WorkspaceId
 from catkinspan.state.policy import Policy
@@ -150,6 +157,43 @@
     return GrantShare(100, sum(map(is_granted, sends)), 0.0)
 
 
+def bytes_per_promise(count: int = MAX_PROMISES) -> float:
+    """Return the memory of one promise at a holder, its digests included."""
+    workspaces = [WorkspaceId(f"workspace-{number}") for number in range(100)]
+    tracemalloc.start()
+    table = PromiseTable()
+    for number in range(count):
+        workspace = workspaces[number % len(workspaces)]
+        owner = ClaimOwner(HostId("host"), 1, number)
+        claim = make_claim(number, workspace)
+        table.promise(claim.digest, owner, workspace, claim.request_digest, 0.0)
+    held, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    if len(table) != count:
+        raise AssertionError("the table refused a promise")
+    return held / count
+
+
+def hashes_per_list_change(hosts: int = 1_100) -> tuple[int, int]:
+    """Return the weights computed for all groups: for a first list and a changed one.
+
+    The change replaces one host.
+    """
+    first = {HostId(f"h{n}"): DATA_CENTRES[n % 3] for n in range(hosts)}
+    changed = {**first, HostId("new"): first[HostId("h7")]}
+    del changed[HostId("h7")]
+    history = HolderHistory()
+    digests = [group.to_bytes(4, "big") for group in range(CLAIM_GROUPS)]
+    counts = []
+    for now, listed in ((0.0, first), (1.0, changed)):
+        with patch(f"{_CLAIMS}holders.weight", wraps=weight) as weigh:
+            history.apply_view(view_of(HostId("h0"), listed), now)
+            for digest in digests:
+                history.sets_of(digest, now)
+            counts.append(weigh.call_count)
+    return counts[0], counts[1]
+
+
 @define
 class Spread:
     """When the hosts of a fleet came to refuse a request, after its second crash."""
@@ -351,6 +395,10 @@
     for age in (1.0, ABSTAIN_SECONDS - 2.0, ABSTAIN_SECONDS + 2.0):
         share = grants_after_restart(1, age).share
         print(f"{f'{age:.0f} s after the restart of all hosts':48} {share:7.1%}")
+    print(f"\nbytes per promise at a holder: {bytes_per_promise():.0f}")
+    first, changed = hashes_per_list_change()
+    print(f"hashes for all holders of 1,100 hosts: {first}")
+    print(f"hashes after one of them was replaced: {changed}")
 
 
 def _print_quarantine() -> None:
--- a/tests/coordination/claims/test_at_most_once.py
+++ b/tests/coordination/claims/test_at_most_once.py
@@ -1,9 +1,18 @@
 """Seeded fault schedules that search for a claim that runs twice."""
 
 import pytest
-from bench.claims import ABLATIONS, cut_off, grants, healthy, restarted, search
+from bench.claims import (
+    ABLATIONS,
+    bytes_per_promise,
+    cut_off,
+    grants,
+    hashes_per_list_change,
+    healthy,
+    restarted,
+    search,
+)
 
-from catkinspan.coordination.claims.const import HOLDERS
+from catkinspan.coordination.claims.const import HOLDERS, MAX_PROMISES
 
 
 @pytest.mark.parametrize("first", [0, 100, 200])
@@ -40,3 +49,17 @@
     """Guards against a quorum that a rolling restart of single hosts breaks."""
     result = grants(4, lambda fleet: restarted(fleet, 0.05), count=200)
     assert result.share == 1.0
+
+
+def test_promises_fit_the_memory_for_control() -> None:
+    """Guards against promises that take over a quarter of the 64 MB for control."""
+    assert bytes_per_promise(2_000) * MAX_PROMISES <= 16_000_000
+
+
+def test_list_change_does_not_weigh_every_host() -> None:
+    """Guards against holders chosen anew from 1,100 hosts at each of their changes.
+
+    At 1,600 replaced hosts a day, a list changes about once a minute.
+    """
+    first, changed = hashes_per_list_change(300)
+    assert changed <= first / 10
