Bound the crash reports that hosts pass on

A server that resets connections several times a second cost each host 12 copies of 215 bytes for each reset. Reports about one server are now passed on 10 times in 30 s, and a host sends at most 8 copies a second after a burst of 480.

--- a/src/catkinspan/coordination/quarantine/const.py
+++ b/src/catkinspan/coordination/quarantine/const.py
@@ -36,6 +36,18 @@
 
 MAX_REPORTS_PER_MESSAGE = 16
 MAX_QUEUED_REPORTS = 64
+COPIES_PER_SECOND = 8.0
+"""Report copies that a host may send: 8 of about 215 bytes are 1.7 KB/s, of the 6 KB/s
+that a host may spend on control."""
+
+MAX_COPIES = 480.0
+"""Copies that a host may send at once: 40 reports in all rounds."""
+
+NOISY_SECONDS = 30.0
+MAX_REPORTS_PER_SERVER = 10
+"""Reports about one server within `NOISY_SECONDS` that are passed on. A server that
+keeps resetting connections would use up the copies; its health is the assessor's."""
+
 GREETERS = 2
 """Hosts that send their crash reports to a newly started host."""
 
--- a/src/catkinspan/coordination/quarantine/coordinator.py
+++ b/src/catkinspan/coordination/quarantine/coordinator.py
@@ -12,11 +12,13 @@
 from catkinspan.coordination.outbox import Outbox
 from catkinspan.coordination.quarantine.const import (
     CLEARANCE_SPREAD_SECONDS,
+    COPIES_PER_SECOND,
     CRASH_MEMORY_SECONDS,
     CRASHES_TO_QUARANTINE,
     FANOUT,
     GREETERS,
     MAX_CLEARANCES,
+    MAX_COPIES,
     MAX_CRASHES_PER_FINGERPRINT,
     MAX_FINGERPRINTS,
     MAX_FINGERPRINTS_PER_WORKSPACE,
@@ -77,6 +79,8 @@
         self._seen: OrderedDict[CrashId, None] = OrderedDict()
         self._cleared: OrderedDict[Fingerprint, float] = OrderedDict()
         self._news = 0
+        self._copies = MAX_COPIES
+        self._last_round = 0.0
         self._queue: deque[_Queued] = deque(maxlen=MAX_QUEUED_REPORTS)
 
     @property
@@ -154,8 +158,9 @@
         self._seen[crash.id] = None
         if len(self._seen) > MAX_SEEN_REPORTS:
             self._seen.popitem(last=False)
-        self._enqueue(crash)
         self._log.add(crash)
+        if not self._log.is_noisy(crash):
+            self._enqueue(crash)
         if crash.at > self._cleared.get(crash.fingerprint, float("-inf")):
             self._suspect(crash)
         for fingerprint in self._concerned(crash, now):
@@ -264,17 +269,24 @@
         )
 
     def _send_round(self, now: float) -> None:
-        """Send the queued reports to a few random peers."""
+        """Send the queued reports to a few random peers, within the copies allowed."""
         if not self._queue or not self._peers:
             return
-        batch = [
-            self._queue.popleft()
-            for _ in range(min(len(self._queue), MAX_REPORTS_PER_MESSAGE))
-        ]
+        earned = max(0.0, now - self._last_round) * COPIES_PER_SECOND
+        self._copies = min(MAX_COPIES, self._copies + earned)
+        self._last_round = now
+        fanout = min(FANOUT, len(self._peers))
+        count = min(
+            len(self._queue), MAX_REPORTS_PER_MESSAGE, int(self._copies / fanout)
+        )
+        if count == 0:
+            return
+        self._copies -= count * fanout
+        batch = [self._queue.popleft() for _ in range(count)]
         items = [queued.item for queued in batch]
         reports = tuple(_report(i, now) for i in items if isinstance(i, Crash))
         cleared = tuple(_clearance(i, now) for i in items if isinstance(i, Success))
-        for host in self._rng.sample(self._peers, min(FANOUT, len(self._peers))):
+        for host in self._rng.sample(self._peers, fanout):
             self._outbox.send(host, CrashNews(reports, cleared))
         for queued in batch:
             queued.rounds -= 1
--- a/src/catkinspan/coordination/quarantine/incidents.py
+++ b/src/catkinspan/coordination/quarantine/incidents.py
@@ -7,7 +7,9 @@
     INCIDENT_SECONDS,
     MAX_FINGERPRINTS_PER_INCIDENT,
     MAX_RECENT_CRASHES,
+    MAX_REPORTS_PER_SERVER,
     MAX_SERVERS_AT_ONCE,
+    NOISY_SECONDS,
 )
 from catkinspan.coordination.quarantine.models import Crash
 
@@ -26,6 +28,12 @@
         """Return the crashes around the instant of one, itself included."""
         return [c for c in self._recent if abs(c.at - crash.at) <= INCIDENT_SECONDS]
 
+    def is_noisy(self, crash: Crash) -> bool:
+        """Return whether the server has lost many connections lately."""
+        same = (c for c in self._recent if c.server == crash.server)
+        count = sum(abs(c.at - crash.at) <= NOISY_SECONDS for c in same)
+        return count > MAX_REPORTS_PER_SERVER
+
     def incidents(self, crashes: Sequence[Crash]) -> list[Crash]:
         """Return one crash for each separate incident that speaks against a request.
 
--- a/tests/coordination/quarantine/test_coordinator.py
+++ b/tests/coordination/quarantine/test_coordinator.py
@@ -11,6 +11,7 @@
 from catkinspan.coordination.quarantine.const import (
     CRASH_MEMORY_SECONDS,
     FANOUT,
+    MAX_COPIES,
     MAX_FINGERPRINTS_PER_WORKSPACE,
     MAX_REPORTS_PER_MESSAGE,
     QUARANTINE_SECONDS,
@@ -203,6 +204,37 @@
         assert len(envelope.message.reports) <= MAX_REPORTS_PER_MESSAGE
 
 
+def test_copies_stay_within_the_control_budget() -> None:
+    """Guards against reports that use up the 6 KB/s of a host for control.
+
+    Crashes of many servers go on for a minute; a third of the budget is allowed.
+    """
+    node, outbox = lone_host()
+    view = FleetView(HostId("a"), DATA_CENTRES[0], usable=tuple(HOSTS))
+    node.apply_view(view, 0.0)
+    sent = 0
+    for step in range(1200):
+        now = step * 0.05
+        node.record_crash(make_print(f"/{step}"), ServerId(f"s{step}"), now)
+        node.tick(now)
+        for envelope in outbox.take_envelopes():
+            assert isinstance(envelope.message, CrashNews)
+            sent += len(envelope.message.reports)
+    assert (sent - MAX_COPIES) / 60.0 * 215 <= 6000 / 3
+
+
+def test_flaky_server_does_not_crowd_out_a_culprit() -> None:
+    """Guards against a server whose resets hide a crashing request."""
+    fleet = QuarantineFleet(6, 12)
+    for step in range(200):
+        fleet.channel.run(step * 0.1)
+        fleet.crash(HOSTS[step % 12], make_print(f"/{step}"), "flaky")
+    for host, server in ((HOSTS[0], "s1"), (HOSTS[1], "s2")):
+        fleet.crash(host, CULPRIT, server)
+        fleet.channel.run(fleet.channel.now + REACH_SECONDS)
+    assert fleet.refusing(CULPRIT) == 12
+
+
 def test_parts_of_a_fingerprint_do_not_run_together() -> None:
     """Guards against a workspace that blocks the requests of another."""
     one = fingerprint(WorkspaceId("ab"), RouteId("c"), "POST", "/", b"")
