--- a/tests/coordination/claims/test_coordinator.py
+++ b/tests/coordination/claims/test_coordinator.py
@@ -179,6 +179,22 @@
         assert refusal.cause is UndecidedCause.PAUSED
 
 
+@pytest.mark.parametrize("count", [1, 2, 3])
+def test_small_fleets_claim_too(count: int) -> None:
+    """Guards against a number of holders that a small fleet cannot have."""
+    fleet = make_fleet(count)
+    assert is_granted(send(fleet, 0))
+    assert isinstance(refusal_of(send(fleet, count - 1)), AlreadyRunning)
+
+
+def test_resend_after_the_death_of_the_first_host_is_refused() -> None:
+    """Guards against a second run when the host of the first can no longer tell."""
+    fleet = make_fleet(seconds=30.0)
+    assert is_granted(send(fleet, 0))
+    fleet.crash(sorted(fleet.hosts)[0])
+    assert isinstance(refusal_of(send(fleet, 4)), AlreadyRunning)
+
+
 def test_short_stall_does_not_make_a_holder_abstain() -> None:
     """Guards against refusals for a window after each stall of a busy host."""
     fleet = make_fleet()
