--- a/src/catkinspan/coordination/claims/coordinator.py
+++ b/src/catkinspan/coordination/claims/coordinator.py
@@ -6,6 +6,7 @@
 
 from catkinspan.coordination.claims.ballot import Ballot, Phase
 from catkinspan.coordination.claims.const import (
+    ABSTAIN_PAUSE_SECONDS,
     ABSTAIN_SECONDS,
     ASK_AGAIN_SECONDS,
     CLAIM_TIMEOUT_SECONDS,
@@ -48,6 +49,18 @@
 from catkinspan.coordination.outbox import Outbox
 from catkinspan.state.hosts import FleetView
 from catkinspan.state.ids import HostId, RequestId, WorkspaceId
+from catkinspan.state.policy import Policy
+
+
+def may_run_unclaimed(refusal: ClaimRefusal, policy: Policy) -> bool:
+    """Return whether a route lets a refused request run without a claim.
+
+    Only when the holders abstain after a start, as all do after a restart of the whole
+    fleet, and only on routes whose upstream recognises the key by itself.
+    """
+    if not isinstance(refusal, Undecided) or not policy.run_unclaimed:
+        return False
+    return refusal.cause is UndecidedCause.HOLDERS_STARTED
 
 
 def refused(refusal: ClaimRefusal) -> ClaimVerdict:
@@ -175,6 +188,7 @@
     def tick(self, now: float) -> None:
         """Time out, ask again, renew and repeat what is due."""
         self._observe(now)
+        self._promises.expire(now)
         due = [ballot for ballot in self._steps.values() if ballot.next_step <= now]
         for ballot in due:
             self._step(ballot, now)
@@ -185,12 +199,14 @@
             self._forget(ballot)
 
     def resume(self, gap: float, now: float) -> None:
-        """Abstain as after a start, and give up the claims that are pending.
+        """Give up the claims that are pending, and abstain after a long pause.
 
-        A newer process may have taken the place of this host during the pause.
+        A newer process may have taken the place of this host during the pause, and the
+        host list may have changed.
         """
         self._last_call = now
-        self._abstain_until = now + ABSTAIN_SECONDS
+        if gap > ABSTAIN_PAUSE_SECONDS or self._abstain_until is None:
+            self._abstain_until = now + ABSTAIN_SECONDS
         self._guard_until = now + PAUSE_GUARD_SECONDS
         for ballot in list(self._by_request.values()):
             if ballot.phase is Phase.PENDING:
@@ -315,7 +331,8 @@
             self._settle(ballot, verdict, now)
 
     def _note_renewal(self, ballot: Ballot) -> None:
-        if ballot.is_won:
+        """Extend the cover; once lapsed it stays so, since another may have run."""
+        if ballot.is_won and ballot.asked_at < ballot.renewed_at + WINDOW_SECONDS:
             ballot.renewed_at = ballot.asked_at
 
     def _verdict(self, ballot: Ballot, now: float) -> ClaimVerdict | None:
