--- a/src/catkinspan/coordination/configuration/const.py
+++ b/src/catkinspan/coordination/configuration/const.py
@@ -53,3 +53,6 @@
 
 MAX_DIFFERENCES = 20
 """Lines of difference in one event."""
+
+REVISIONS_SHOWN = 20
+"""Latest revisions whose time of coming into force a host remembers."""
--- a/src/catkinspan/coordination/configuration/coordinator.py
+++ b/src/catkinspan/coordination/configuration/coordinator.py
@@ -1,5 +1,6 @@
 """Owner of the accepted configuration and its revision."""
 
+from collections import deque
 from collections.abc import Callable
 from random import Random
 from typing import Any, ClassVar
@@ -13,6 +14,7 @@
     MAX_DOCUMENT_CHARS,
     MAX_DOCUMENTS,
     PUSH_FANOUT,
+    REVISIONS_SHOWN,
     STARTUP_READ_AFTER_SECONDS,
     STARTUP_STALL_SECONDS,
 )
@@ -32,11 +34,13 @@
     ChunkRequest,
     ConfigurationAccepted,
     ConfigurationRejected,
+    ConfigurationSnapshot,
     Delta,
     DocumentParser,
     Manifest,
     ParsedDocuments,
     PatchSet,
+    RevisionInForce,
     RevisionNotice,
     RevisionQuery,
     RevisionReply,
@@ -92,6 +96,7 @@
         self._is_reader = False
         self._cut_off = False
         self._platform_contact_at: float | None = None
+        self._in_force: deque[RevisionInForce] = deque(maxlen=REVISIONS_SHOWN)
         self._inquiry: StartupInquiry | None = None
         self._ready = False
         self._started_at: float | None = None
@@ -137,6 +142,21 @@
         """Return when the platform was last reached, in monotonic seconds."""
         return self._platform_contact_at
 
+    def snapshot(self) -> ConfigurationSnapshot:
+        """Return the state for operators."""
+        rejected = self._rejected
+        if rejected is not None and rejected.revision <= self._revision:
+            rejected = None
+        return ConfigurationSnapshot(
+            self._revision,
+            self.watch_after,
+            tuple(self._in_force),
+            rejected,
+            self._is_reader,
+            self._platform_contact_at,
+            self._ready,
+        )
+
     def is_ready(self, now: float) -> bool:
         """Return whether the host knows enough to serve; once true it stays so."""
         if self._ready or self._revision == NO_REVISION or self._inquiry is None:
@@ -273,6 +293,7 @@
         old_tree, self._tree = self._tree, parsed.tree
         self._hosts = parsed.hosts
         self._accepted = parsed
+        self._in_force.append(RevisionInForce(revision, now, str(source)))
         patches = self._store.replace(proposal, revision)
         self._history.record(previous, revision, patches)
         self._fetcher.drop_sources(self._useless_up_to)
--- a/src/catkinspan/coordination/configuration/models.py
+++ b/src/catkinspan/coordination/configuration/models.py
@@ -192,6 +192,38 @@
 )
 
 
+@frozen
+class RevisionInForce:
+    """When a revision came into force on the own host."""
+
+    revision: Revision
+    at: float
+    """Monotonic seconds of the own host."""
+
+    source: str
+
+
+@frozen
+class ConfigurationSnapshot:
+    """State of the configuration on one host, for operators."""
+
+    revision: Revision
+    seen: Revision
+    """Highest revision seen, also if it was rejected."""
+
+    recent: tuple[RevisionInForce, ...]
+    """The latest revisions that came into force, oldest first."""
+
+    rejected: RejectedConfiguration | None
+    """A rejected revision above the one in force."""
+
+    is_reader: bool
+    platform_contact_at: float | None
+    """Monotonic seconds of the last contact; None without one."""
+
+    ready: bool
+
+
 @frozen
 class ConfigurationAccepted(Event):
     """A revision is in force on this host."""
--- a/src/catkinspan/coordination/host/coordinator.py
+++ b/src/catkinspan/coordination/host/coordinator.py
@@ -18,10 +18,12 @@
 from catkinspan.coordination.keys.coordinator import KeyCoordinator
 from catkinspan.coordination.membership.coordinator import MembershipCoordinator
 from catkinspan.coordination.membership.isolation import IsolationMonitor
+from catkinspan.coordination.metrics.coordinator import MetricsCoordinator
 from catkinspan.coordination.models import Origin, PeerMessage
 from catkinspan.coordination.outbox import Outbox
 from catkinspan.coordination.quarantine.coordinator import QuarantineCoordinator
 from catkinspan.coordination.rates.coordinator import RateCoordinator
+from catkinspan.coordination.reports.history import StatusHistory
 from catkinspan.coordination.requests.coordinator import RequestsCoordinator, Stages
 from catkinspan.coordination.requests.models import (
     AttemptFinished,
@@ -110,6 +112,8 @@
         self.retries = RetryCoordinator(outbox)
         self.claims = ClaimCoordinator(self_id, incarnation, outbox, rng)
         self.quarantine = QuarantineCoordinator(self_id, outbox, rng)
+        self.metrics = MetricsCoordinator()
+        self.history = StatusHistory(self.health, self.metrics)
         self.requests = RequestsCoordinator(
             Stages(
                 gate=self,
@@ -182,6 +186,7 @@
             case BodyReceived():
                 self.requests.receive_body(message, now)
             case AttemptFinished():
+                self.metrics.record_attempt(message.outcome, now)
                 self.requests.finish_attempt(message, now)
             case RequestAbandoned():
                 self.requests.abandon(message, now)
@@ -211,6 +216,8 @@
         for concern in self._concerns:
             concern.tick(now)
         self.isolation.tick(now)
+        self.metrics.tick(now)
+        self.history.tick(now)
         self._settle(now)
         self._choose_reader(now)
 
@@ -245,6 +252,7 @@
         for concern in self._concerns:
             concern.apply_tree(tree, now)
         self.requests.apply_tree(tree, now)
+        self.history.apply_tree(tree)
         self.isolation.apply_limit(tree.fleet.isolation)
         self.membership.apply_host_list(self.configuration.host_list, now)
         self._outbox.direct(TreeInForce(tree))
--- a/src/catkinspan/coordination/membership/coordinator.py
+++ b/src/catkinspan/coordination/membership/coordinator.py
@@ -27,6 +27,7 @@
     HostSuperseded,
     HostUpdate,
     Leaving,
+    MembershipSnapshot,
     OneWayPath,
     OneWayPathEnded,
     OneWayPathFound,
@@ -129,6 +130,16 @@
         """Return the paths from this host that work only in the other direction."""
         return tuple(self._one_way[host] for host in sorted(self._one_way))
 
+    def snapshot(self, now: float) -> MembershipSnapshot:
+        """Return the state for operators."""
+        return MembershipSnapshot(
+            self.view,
+            {m.id: m.sighting() for m in self._members.values() if m is not self._self},
+            self.connectivity(now),
+            self.one_way_paths,
+            self._superseded,
+        )
+
     def exchange_revisions(self, exchange: RevisionExchange) -> None:
         """Let probes and acks carry the revisions of the configuration concern."""
         self._exchange = exchange
@@ -283,6 +294,7 @@
         member = self._members.get(origin.host)
         if member is None or member.incarnation != origin.incarnation:
             return
+        member.note_revision(message.revision, now)
         if message.leaving and not member.leaving:
             status = HostStatus.LEAVING
             self._merge(
--- a/src/catkinspan/coordination/membership/members.py
+++ b/src/catkinspan/coordination/membership/members.py
@@ -2,9 +2,9 @@
 
 from attrs import define
 
-from catkinspan.coordination.membership.models import HostUpdate, Place
+from catkinspan.coordination.membership.models import HostUpdate, Place, Sighting
 from catkinspan.state.hosts import HostRecord, HostStatus, ListedHost
-from catkinspan.state.ids import DataCentre, HostId
+from catkinspan.state.ids import NO_REVISION, DataCentre, HostId, Revision
 from catkinspan.state.tree import Address
 
 _RANK = {
@@ -39,6 +39,12 @@
     heard_at: float | None = None
     """When a message came directly from the peer."""
 
+    revision: Revision = NO_REVISION
+    """Revision in force at the peer, from its last probe or ack."""
+
+    revision_at: float | None = None
+    """When the peer was first seen with that revision."""
+
     unheard_probes: int = 0
     """Probes in a row without a direct ack while the peer itself was heard."""
 
@@ -87,6 +93,16 @@
             self.listed,
         )
 
+    def note_revision(self, revision: Revision, now: float) -> None:
+        """Record the revision that the peer has in force."""
+        if revision != self.revision:
+            self.revision = revision
+            self.revision_at = now
+
+    def sighting(self) -> Sighting:
+        """Return what operators read of the peer beyond the fleet view."""
+        return Sighting(self.id, self.heard_at, self.revision, self.revision_at)
+
     def take_listing(self, listing: ListedHost) -> None:
         """Take over what the platform's list says."""
         self.listed = True
--- a/src/catkinspan/coordination/membership/models.py
+++ b/src/catkinspan/coordination/membership/models.py
@@ -1,11 +1,12 @@
 """Messages, events and interfaces of the membership."""
 
+from collections.abc import Mapping
 from typing import Protocol
 
 from attrs import frozen
 
 from catkinspan.coordination.models import Event, PeerMessage
-from catkinspan.state.hosts import HostStatus
+from catkinspan.state.hosts import FleetView, HostStatus
 from catkinspan.state.ids import DataCentre, HostId, Revision
 
 
@@ -103,6 +104,32 @@
     """Monotonic seconds of the host that reports it."""
 
 
+@frozen
+class Sighting:
+    """What a host knows of a peer's state from its messages, for operators."""
+
+    host: HostId
+    heard_at: float | None
+    """Monotonic seconds of the last message that came directly; None without one."""
+
+    revision: Revision
+    """Revision in force at the peer, 0 before the first probe or ack."""
+
+    revision_at: float | None
+    """Monotonic seconds at which the peer was first seen with that revision."""
+
+
+@frozen
+class MembershipSnapshot:
+    """The fleet as one host observes it, for operators."""
+
+    view: FleetView
+    sightings: Mapping[HostId, Sighting]
+    connectivity: float
+    one_way_paths: tuple[OneWayPath, ...]
+    superseded: bool
+
+
 @frozen
 class HostStatusChanged(Event):
     """A peer died, returned or announced that it leaves."""
--- /dev/null
+++ b/src/catkinspan/coordination/metrics/__init__.py
@@ -0,0 +1,1 @@
+"""Counts and latencies of the requests that one host served."""
--- /dev/null
+++ b/src/catkinspan/coordination/metrics/endings.py
@@ -0,0 +1,58 @@
+"""Grouping of the kinds by which requests end."""
+
+from collections.abc import Mapping
+
+from catkinspan.coordination.metrics.models import Ending, FinishedRequest
+from catkinspan.coordination.requests.errors import RefusalKind
+
+PASSED = "passed"
+CUT = "cut"
+
+_GROUPS: Mapping[Ending, frozenset[str]] = {
+    Ending.FAILED: frozenset(
+        {
+            CUT,
+            RefusalKind.UPSTREAM_UNREACHABLE,
+            RefusalKind.UPSTREAM_TIMEOUT,
+            RefusalKind.UPSTREAM_RESET,
+            RefusalKind.UPSTREAM_TRUNCATED,
+            RefusalKind.UPSTREAM_CROSSED,
+            RefusalKind.INTERNAL_ERROR,
+        }
+    ),
+    Ending.RATE: frozenset({RefusalKind.RATE_EXCEEDED}),
+    Ending.CAPACITY: frozenset(
+        {
+            RefusalKind.NO_CAPACITY,
+            RefusalKind.UPSTREAM_SHED,
+            RefusalKind.OVERLOADED,
+            RefusalKind.CLAIM_UNDECIDED,
+        }
+    ),
+    Ending.KEY: frozenset(
+        {RefusalKind.KEY_MISSING, RefusalKind.KEY_UNKNOWN, RefusalKind.KEY_WITHDRAWN}
+    ),
+    Ending.HOST: frozenset({RefusalKind.NOT_READY, RefusalKind.ISOLATED}),
+    Ending.ABANDONED: frozenset({"abandoned", ""}),
+}
+_ENDINGS = {kind: ending for ending, kinds in _GROUPS.items() for kind in kinds}
+
+NOT_REFUSALS = frozenset({PASSED, CUT, "abandoned", ""})
+
+IN_RATE_KINDS = frozenset(
+    {
+        RefusalKind.NO_CAPACITY,
+        RefusalKind.UPSTREAM_SHED,
+        RefusalKind.UPSTREAM_UNREACHABLE,
+        RefusalKind.CLAIM_UNDECIDED,
+    }
+)
+"""Refusals that only come after the rate stage has admitted the request. A refusal by
+rate may also be wrong, but a single host cannot tell."""
+
+
+def ending_of(request: FinishedRequest) -> Ending:
+    """Return the group of a finished request."""
+    if request.kind == PASSED:
+        return Ending.FAILED if request.status >= 500 else Ending.SERVED
+    return _ENDINGS.get(request.kind, Ending.REQUEST)
--- /dev/null
+++ b/src/catkinspan/coordination/metrics/recent.py
@@ -0,0 +1,37 @@
+"""Counts over the last seconds."""
+
+from collections import Counter, deque
+
+from catkinspan.coordination.metrics.models import EndCounts, Ending
+
+
+class RecentCounts:
+    """Counts ends of requests in buckets of a second."""
+
+    def __init__(self, span: int) -> None:
+        self._span = span
+        self._seconds: deque[tuple[int, Counter[Ending]]] = deque()
+
+    def count(self, ending: Ending, now: float) -> None:
+        """Count one request."""
+        second = int(now)
+        if not self._seconds or self._seconds[-1][0] != second:
+            self._seconds.append((second, Counter()))
+            self._trim(now)
+        self._seconds[-1][1][ending] += 1
+
+    def counts(self, now: float) -> EndCounts:
+        """Return the counts of the span."""
+        total: Counter[Ending] = Counter()
+        for second, counts in self._seconds:
+            if second > now - self._span:
+                total.update(counts)
+        return EndCounts(dict(total))
+
+    def is_idle(self, seconds: float, now: float) -> bool:
+        """Return whether nothing was counted for a time."""
+        return not self._seconds or self._seconds[-1][0] < now - seconds
+
+    def _trim(self, now: float) -> None:
+        while self._seconds and self._seconds[0][0] <= now - self._span:
+            self._seconds.popleft()
--- /dev/null
+++ b/src/catkinspan/coordination/naming.py
@@ -0,0 +1,10 @@
+"""Stable names of classes in operators' output."""
+
+import re
+
+_WORD_START = re.compile(r"(?<=[a-z0-9])(?=[A-Z])")
+
+
+def kind_of(instance: object) -> str:
+    """Return the class name in lower case, as in ``server_ejected``."""
+    return _WORD_START.sub("_", type(instance).__name__).lower()
--- /dev/null
+++ b/src/catkinspan/coordination/reports/assess.py
@@ -0,0 +1,115 @@
+"""Whether a service is up, degraded or down, and why."""
+
+from attrs import frozen
+
+from catkinspan.coordination.health.models import (
+    ServerReport,
+    ServerState,
+    ServiceReport,
+)
+from catkinspan.coordination.metrics.models import EndCounts
+from catkinspan.coordination.reports.const import (
+    FAILED_SHARE_DEGRADED,
+    FAILED_SHARE_DOWN,
+    LEAST_REQUESTS,
+    MAX_SERVERS_NAMED,
+)
+from catkinspan.coordination.reports.models import State
+
+IN_USE = frozenset(
+    {
+        ServerState.HEALTHY,
+        ServerState.SUSPECT,
+        ServerState.SLOW_START,
+        ServerState.COLD,
+    }
+)
+"""States of servers that get requests and of which nothing worse is known."""
+
+BAD = (
+    ServerState.EJECTED,
+    ServerState.TRIAL,
+    ServerState.KEPT_BY_FLOOR,
+    ServerState.AVOIDED,
+)
+"""States that make a service degraded. Draining, leaving and cold servers do not,
+since these are planned."""
+
+_WORDS = {
+    ServerState.EJECTED: "ejected",
+    ServerState.TRIAL: "on trial after ejection",
+    ServerState.KEPT_BY_FLOOR: "unhealthy but kept in use by the floor",
+    ServerState.AVOIDED: "avoided by this host or data centre",
+}
+
+
+@frozen
+class Assessment:
+    """State of a service with the reasons for it."""
+
+    state: State
+    reasons: tuple[str, ...] = ()
+
+
+def assess(health: ServiceReport, recent: EndCounts) -> Assessment:
+    """Judge a service by its servers and by the recent requests of this host.
+
+    It is down without a server that is in use and not known to be bad, or if half of
+    the recent requests failed. It is degraded if a server is out for bad health, if a
+    share of the requests failed or found no capacity, or at the floor.
+    """
+    down = _down_reasons(health, recent)
+    degraded = _degraded_reasons(health, recent)
+    if down:
+        return Assessment(State.DOWN, (*down, *degraded))
+    if degraded:
+        return Assessment(State.DEGRADED, degraded)
+    return Assessment(State.UP)
+
+
+def _down_reasons(health: ServiceReport, recent: EndCounts) -> tuple[str, ...]:
+    reasons = []
+    if not health.servers:
+        reasons.append("no server is published")
+    elif not any(server.state in IN_USE for server in health.servers):
+        reasons.append("no server in use that is not known to be bad")
+    if _share(recent.failed, recent) >= FAILED_SHARE_DOWN:
+        reasons.append(_failures(recent))
+    return tuple(reasons)
+
+
+def _degraded_reasons(health: ServiceReport, recent: EndCounts) -> tuple[str, ...]:
+    reasons = [
+        _named(state, servers)
+        for state in BAD
+        if (servers := [s for s in health.servers if s.state is state])
+    ]
+    if health.unavailable and health.distance_to_floor <= 0:
+        reasons.append(
+            f"at the floor: {health.unavailable} of {health.published} unavailable, "
+            f"{health.floor} must stay"
+        )
+    failed = _share(recent.failed, recent)
+    if FAILED_SHARE_DEGRADED <= failed < FAILED_SHARE_DOWN:
+        reasons.append(_failures(recent))
+    if _share(recent.refused_inside_rate, recent) >= FAILED_SHARE_DEGRADED:
+        count = recent.refused_inside_rate
+        reasons.append(f"{count} of {recent.asked} recent requests found no capacity")
+    return tuple(reasons)
+
+
+def _share(count: int, recent: EndCounts) -> float:
+    if recent.asked < LEAST_REQUESTS:
+        return 0.0
+    return count / recent.asked
+
+
+def _failures(recent: EndCounts) -> str:
+    return f"{recent.failed} of {recent.asked} recent requests failed"
+
+
+def _named(state: ServerState, servers: list[ServerReport]) -> str:
+    shown = ", ".join(server.server for server in servers[:MAX_SERVERS_NAMED])
+    more = len(servers) - MAX_SERVERS_NAMED
+    rest = f" and {more} more" if more > 0 else ""
+    return f"{len(servers)} {_WORDS[state]}: {shown}{rest}"
--- /dev/null
+++ b/src/catkinspan/coordination/reports/audit.py
@@ -0,0 +1,29 @@
+"""The report on the audit trail."""
+
+from collections.abc import Iterable
+
+from catkinspan.coordination.audit.texts import describe
+from catkinspan.coordination.models import AuditEntry
+from catkinspan.coordination.naming import kind_of
+from catkinspan.coordination.reports.gather import HostFacts
+from catkinspan.coordination.reports.heads import report_head
+from catkinspan.coordination.reports.instants import Instants
+from catkinspan.coordination.reports.models import AuditLine, AuditReport
+
+
+def audit_report(
+    facts: HostFacts,
+    entries: Iterable[AuditEntry],
+    recorded: int,
+    instants: Instants,
+) -> AuditReport:
+    """Return the latest entries in words."""
+    lines = tuple(audit_line(entry) for entry in entries)
+    return AuditReport(report_head(facts, instants), recorded, lines)
+
+
+def audit_line(entry: AuditEntry) -> AuditLine:
+    """Return one entry in words."""
+    told = describe(entry.event)
+    kind = kind_of(entry.event)
+    return AuditLine(entry.at, entry.host, kind, told.text, told.details)
--- /dev/null
+++ b/src/catkinspan/coordination/reports/config.py
@@ -0,0 +1,47 @@
+"""The report on the configuration of one host."""
+
+from catkinspan.coordination.configuration.errors import RejectedConfiguration
+from catkinspan.coordination.reports.gather import HostFacts
+from catkinspan.coordination.reports.heads import report_head
+from catkinspan.coordination.reports.instants import Instants
+from catkinspan.coordination.reports.models import (
+    ConfigReport,
+    RejectedLine,
+    RevisionLine,
+)
+from catkinspan.coordination.reports.unknown import unknown_to_host
+
+
+def config_report(facts: HostFacts, instants: Instants) -> ConfigReport:
+    """Return the revision in force, since when, and how current it can be."""
+    configuration, tree = facts.configuration, facts.tree
+    recent = tuple(
+        RevisionLine(entry.revision, at, entry.source)
+        for entry in reversed(configuration.recent)
+        if (at := instants.instant(entry.at)) is not None
+    )
+    isolation = tree.fleet.isolation
+    return ConfigReport(
+        head=report_head(facts, instants),
+        ready=configuration.ready,
+        since=recent[0].at if recent else None,
+        recent=recent,
+        seen=configuration.seen,
+        rejected=_rejected(configuration.rejected),
+        is_reader=configuration.is_reader,
+        platform_seconds=instants.age(configuration.platform_contact_at),
+        services=len(tree.services),
+        routes=len(tree.routes),
+        workspaces=len(tree.workspaces),
+        servers=sum(len(s.upstreams) for s in tree.services.values()),
+        listed_hosts=len(facts.host_list.hosts),
+        max_hosts=tree.fleet.max_hosts,
+        isolation_seconds=None if isolation is None else isolation.total_seconds(),
+        unknown=unknown_to_host(facts),
+    )
+
+
+def _rejected(rejected: RejectedConfiguration | None) -> RejectedLine | None:
+    if rejected is None:
+        return None
+    return RejectedLine(rejected.revision, tuple(map(str, rejected.faults)))
--- /dev/null
+++ b/src/catkinspan/coordination/reports/const.py
@@ -0,0 +1,30 @@
+"""Constants of the reports."""
+
+FAILED_SHARE_DOWN = 0.5
+"""Share of recent requests that failed from which a service is down."""
+
+FAILED_SHARE_DEGRADED = 0.05
+"""Share of recent requests that failed or found no capacity from which a service is
+degraded."""
+
+LEAST_REQUESTS = 10
+"""Recent requests below which their shares say nothing."""
+
+ASSESSOR_SILENT_SECONDS = 15.0
+"""An assessor that did not answer for this long counts as not heard."""
+
+PLATFORM_SILENT_SECONDS = 60.0
+"""A reader that did not reach the configuration service for this long says so. A
+watch answers at least every 30 s."""
+
+PEER_SILENT_SECONDS = 10.0
+"""A peer without a message for this long counts as not heard, at 40 hosts."""
+
+SAMPLES_PER_TICK = 1
+"""Services whose state is judged in each tick, one after another."""
+
+MAX_WORKSPACES_SHOWN = 200
+"""Workspaces in one report, those that are held back first."""
+
+MAX_SERVERS_NAMED = 5
+MAX_HOSTS_NAMED = 5
--- /dev/null
+++ b/src/catkinspan/coordination/reports/heads.py
@@ -0,0 +1,28 @@
+"""Parts that several reports share."""
+
+from catkinspan.coordination.metrics.const import RECENT_SECONDS
+from catkinspan.coordination.metrics.models import EndCounts, Ending
+from catkinspan.coordination.reports.gather import HostFacts
+from catkinspan.coordination.reports.instants import Instants
+from catkinspan.coordination.reports.models import ReportHead, RequestLine
+
+
+def report_head(facts: HostFacts, instants: Instants) -> ReportHead:
+    """Return who answers, and as of when."""
+    view = facts.membership.view
+    at = instants.instant(instants.now)
+    assert at is not None
+    revision = facts.configuration.revision
+    return ReportHead(view.self_id, view.self_data_centre, at, revision)
+
+
+def request_line(recent: EndCounts) -> RequestLine:
+    """Return the recent requests of a service or workspace."""
+    return RequestLine(
+        RECENT_SECONDS,
+        recent.asked,
+        recent.served,
+        recent.failed,
+        recent.refused_inside_rate,
+        recent.counts.get(Ending.RATE, 0),
+    )
--- /dev/null
+++ b/src/catkinspan/coordination/reports/history.py
@@ -0,0 +1,97 @@
+"""Since when each service has its state, as one host saw it."""
+
+from collections.abc import Mapping
+from typing import Protocol
+
+from attrs import Factory, frozen
+
+from catkinspan.coordination.health.models import ServerState, ServiceReport
+from catkinspan.coordination.metrics.coordinator import MetricsCoordinator
+from catkinspan.coordination.reports.assess import assess
+from catkinspan.coordination.reports.const import SAMPLES_PER_TICK
+from catkinspan.coordination.reports.models import State
+from catkinspan.state.ids import ServerId, ServiceId
+from catkinspan.state.tree import SettingsTree
+
+_EJECTED = frozenset({ServerState.EJECTED, ServerState.TRIAL})
+
+
+class HealthSource(Protocol):
+    """Reports the health of services."""
+
+    def report(self, service: ServiceId, now: float) -> ServiceReport | None:
+        """Return the health of a service, None for an unknown one."""
+
+
+@frozen
+class Held:
+    """A state and its beginning in monotonic seconds."""
+
+    state: State
+    since: float | None
+    """None if the state was found at the first look."""
+
+    ejected: Mapping[ServerId, float] = Factory(dict)
+    """When each ejected server was ejected."""
+
+
+class StatusHistory:
+    """Judges the services in turn, and remembers when a state began.
+
+    One service a tick costs little at 180 services, and gives the beginning of a
+    state to 9 s there, to 0.1 s with two services.
+    """
+
+    def __init__(self, health: HealthSource, metrics: MetricsCoordinator) -> None:
+        self._health = health
+        self._metrics = metrics
+        self._held: dict[ServiceId, Held] = {}
+        self._services: tuple[ServiceId, ...] = ()
+        self._next = 0
+
+    def apply_tree(self, tree: SettingsTree) -> None:
+        """Take over the services."""
+        self._services = tuple(tree.services)
+        for name in self._held.keys() - tree.services.keys():
+            del self._held[name]
+
+    def tick(self, now: float) -> None:
+        """Judge the services whose turn it is."""
+        for _ in range(min(SAMPLES_PER_TICK, len(self._services))):
+            self._next = (self._next + 1) % len(self._services)
+            self.observe(self._services[self._next], now)
+
+    def observe(self, service: ServiceId, now: float) -> Held | None:
+        """Judge a service now and return its state."""
+        health = self._health.report(service, now)
+        if health is None:
+            return None
+        recent = self._metrics.recent_of_service(service, now)
+        state = assess(health, recent).state
+        before = self._held.get(service)
+        ejected = self._ejected(health, before, now)
+        since = None if before is None else before.since
+        if before is not None and before.state is not state:
+            since = now
+        held = Held(state, since, ejected)
+        self._held[service] = held
+        return held
+
+    def _ejected(
+        self, health: ServiceReport, before: Held | None, now: float
+    ) -> Mapping[ServerId, float]:
+        known = {} if before is None else before.ejected
+        found: dict[ServerId, float] = {}
+        for server in health.servers:
+            if server.state not in _EJECTED:
+                continue
+            at = known.get(server.server)
+            if at is None:
+                at = now if server.since is None else server.since
+                self._metrics.record_ejection(health.service, server.server, at)
+            found[server.server] = at
+        published = {server.server for server in health.servers}
+        for server_id in known:
+            if server_id not in found and server_id in published:
+                self._metrics.record_return(health.service)
+        return found
--- /dev/null
+++ b/src/catkinspan/coordination/reports/instants.py
@@ -0,0 +1,26 @@
+"""Conversion of a host's monotonic seconds to instants."""
+
+from datetime import datetime, timedelta
+
+from attrs import frozen
+
+
+@frozen
+class Instants:
+    """One moment on both clocks of a host."""
+
+    now: float
+    """Monotonic seconds."""
+
+    at: datetime
+
+    def instant(self, seconds: float | None) -> datetime | None:
+        """Return the instant of monotonic seconds, to the millisecond."""
+        if seconds is None:
+            return None
+        exact = self.at - timedelta(seconds=self.now - seconds)
+        return exact.replace(microsecond=exact.microsecond // 1000 * 1000)
+
+    def age(self, seconds: float | None) -> float | None:
+        """Return the seconds that have passed since a moment."""
+        return None if seconds is None else round(max(0.0, self.now - seconds), 3)
--- /dev/null
+++ b/src/catkinspan/coordination/reports/status.py
@@ -0,0 +1,161 @@
+"""The report on services: up, degraded or down."""
+
+from collections.abc import Sequence
+
+from catkinspan.coordination.health.models import (
+    ServerReport,
+    ServerState,
+)
+from catkinspan.coordination.reports.assess import IN_USE, assess
+from catkinspan.coordination.reports.const import MAX_WORKSPACES_SHOWN
+from catkinspan.coordination.reports.gather import (
+    HostFacts,
+    ServiceFacts,
+    WorkspaceFacts,
+)
+from catkinspan.coordination.reports.heads import report_head, request_line
+from catkinspan.coordination.reports.instants import Instants
+from catkinspan.coordination.reports.models import (
+    ServerLine,
+    ServiceLine,
+    ServiceReportLine,
+    State,
+    StatusReport,
+)
+from catkinspan.coordination.reports.unknown import (
+    unknown_of_services,
+    unknown_to_host,
+)
+from catkinspan.coordination.reports.workspaces import held_lines
+
+_SEVERITY = (State.UP, State.DEGRADED, State.DOWN)
+
+
+def status_report(
+    facts: HostFacts,
+    services: Sequence[ServiceFacts],
+    workspaces: WorkspaceFacts,
+    draining: bool,
+    instants: Instants,
+) -> StatusReport:
+    """Return the state of the host and of all services."""
+    host_state, reasons = host_condition(facts, draining)
+    lines = tuple(_service_line(service, instants, whole=False) for service in services)
+    held = held_lines(facts, workspaces, instants)
+    view = facts.membership.view
+    return StatusReport(
+        report_head(facts, instants),
+        worst([host_state, *(line.state for line in lines)]),
+        host_state,
+        reasons,
+        len(view.usable),
+        len(view.hosts),
+        view.max_hosts,
+        tuple(sorted(lines, key=_worst_first)),
+        held[:MAX_WORKSPACES_SHOWN],
+        max(0, len(held) - MAX_WORKSPACES_SHOWN),
+        (*unknown_to_host(facts), *unknown_of_services(services, instants.now)),
+    )
+
+
+def service_report(
+    facts: HostFacts, service: ServiceFacts, draining: bool, instants: Instants
+) -> ServiceReportLine:
+    """Return the state of one service with all its servers."""
+    host_state, reasons = host_condition(facts, draining)
+    return ServiceReportLine(
+        report_head(facts, instants),
+        host_state,
+        reasons,
+        _service_line(service, instants, whole=True),
+        (*unknown_to_host(facts), *unknown_of_services([service], instants.now)),
+    )
+
+
+def host_condition(facts: HostFacts, draining: bool) -> tuple[State, tuple[str, ...]]:
+    """Return whether the answering host itself serves, and why not."""
+    if facts.membership.superseded:
+        return State.DOWN, ("superseded by a newer process with the same id",)
+    if not facts.ready:
+        return State.DOWN, ("not ready: no settings in force yet",)
+    if facts.isolated:
+        return State.DOWN, ("isolated: refuses requests with a key",)
+    if draining:
+        return State.DEGRADED, ("draining: takes no new connections",)
+    return State.UP, ()
+
+
+def worst(states: Sequence[State]) -> State:
+    """Return the worst of several states."""
+    return max(states, key=_SEVERITY.index)
+
+
+def _worst_first(line: ServiceLine) -> tuple[int, str]:
+    return -_SEVERITY.index(line.state), line.service
+
+
+def _service_line(facts: ServiceFacts, instants: Instants, whole: bool) -> ServiceLine:
+    health, slots, retries = facts.health, facts.slots, facts.retries
+    assessment = assess(health, facts.recent)
+    shown = [
+        _server_line(server, instants)
+        for server in health.servers
+        if whole or server.state is not ServerState.HEALTHY
+    ]
+    return ServiceLine(
+        service=health.service,
+        state=assessment.state,
+        since=instants.instant(_since(facts, assessment.state)),
+        reasons=assessment.reasons,
+        evidence=_evidence(facts),
+        published=health.published,
+        in_use=sum(1 for server in health.servers if server.state in IN_USE),
+        unavailable=health.unavailable,
+        floor=health.floor,
+        above_floor=health.distance_to_floor,
+        servers=tuple(shown),
+        requests=request_line(facts.recent),
+        waiting=sum(slots.waiting.values()) if slots else 0,
+        retries=retries.spent if retries else 0,
+        retries_refused=retries.refused if retries else 0,
+        dispatcher=slots.dispatcher if slots else None,
+        fallback=slots.fallback if slots else False,
+        assessor=health.assessor,
+        assessor_heard_seconds=instants.age(health.assessor_heard),
+    )
+
+
+def _since(facts: ServiceFacts, state: State) -> float | None:
+    """Return when the state began: seen here, or told by the verdicts."""
+    if facts.held.since is not None and facts.held.state is state:
+        return facts.held.since
+    if state is State.UP:
+        return None
+    known = [s.since for s in facts.health.servers if s.since is not None]
+    return min(known, default=None)
+
+
+def _evidence(facts: ServiceFacts) -> tuple[str, ...]:
+    lines = []
+    hosts = {host for server in facts.health.servers for host in server.hosts}
+    places = {p for server in facts.health.servers for p in server.data_centres}
+    if hosts or places:
+        where = ", ".join(sorted(places)) or "one data centre"
+        lines.append(f"{len(hosts)} hosts in {where}")
+    if facts.recent.asked:
+        lines.append(f"{facts.recent.asked} recent requests of this host")
+    return tuple(lines) or ("no recent requests of this host, no reports of others",)
+
+
+def _server_line(server: ServerReport, instants: Instants) -> ServerLine:
+    return ServerLine(
+        server.server,
+        server.state,
+        instants.instant(server.since),
+        server.reason,
+        {str(signal): round(n, 2) for signal, n in server.evidence.items()},
+        server.hosts,
+        server.data_centres,
+        instants.instant(server.hold_until),
+        server.share,
+    )
--- a/src/catkinspan/coordination/requests/coordinator.py
+++ b/src/catkinspan/coordination/requests/coordinator.py
@@ -567,7 +567,8 @@
     def _refuse(self, request: _Request, refusal: Refusal, now: float) -> None:
         if request.ran is not Ran.NO:
             refusal = evolve(refusal, ran=request.ran)
-        self._outbox.direct(Refused(request.id, refusal))
+        service = request.route.service
+        self._outbox.direct(Refused(request.id, refusal, service, request.workspace))
         self._end(request, request.ran, now)
 
     def _end(self, request: _Request, ran: Ran, now: float) -> None:
--- a/src/catkinspan/coordination/requests/models.py
+++ b/src/catkinspan/coordination/requests/models.py
@@ -123,6 +123,11 @@
     """Answer the caller with a refusal."""
 
     refusal: Refusal
+    service: ServiceId | None = None
+    """Service of the route; None if the route was not found."""
+
+    workspace: WorkspaceId | None = None
+    """Workspace of the key; None before the key was accepted."""
 
 
 @frozen
--- a/src/catkinspan/daemon/cli/common.py
+++ b/src/catkinspan/daemon/cli/common.py
@@ -12,6 +12,8 @@
 
 from catkinspan.coordination.configuration.errors import SettingsFault
 from catkinspan.daemon.logs import set_up_logs
+from catkinspan.protocol.settings.reader import parse_address
+from catkinspan.state.tree import Address
 
 Subparsers: TypeAlias = "argparse._SubParsersAction[argparse.ArgumentParser]"
 
@@ -51,6 +53,14 @@
         print(f"fault: {fault}", file=sys.stderr)
 
 
+def address(text: str) -> Address:
+    """Parse an IP:PORT argument."""
+    parsed = parse_address(text)
+    if isinstance(parsed, Err):
+        raise argparse.ArgumentTypeError(f"{parsed.err_value}; write IP:PORT")
+    return parsed.ok_value
+
+
 async def async_wait_for_signal() -> None:
     """Wait for SIGTERM or SIGINT; a second one ends the process at once."""
     loop = asyncio.get_running_loop()
--- a/src/catkinspan/daemon/cli/explain.py
+++ b/src/catkinspan/daemon/cli/explain.py
@@ -7,13 +7,20 @@
 import orjson
 from result import Err
 
+from catkinspan.daemon.cli.ask import (
+    Told,
+    add_ask_options,
+    ask,
+    path_with,
+    print_fault,
+    read,
+)
 from catkinspan.daemon.cli.common import Subparsers, print_faults, read_file
 from catkinspan.daemon.cli.const import EXIT_FAILED, EXIT_OK, EXIT_USAGE
-from catkinspan.protocol.settings.policy import format_setting
+from catkinspan.protocol.operators.codec import encode_report
+from catkinspan.protocol.operators.explain import RouteExplanation, explain_route
 from catkinspan.protocol.settings.tree import check_tree
 from catkinspan.state.ids import RouteId
-from catkinspan.state.policy import POLICY_FIELDS
-from catkinspan.state.tree import Route
 
 
 def add_parser(subparsers: Subparsers) -> None:
@@ -22,19 +29,34 @@
         "explain",
         help="show the effective settings of a route and where each comes from",
         description="Show each effective setting of a route, its unit, and the level "
-        "of the tree that set it.",
+        "of the tree that set it, as in force at a running host or in a file.",
     )
     parser.add_argument("route", help="route as SERVICE/ROUTE")
     parser.add_argument(
-        "--tree", type=Path, required=True, help="JSON file with the settings tree"
+        "--tree",
+        type=Path,
+        help="JSON file with the settings tree, in place of a running host",
     )
-    parser.add_argument("--json", action="store_true", help="print JSON")
+    add_ask_options(parser)
     parser.set_defaults(run=run)
 
 
 def run(args: argparse.Namespace) -> int:
     """Print the settings of the route."""
-    text = read_file(args.tree)
+    if args.tree is not None:
+        return _explain_file(args.tree, args.route, args.json)
+    told = ask(args.operators, path_with("/v1/explain/", args.route))
+    if isinstance(told, Err):
+        return print_fault(told.err_value)
+    report = read(told.ok_value, RouteExplanation)
+    if isinstance(report, Err):
+        return print_fault(report.err_value)
+    print(told.ok_value.pretty() if args.json else explanation_text(report.ok_value))
+    return EXIT_OK
+
+
+def _explain_file(path: Path, name: str, as_json: bool) -> int:
+    text = read_file(path)
     if isinstance(text, Err):
         print_faults([text.err_value])
         return EXIT_USAGE
@@ -42,35 +64,26 @@
     if isinstance(checked, Err):
         print_faults(checked.err_value)
         return EXIT_USAGE
-    route = checked.ok_value.tree.routes.get(RouteId(args.route))
+    route = checked.ok_value.tree.routes.get(RouteId(name))
     if route is None:
         known = ", ".join(sorted(checked.ok_value.tree.routes))
-        print(f"no route {args.route!r}; name one of: {known}", file=sys.stderr)
+        print(f"no route {name!r}; name one of: {known}", file=sys.stderr)
         return EXIT_FAILED
-    print_route(route, args.json)
+    explanation = explain_route(route)
+    told = Told(encode_report(explanation))
+    print(told.pretty() if as_json else explanation_text(explanation))
     return EXIT_OK
 
 
-def explain_route(route: Route) -> dict[str, dict[str, object]]:
-    """Return value, unit and origin of each setting of a route."""
-    return {
-        name: {
-            "value": format_setting(getattr(route.policy, attribute.name)),
-            "unit": attribute.metadata["unit"],
-            "origin": route.origins[name],
-        }
-        for name, attribute in POLICY_FIELDS.items()
-    }
-
-
-def print_route(route: Route, as_json: bool) -> None:
-    """Print the settings of a route as a table or as JSON."""
-    settings = explain_route(route)
-    if as_json:
-        answer = {"route": route.id, "service": route.service, "settings": settings}
-        print(orjson.dumps(answer, option=orjson.OPT_INDENT_2).decode())
-        return
-    print(f"route {route.id} of service {route.service}")
-    for name, setting in settings.items():
-        value = orjson.dumps(setting["value"]).decode()
-        print(f"  {name:<22} {value:<28} {setting['unit']:<9} {setting['origin']}")
+def explanation_text(explanation: RouteExplanation) -> str:
+    """Return the settings of a route as a table."""
+    methods = ", ".join(explanation.methods) or "all methods"
+    where = f"{explanation.host or ''}{explanation.path_prefix}"
+    lines = [
+        f"route {explanation.route} of service {explanation.service}: "
+        f"{methods} under {where}"
+    ]
+    for name, setting in explanation.settings.items():
+        value = orjson.dumps(setting.value).decode()
+        lines.append(f"  {name:<22} {value:<28} {setting.unit:<9} {setting.origin}")
+    return "\n".join(lines)
--- a/src/catkinspan/daemon/cli/standin.py
+++ b/src/catkinspan/daemon/cli/standin.py
@@ -10,13 +10,13 @@
 from catkinspan.daemon.cli.common import (
     Subparsers,
     add_log_options,
+    address,
     async_wait_for_signal,
     print_faults,
     read_file,
     start_logs,
 )
 from catkinspan.daemon.cli.const import EXIT_OK, EXIT_USAGE
-from catkinspan.protocol.settings.reader import parse_address
 from catkinspan.standin.platform import StandinPlatform
 from catkinspan.standin.upstream import StandinUpstream, UpstreamOptions
 from catkinspan.state.tree import Address
@@ -60,14 +60,6 @@
     upstream.set_defaults(run=run_upstream)
 
 
-def address(text: str) -> Address:
-    """Parse an IP:PORT argument."""
-    parsed = parse_address(text)
-    if isinstance(parsed, Err):
-        raise argparse.ArgumentTypeError(f"{parsed.err_value}; write IP:PORT")
-    return parsed.ok_value
-
-
 def run_platform(args: argparse.Namespace) -> int:
     """Serve the platform's interface until a signal comes."""
     start_logs(args)
--- /dev/null
+++ b/src/catkinspan/daemon/cli/text/__init__.py
@@ -0,0 +1,1 @@
+"""Reports as text for a terminal."""
--- /dev/null
+++ b/src/catkinspan/daemon/cli/text/fleet.py
@@ -0,0 +1,129 @@
+"""The reports on hosts, workspaces, configuration and audit as text."""
+
+from catkinspan.coordination.reports.models import (
+    AuditReport,
+    ConfigReport,
+    HostLine,
+    HostsReport,
+    WorkspaceLine,
+    WorkspacesReport,
+)
+from catkinspan.coordination.reports.unknown import span
+from catkinspan.daemon.cli.text.common import (
+    head_line,
+    instant,
+    since,
+    table,
+    unknown_lines,
+)
+
+_HOST_HEADER = ("host", "data centre", "status", "heard", "revision", "since")
+_WORKSPACE_HEADER = (
+    "workspace",
+    "rate",
+    "burst",
+    "weight",
+    "served",
+    "over rate",
+    "no capacity",
+    "in flight",
+    "held back by",
+)
+
+
+def hosts_text(report: HostsReport) -> str:
+    """Return the hosts with the revision in force at each."""
+    lines = [
+        head_line(report.head),
+        f"{report.usable} usable, at most {report.max_hosts}; "
+        f"{report.connectivity:.0%} of the peers answer this host"
+        + (", which is ISOLATED" if report.isolated else "")
+        + (", which is SUPERSEDED" if report.superseded else ""),
+        *table(_HOST_HEADER, [_host_row(h, report) for h in report.hosts]),
+        "since: when the revision came into force here, or was first seen at a peer",
+    ]
+    return "\n".join([*lines, *unknown_lines(report.unknown)])
+
+
+def _host_row(host: HostLine, report: HostsReport) -> tuple[object, ...]:
+    status = host.status if host.listed else f"{host.status}, not listed"
+    if host.one_way:
+        status += ", does not hear this host"
+    heard = "-" if host.heard_seconds is None else f"{span(host.heard_seconds)} ago"
+    if host.host == report.head.host:
+        heard = "this host"
+    revision = host.revision or "?"
+    when = instant(host.revision_since)
+    return host.host, host.data_centre, status, heard, revision, when
+
+
+def workspaces_text(report: WorkspacesReport) -> str:
+    """Return the workspaces, those that are held back first."""
+    lines = [head_line(report.head)]
+    if not report.minting:
+        lines.append(f"this host mints no tokens: {report.not_minting_because}")
+    lines += table(_WORKSPACE_HEADER, [_workspace_row(w) for w in report.workspaces])
+    if report.left_out:
+        lines.append(f"  and {report.left_out} more workspaces that are not held back")
+    lines.append("counts are those of this host in the last seconds")
+    return "\n".join([*lines, *unknown_lines(report.unknown)])
+
+
+def _workspace_row(line: WorkspaceLine) -> tuple[object, ...]:
+    causes = "; ".join(f"{hold.by}: {hold.detail}" for hold in line.held_by)
+    requests = line.requests
+    return (
+        line.workspace,
+        f"{line.rate:g}/s",
+        f"{line.burst:g}",
+        f"{line.weight:g}",
+        f"{requests.served}/{requests.asked}",
+        requests.over_rate,
+        requests.no_capacity,
+        f"{line.in_flight}/{line.max_in_flight}",
+        causes or "-",
+    )
+
+
+def config_text(report: ConfigReport) -> str:
+    """Return the revision in force and how current it can be."""
+    head = report.head
+    isolation = report.isolation_seconds
+    lines = [
+        head_line(head),
+        f"in force {since(report.since, head.at)}"
+        + ("" if report.ready else "; the host is NOT READY"),
+        _platform_line(report),
+        f"{report.services} services, {report.servers} servers, {report.routes} "
+        f"routes, {report.workspaces} workspaces, {report.listed_hosts} hosts listed "
+        f"of at most {report.max_hosts}",
+        "keyed requests are refused after "
+        + ("never" if isolation is None else f"{isolation:g} s")
+        + " of isolation",
+    ]
+    if report.rejected is not None:
+        lines.append(f"REJECTED revision {report.rejected.revision}:")
+        lines += [f"  {fault}" for fault in report.rejected.faults]
+    lines.append("latest revisions in force at this host:")
+    rows = [(r.revision, instant(r.at), r.source) for r in report.recent]
+    lines += table(("revision", "since", "from"), rows)
+    return "\n".join([*lines, *unknown_lines(report.unknown)])
+
+
+def _platform_line(report: ConfigReport) -> str:
+    role = "reads" if report.is_reader else "does not read"
+    seconds = report.platform_seconds
+    contact = "never" if seconds is None else f"{span(seconds)} ago"
+    return f"this host {role} the configuration service; last reached: {contact}"
+
+
+def audit_text(report: AuditReport) -> str:
+    """Return the latest events, newest first."""
+    lines = [
+        f"{head_line(report.head)}; {report.recorded} events since the start, "
+        "newest first"
+    ]
+    for entry in report.entries:
+        lines.append(f"{instant(entry.at)} {entry.host} {entry.kind}: {entry.text}")
+        lines += [f"    {detail}" for detail in entry.details]
+    return "\n".join(lines)
--- /dev/null
+++ b/src/catkinspan/daemon/cli/text/status.py
@@ -0,0 +1,113 @@
+"""The status report as text."""
+
+from datetime import datetime
+
+from catkinspan.coordination.reports.models import (
+    ServerLine,
+    ServiceLine,
+    ServiceReportLine,
+    State,
+    StatusReport,
+    WorkspaceLine,
+)
+from catkinspan.coordination.reports.unknown import span
+from catkinspan.daemon.cli.text.common import (
+    MAX_ROWS,
+    head_line,
+    instant,
+    since,
+    unknown_lines,
+)
+
+
+def status_text(report: StatusReport) -> str:
+    """Return the state of all services on one screen."""
+    head = report.head
+    lines = [f"{report.state.upper()}, {head_line(head)}"]
+    lines += _host_lines(report.host_state, report.host_reasons)
+    lines.append(
+        f"hosts: {report.hosts_usable} of {report.hosts_known} known are usable, "
+        f"at most {report.max_hosts}"
+    )
+    for service in report.services[:MAX_ROWS]:
+        lines += _service_lines(service, head.at, whole=False)
+    if len(report.services) > MAX_ROWS:
+        lines.append(f"and {len(report.services) - MAX_ROWS} more services; see --json")
+    lines += _held_lines(report.held_back, report.held_back_more)
+    return "\n".join([*lines, *unknown_lines(report.unknown)])
+
+
+def service_text(report: ServiceReportLine) -> str:
+    """Return the state of one service with all its servers."""
+    head, service = report.head, report.service
+    lines = [f"{service.state.upper()}, {head_line(head)}"]
+    lines += _host_lines(report.host_state, report.host_reasons)
+    lines += _service_lines(service, head.at, whole=True)
+    return "\n".join([*lines, *unknown_lines(report.unknown)])
+
+
+def _host_lines(state: State, reasons: tuple[str, ...]) -> list[str]:
+    if state is State.UP:
+        return []
+    return [f"this host: {state}: {'; '.join(reasons)}"]
+
+
+def _service_lines(service: ServiceLine, now: datetime, whole: bool) -> list[str]:
+    lines = [
+        f"{service.service}: {service.state} {since(service.since, now)}; "
+        f"{service.in_use} of {service.published} servers in use, floor "
+        f"{service.floor}, {service.above_floor} above it"
+    ]
+    if service.reasons:
+        lines.append(f"  because: {'; '.join(service.reasons)}")
+    if whole or service.state is not State.UP:
+        lines.append(f"  evidence: {'; '.join(service.evidence)}")
+        lines.append(f"  {_requests(service)}")
+        lines.append(f"  {_roles(service)}")
+    lines += [f"  {_server(server, now)}" for server in service.servers]
+    return lines
+
+
+def _requests(service: ServiceLine) -> str:
+    counts = service.requests
+    return (
+        f"requests here in {counts.seconds} s: {counts.served} served, "
+        f"{counts.failed} failed, {counts.no_capacity} without capacity, "
+        f"{counts.over_rate} over the rate; {service.waiting} waiting; "
+        f"retries since start: {service.retries}, {service.retries_refused} refused"
+    )
+
+
+def _roles(service: ServiceLine) -> str:
+    heard = service.assessor_heard_seconds
+    age = "never heard" if heard is None else f"heard {span(heard)} ago"
+    dispatcher = service.dispatcher or "none yet"
+    mode = ", works without it" if service.fallback else ""
+    return f"assessor {service.assessor or 'none'} {age}; dispatcher {dispatcher}{mode}"
+
+
+def _server(server: ServerLine, now: datetime) -> str:
+    text = f"{server.server}: {server.state}"
+    if server.since is not None:
+        text += f" {since(server.since, now)}"
+    if server.reason:
+        text += f": {server.reason}"
+    if server.hosts:
+        places = ", ".join(server.data_centres)
+        text += f" (evidence of {len(server.hosts)} hosts in {places or '?'})"
+    if server.hold_until is not None:
+        text += f", until at least {instant(server.hold_until)}"
+    return text
+
+
+def _held_lines(held: tuple[WorkspaceLine, ...], more: int) -> list[str]:
+    if not held:
+        return ["workspaces held back at this host: none"]
+    lines = ["workspaces held back at this host:"]
+    for workspace in held[:MAX_ROWS]:
+        causes = "; ".join(f"{hold.by}: {hold.detail}" for hold in workspace.held_by)
+        lines.append(f"  {workspace.workspace}: {causes}")
+    left = more + max(0, len(held) - MAX_ROWS)
+    return (
+        [*lines, f"  and {left} more; see `catkinspan workspaces`"] if left else lines
+    )
--- a/src/catkinspan/daemon/host_task.py
+++ b/src/catkinspan/daemon/host_task.py
@@ -17,7 +17,9 @@
     TreeInForce,
 )
 from catkinspan.coordination.keys.models import CloseKeyConnections
+from catkinspan.coordination.metrics.models import FinishedRequest
 from catkinspan.coordination.models import Envelope, Event, Origin, PeerMessage
+from catkinspan.coordination.reports.audit import audit_line
 from catkinspan.coordination.requests.models import (
     AttemptFinished,
     BodyReceived,
@@ -37,7 +39,7 @@
     Query,
 )
 from catkinspan.protocol.peers.codec import PeerCodec
-from catkinspan.state.ids import HostId, RequestId
+from catkinspan.state.ids import HostId, RequestId, ServiceId, WorkspaceId
 from catkinspan.state.tree import SettingsTree
 from catkinspan.transport.callers.messages import (
     Drain,
@@ -171,6 +173,7 @@
                     self._replies.pop(inner.request_id, None)
             case RequestRecord():
                 self._replies.pop(RequestId(message.request_id), None)
+                self._coordinator.metrics.record(_finished(message), now)
                 self._on_record(message)
             case PeerFrame(frame):
                 for peer_message in frame.messages:
@@ -259,7 +262,9 @@
 
     def _record(self, event: Event) -> None:
         entry = self._audit.record(event, self._clock.now())
-        logger.info("audit: {}", entry.event)
+        self._coordinator.metrics.count_event(event, self._clock.monotonic())
+        line = audit_line(entry)
+        logger.info("audit: {} {}", line.kind, "; ".join((line.text, *line.details)))
 
     def _send(self, envelope: Envelope) -> None:
         link = self._link(envelope.to)
@@ -283,3 +288,14 @@
 
     def _encode(self, messages: list[PeerMessage]) -> bytes:
         return self._codec.encode(self._origin, messages)
+
+
+def _finished(record: RequestRecord) -> FinishedRequest:
+    return FinishedRequest(
+        ServiceId(record.service),
+        WorkspaceId(record.workspace),
+        record.status,
+        record.kind,
+        record.seconds,
+        record.attempts,
+    )
--- a/src/catkinspan/daemon/node.py
+++ b/src/catkinspan/daemon/node.py
@@ -36,8 +36,14 @@
 from catkinspan.state.tree import Address, SettingsTree
 from catkinspan.transport.callers.connection import CallerConnection
 from catkinspan.transport.callers.listener import CallerListener
-from catkinspan.transport.callers.messages import RequestRecord
+from catkinspan.transport.callers.messages import (
+    HealthQuery,
+    HealthStatus,
+    RequestRecord,
+)
 from catkinspan.transport.mailbox import InboxFullError, Mailbox
+from catkinspan.transport.operators.listener import OperatorsListener
+from catkinspan.transport.operators.messages import AuditExcerpt
 from catkinspan.transport.peers.link import PeerLink
 from catkinspan.transport.peers.server import PeerServer
 from catkinspan.transport.platform.reader import PlatformReader
@@ -107,6 +113,8 @@
             settings.http.max_connections,
             self._callers_tls,
         )
+        self._operators = OperatorsListener(self, clock)
+        self._operators_address = settings.operators
         self._tasks: list[asyncio.Task[None]] = []
         self._callers_address = settings.callers
         self._dropped_frames = 0
@@ -122,6 +130,16 @@
         """Return the address of the callers' listener in use."""
         return self._callers_address
 
+    @property
+    def operators_address(self) -> Address:
+        """Return the address of the operators' listener in use."""
+        return self._operators_address
+
+    @property
+    def dropped_frames(self) -> int:
+        """Return the peer frames dropped since the start."""
+        return self._dropped_frames
+
     @property
     def is_draining(self) -> bool:
         """Return whether a graceful shutdown has begun."""
@@ -138,6 +156,9 @@
         if self._prober is not None:
             runs.append(self._prober.async_run)
         self._tasks = [asyncio.create_task(self._async_guard(run)) for run in runs]
+        self._operators_address = await self._operators.async_start(
+            self._settings.operators
+        )
         address = await self._listener.async_start(self._settings.callers)
         self._callers_address = address
         logger.info("host {} serves callers on {}", self._settings.host_id, address)
@@ -166,6 +187,7 @@
         """End all tasks and close all sockets at once."""
         self._listener.stop_accepting()
         self._listener.abort()
+        await self._operators.async_stop()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
@@ -182,6 +204,27 @@
         async with asyncio.timeout(QUERY_SECONDS):
             return await reply
 
+    async def async_audit(self, limit: int) -> AuditExcerpt:
+        """Return the latest entries of the audit trail, read in the host task."""
+        audit = self._host.audit
+        return await self.async_query(
+            lambda _, now: AuditExcerpt(audit.recorded, audit.entries(limit))
+        )
+
+    async def async_health(self) -> HealthStatus:
+        """Return whether the balancer should send callers to this host.
+
+        Raises TimeoutError if the host task does not answer within `QUERY_SECONDS`.
+        """
+        reply: Mailbox[HealthStatus] = Mailbox(1)
+        self._host.inbox.force(HealthQuery(reply))
+        async with asyncio.timeout(QUERY_SECONDS):
+            return await reply.async_get()
+
+    async def async_peer_bytes(self) -> int:
+        """Return the bytes sent on the open peer links, read in the host task."""
+        return await self.async_query(lambda _, now: self._host.peer_bytes)
+
     # Wiring
 
     async def _async_guard(self, run: Callable[[], Any]) -> None:
--- /dev/null
+++ b/src/catkinspan/protocol/operators/__init__.py
@@ -0,0 +1,1 @@
+"""Encoding of the operators' interface: JSON, Prometheus text, histograms."""
--- /dev/null
+++ b/src/catkinspan/protocol/operators/prometheus.py
@@ -0,0 +1,210 @@
+"""Metrics in the Prometheus text format.
+
+The families are built for each answer from an immutable snapshot, in a registry of
+its own; nothing registers itself in the library's global registry.
+"""
+
+from collections.abc import Iterable, Iterator, Mapping
+from typing import Any
+
+from attrs import frozen
+from hdrh.histogram import HdrHistogram
+from prometheus_client import CollectorRegistry, generate_latest
+from prometheus_client.core import (
+    CounterMetricFamily,
+    GaugeMetricFamily,
+    Metric,
+    SummaryMetricFamily,
+)
+from prometheus_client.registry import Collector
+
+from catkinspan.coordination.metrics.models import LatencySeries, MetricsSnapshot
+from catkinspan.coordination.reports.models import ConfigReport, ServiceLine, State
+from catkinspan.protocol.operators.histograms import PERCENTILES
+
+CONTENT_TYPE = "text/plain; version=0.0.4; charset=utf-8"
+_STATE_VALUES = {State.UP: 0, State.DEGRADED: 1, State.DOWN: 2}
+
+
+@frozen
+class LatencyQuantiles:
+    """Quantiles of one latency series, in seconds."""
+
+    service: str
+    workspace: str
+    count: int
+    seconds_sum: float
+    quantiles: Mapping[float, float]
+
+
+@frozen
+class MetricsAnswer:
+    """All that one answer shows."""
+
+    snapshot: MetricsSnapshot
+    latencies: tuple[LatencyQuantiles, ...]
+    services: tuple[ServiceLine, ...]
+    config: ConfigReport
+    peer_bytes: int
+    dropped_frames: int
+
+
+def quantiles_of(series: LatencySeries) -> LatencyQuantiles:
+    """Return the quantiles of a series; takes about a millisecond of processor time."""
+    histogram: Any = HdrHistogram.decode(series.histogram)
+    values = histogram.get_percentile_to_value_dict(list(PERCENTILES))
+    return LatencyQuantiles(
+        series.key.service,
+        series.key.workspace,
+        series.count,
+        series.seconds_sum,
+        {percentile / 100: value / 1e6 for percentile, value in values.items()},
+    )
+
+
+def encode_metrics(answer: MetricsAnswer) -> bytes:
+    """Return the metrics in the Prometheus text format."""
+    registry = CollectorRegistry(auto_describe=False)
+    registry.register(_AnswerCollector(answer))
+    return generate_latest(registry)
+
+
+class _AnswerCollector(Collector):
+    def __init__(self, answer: MetricsAnswer) -> None:
+        self._answer = answer
+
+    def collect(self) -> Iterable[Metric]:
+        """Return all families."""
+        answer = self._answer
+        yield _latencies(answer.latencies)
+        yield from _counters(answer.snapshot)
+        yield from _detection(answer.snapshot)
+        yield _worst_served(answer.snapshot)
+        yield from _services(answer.services)
+        yield from _host(answer)
+
+
+def _latencies(latencies: Iterable[LatencyQuantiles]) -> Metric:
+    name = "catkinspan_request_seconds"
+    labels = ["service", "workspace"]
+    family = SummaryMetricFamily(
+        name, "Latency of served requests since the start of the host.", labels=labels
+    )
+    for line in latencies:
+        values = [line.service, line.workspace]
+        family.add_metric(values, line.count, line.seconds_sum)
+        for quantile, seconds in line.quantiles.items():
+            sample = {**dict(zip(labels, values, strict=True)), "quantile": quantile}
+            family.add_sample(name, {k: str(v) for k, v in sample.items()}, seconds)
+    return family
+
+
+def _counters(snapshot: MetricsSnapshot) -> Iterator[Metric]:
+    yield _counter(
+        "requests", "Requests by the way they ended.", "service kind", snapshot.requests
+    )
+    yield _counter("refusals", "Refused requests.", "kind", snapshot.refusals)
+    yield _counter(
+        "in_rate_refusals",
+        "Refusals after the rate had admitted the request. Wrongful refusals by rate "
+        "cannot be told from right ones on one host.",
+        "kind",
+        snapshot.in_rate_refusals,
+    )
+    yield _counter(
+        "attempts",
+        "Attempts at upstreams; sheds have the kind `shed`.",
+        "service kind",
+        snapshot.attempts,
+    )
+    yield _counter("retries", "Attempts beyond the first.", "service", snapshot.retries)
+    yield _counter("events", "Audit events of this host.", "kind", snapshot.events)
+    yield _counter(
+        "ejections", "Servers that became ejected.", "service", snapshot.ejections
+    )
+    yield _counter(
+        "returns", "Servers back after an ejection.", "service", snapshot.returns
+    )
+
+
+def _counter(
+    name: str,
+    text: str,
+    labels: str,
+    values: Mapping[tuple[str, str], int] | Mapping[str, int],
+) -> Metric:
+    family = CounterMetricFamily(f"catkinspan_{name}", text, labels=labels.split())
+    for key, value in sorted(values.items()):
+        family.add_metric([key] if isinstance(key, str) else list(key), value)
+    return family
+
+
+def _detection(snapshot: MetricsSnapshot) -> Iterator[Metric]:
+    family = SummaryMetricFamily(
+        "catkinspan_detection_seconds",
+        "Time from the first failed attempt of this host to the ejection, where it "
+        "saw one.",
+        labels=["service"],
+    )
+    highest = GaugeMetricFamily(
+        "catkinspan_detection_max_seconds",
+        "Longest of these times.",
+        labels=["service"],
+    )
+    for service, stats in sorted(snapshot.detection.items()):
+        family.add_metric([service], stats.count, stats.seconds_sum)
+        highest.add_metric([service], stats.seconds_max)
+    yield family
+    yield highest
+
+
+def _worst_served(snapshot: MetricsSnapshot) -> Metric:
+    family = GaugeMetricFamily(
+        "catkinspan_worst_served_share",
+        "Least served share of a workspace's recent requests on this host.",
+        labels=["workspace"],
+    )
+    worst = snapshot.worst_served
+    if worst is not None:
+        family.add_metric([worst.workspace], worst.share)
+    return family
+
+
+def _services(services: Iterable[ServiceLine]) -> Iterator[Metric]:
+    lines = tuple(services)
+    gauges = (
+        ("state", "0 up, 1 degraded, 2 down.", lambda s: _STATE_VALUES[s.state]),
+        ("servers_published", "Published servers.", lambda s: s.published),
+        ("servers_unavailable", "Servers out of use.", lambda s: s.unavailable),
+        ("servers_above_floor", "Distance to the floor.", lambda s: s.above_floor),
+        ("waiting", "Requests that wait for a slot here.", lambda s: s.waiting),
+        ("fallback", "1 without the dispatcher.", lambda s: int(s.fallback)),
+    )
+    for name, text, value in gauges:
+        family = GaugeMetricFamily(
+            f"catkinspan_service_{name}", text, labels=["service"]
+        )
+        for line in lines:
+            family.add_metric([line.service], value(line))
+        yield family
+
+
+def _host(answer: MetricsAnswer) -> Iterator[Metric]:
+    config = answer.config
+    yield GaugeMetricFamily(
+        "catkinspan_revision", "Revision in force.", value=config.head.revision
+    )
+    if config.platform_seconds is not None:
+        yield GaugeMetricFamily(
+            "catkinspan_platform_contact_age_seconds",
+            "Time since the configuration service was reached from this host.",
+            value=config.platform_seconds,
+        )
+    yield GaugeMetricFamily(
+        "catkinspan_open_links_sent_bytes",
+        "Bytes sent on the peer links that are open now.",
+        value=answer.peer_bytes,
+    )
+    yield CounterMetricFamily(
+        "catkinspan_dropped_frames", "Peer frames dropped.", answer.dropped_frames
+    )
--- a/src/catkinspan/transport/callers/exchange.py
+++ b/src/catkinspan/transport/callers/exchange.py
@@ -115,6 +115,7 @@
         self._submitted = False
         self._done = False
         self._last_assigned: Assigned | None = None
+        self._refused: Refused | None = None
         self._status = 0
         self._end_kind = ""
 
@@ -144,11 +145,11 @@
             self._stop_attempts()
             if not self._done:
                 self._abandon()
-        assigned = self._last_assigned
+        known = self._last_assigned or self._refused
         return RequestRecord(
             request_id=self._request_id,
-            service=assigned.service if assigned else "",
-            workspace=assigned.workspace if assigned else "",
+            service=(known.service if known else None) or "",
+            workspace=(known.workspace if known else None) or "",
             status=self._status,
             kind=self._end_kind,
             seconds=self._clock.monotonic() - started,
@@ -204,6 +205,7 @@
             case Assigned(request_id=self._request_id):
                 self._start_attempt(message)
             case Refused(request_id=self._request_id):
+                self._refused = message
                 self._respond_refusal(message.refusal)
             case Deliver(request_id=self._request_id):
                 await self._async_deliver(message.attempt)
--- /dev/null
+++ b/src/catkinspan/transport/operators/__init__.py
@@ -0,0 +1,1 @@
+"""The operators' listener."""
--- /dev/null
+++ b/src/catkinspan/transport/operators/listener.py
@@ -0,0 +1,251 @@
+"""Serves operators: JSON reports, health and metrics, read only.
+
+========================  =====================================================
+``/v1/status``            all services
+``/v1/status/SERVICE``    one service with all its servers
+``/v1/hosts``             the fleet as this host sees it
+``/v1/workspaces``        limits, and what holds each workspace back
+``/v1/config``            the revision in force, and how current it can be
+``/v1/audit?limit=N``     latest events, newest first
+``/v1/explain/ROUTE``     effective settings of a route and their origin
+``/v1/histograms``        latency histograms for merging over hosts
+``/metrics``              Prometheus text format
+``/healthz``              200 while the balancer should send callers here
+========================  =====================================================
+"""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Any
+from urllib.parse import parse_qs, unquote, urlsplit
+
+from attrs import frozen
+from loguru import logger
+
+from catkinspan.coordination.audit.coordinator import AUDIT_ENTRIES
+from catkinspan.coordination.clock import Clock
+from catkinspan.coordination.reports.audit import audit_report
+from catkinspan.coordination.reports.config import config_report
+from catkinspan.coordination.reports.gather import (
+    HostFacts,
+    ServiceFacts,
+    gather_host,
+    gather_service,
+    gather_workspaces,
+)
+from catkinspan.coordination.reports.hosts import hosts_report
+from catkinspan.coordination.reports.instants import Instants
+from catkinspan.coordination.reports.models import HealthAnswer
+from catkinspan.coordination.reports.status import service_report, status_report
+from catkinspan.coordination.reports.workspaces import workspaces_report
+from catkinspan.protocol.operators.codec import encode_report
+from catkinspan.protocol.operators.explain import explain_route
+from catkinspan.protocol.operators.histograms import histograms_report
+from catkinspan.protocol.operators.prometheus import (
+    CONTENT_TYPE,
+    MetricsAnswer,
+    encode_metrics,
+    quantiles_of,
+)
+from catkinspan.state.ids import RouteId, ServiceId
+from catkinspan.state.tree import Address
+from catkinspan.transport.operators.messages import HostReader
+from catkinspan.transport.simple_server import (
+    ServerLimits,
+    SimpleRequest,
+    SimpleResponse,
+    SimpleServer,
+)
+
+LIMITS = ServerLimits(max_connections=64, max_body_bytes=0, idle_seconds=60.0)
+DEFAULT_AUDIT_ENTRIES = 100
+MAX_NAMES = 50
+"""Names listed in the remedy of a request for an unknown service or route."""
+
+
+@frozen
+class OperatorsError:
+    """Body of an answer that is no report."""
+
+    kind: str
+    message: str
+    remedy: str
+
+
+Handler = Callable[[str], Awaitable[SimpleResponse]]
+
+
+class OperatorsListener:
+    """Answers operators' requests from immutable data of the host task."""
+
+    def __init__(self, host: HostReader, clock: Clock) -> None:
+        self._host = host
+        self._clock = clock
+        self._server = SimpleServer(self._async_handle, LIMITS)
+        self._handlers: dict[str, Handler] = {
+            "/v1/status": self._async_status,
+            "/v1/hosts": self._async_hosts,
+            "/v1/workspaces": self._async_workspaces,
+            "/v1/config": self._async_config,
+            "/v1/audit": self._async_audit,
+            "/v1/histograms": self._async_histograms,
+            "/metrics": self._async_metrics,
+            "/healthz": self._async_healthz,
+        }
+        self._named: dict[str, Handler] = {
+            "/v1/status/": self._async_service,
+            "/v1/explain/": self._async_explain,
+        }
+
+    async def async_start(self, address: Address) -> Address:
+        """Listen and return the address in use; raises OSError if it is taken."""
+        return await self._server.async_start(address)
+
+    async def async_stop(self) -> None:
+        """Close the listener and all its connections."""
+        await self._server.async_stop()
+
+    async def _async_handle(self, request: SimpleRequest) -> SimpleResponse:
+        if request.method not in ("GET", "HEAD"):
+            return _error(405, "method_not_allowed", "reports are read only", "use GET")
+        url = urlsplit(request.target)
+        try:
+            return await self._async_route(url.path, url.query)
+        except TimeoutError:
+            message = "the host task did not answer in time"
+            return _error(503, "host_busy", message, "try again, or ask another host")
+        except Exception:
+            logger.exception("an operators' request failed")
+            message = "the report could not be built"
+            return _error(500, "internal_error", message, "see the host's log")
+
+    async def _async_route(self, path: str, query: str) -> SimpleResponse:
+        handler = self._handlers.get(path)
+        if handler is not None:
+            return await handler(query)
+        for prefix, named in self._named.items():
+            if path.startswith(prefix):
+                return await named(unquote(path.removeprefix(prefix)))
+        known = ", ".join((*self._handlers, "/v1/status/SERVICE", "/v1/explain/ROUTE"))
+        return _error(404, "not_found", "unknown path", f"use one of: {known}")
+
+    # Reports
+
+    async def _async_status(self, query: str) -> SimpleResponse:
+        facts = await self._host.async_query(gather_host)
+        services = await self._async_services(facts)
+        workspaces = await self._host.async_query(gather_workspaces)
+        draining = self._host.is_draining
+        instants = self._instants()
+        return _report(status_report(facts, services, workspaces, draining, instants))
+
+    async def _async_service(self, name: str) -> SimpleResponse:
+        facts = await self._host.async_query(gather_host)
+        service = await self._async_service_facts(ServiceId(name))
+        if service is None:
+            return _unknown("service", name, facts.tree.services)
+        draining = self._host.is_draining
+        return _report(service_report(facts, service, draining, self._instants()))
+
+    async def _async_hosts(self, query: str) -> SimpleResponse:
+        facts = await self._host.async_query(gather_host)
+        return _report(hosts_report(facts, self._instants()))
+
+    async def _async_workspaces(self, query: str) -> SimpleResponse:
+        facts = await self._host.async_query(gather_host)
+        workspaces = await self._host.async_query(gather_workspaces)
+        return _report(workspaces_report(facts, workspaces, self._instants()))
+
+    async def _async_config(self, query: str) -> SimpleResponse:
+        facts = await self._host.async_query(gather_host)
+        return _report(config_report(facts, self._instants()))
+
+    async def _async_audit(self, query: str) -> SimpleResponse:
+        limit = _limit(query)
+        if limit is None:
+            message = "`limit` is not a number of entries"
+            remedy = f"write limit=N with N from 1 to {AUDIT_ENTRIES}"
+            return _error(400, "bad_request", message, remedy)
+        facts = await self._host.async_query(gather_host)
+        excerpt = await self._host.async_audit(limit)
+        instants = self._instants()
+        return _report(audit_report(facts, excerpt.entries, excerpt.recorded, instants))
+
+    async def _async_explain(self, name: str) -> SimpleResponse:
+        facts = await self._host.async_query(gather_host)
+        route = facts.tree.routes.get(RouteId(name))
+        if route is None:
+            return _unknown("route", name, facts.tree.routes)
+        return _report(explain_route(route))
+
+    async def _async_histograms(self, query: str) -> SimpleResponse:
+        facts = await self._host.async_query(gather_host)
+        snapshot = await self._host.async_query(lambda c, now: c.metrics.snapshot(now))
+        host = facts.membership.view.self_id
+        return _report(histograms_report(host, snapshot.latencies))
+
+    async def _async_healthz(self, query: str) -> SimpleResponse:
+        health = await self._host.async_health()
+        status = 200 if health.serving else 503
+        return _report(HealthAnswer(health.serving, health.reason), status)
+
+    async def _async_metrics(self, query: str) -> SimpleResponse:
+        facts = await self._host.async_query(gather_host)
+        services = await self._async_services(facts)
+        workspaces = await self._host.async_query(gather_workspaces)
+        snapshot = await self._host.async_query(lambda c, now: c.metrics.snapshot(now))
+        latencies = []
+        for series in snapshot.latencies:
+            latencies.append(quantiles_of(series))
+            # Callers' connections get their turn between two histograms.
+            await asyncio.sleep(0)
+        instants = self._instants()
+        status = status_report(facts, services, workspaces, False, instants)
+        answer = MetricsAnswer(
+            snapshot,
+            tuple(latencies),
+            status.services,
+            config_report(facts, instants),
+            await self._host.async_peer_bytes(),
+            self._host.dropped_frames,
+        )
+        headers = {"Content-Type": CONTENT_TYPE}
+        return SimpleResponse(200, encode_metrics(answer), headers)
+
+    async def _async_services(self, facts: HostFacts) -> list[ServiceFacts]:
+        """Ask for one service after another, so that no query takes long."""
+        found = [await self._async_service_facts(name) for name in facts.tree.services]
+        return [service for service in found if service is not None]
+
+    async def _async_service_facts(self, name: ServiceId) -> ServiceFacts | None:
+        return await self._host.async_query(
+            lambda coordinator, now: gather_service(coordinator, name, now)
+        )
+
+    def _instants(self) -> Instants:
+        return Instants(self._clock.monotonic(), self._clock.now())
+
+
+def _report(report: Any, status: int = 200) -> SimpleResponse:
+    headers = {"Content-Type": "application/json", "Cache-Control": "no-store"}
+    return SimpleResponse(status, encode_report(report), headers)
+
+
+def _error(status: int, kind: str, message: str, remedy: str) -> SimpleResponse:
+    return _report(OperatorsError(kind, message, remedy), status)
+
+
+def _unknown(what: str, name: str, known: Any) -> SimpleResponse:
+    names = sorted(known)
+    shown = ", ".join(names[:MAX_NAMES])
+    more = f" and {len(names) - MAX_NAMES} more" if len(names) > MAX_NAMES else ""
+    message = f"no {what} {name!r:.100}"
+    return _error(404, f"{what}_not_found", message, f"name one of: {shown}{more}")
+
+
+def _limit(query: str) -> int | None:
+    text = parse_qs(query).get("limit", [str(DEFAULT_AUDIT_ENTRIES)])[-1]
+    if not text.isascii() or not text.isdigit():
+        return None
+    limit = int(text[:9])
+    return limit if 1 <= limit <= AUDIT_ENTRIES else None
--- /dev/null
+++ b/src/catkinspan/transport/operators/messages.py
@@ -0,0 +1,47 @@
+"""What the operators' listener asks of the host."""
+
+from collections.abc import Callable
+from typing import Protocol, TypeVar
+
+from attrs import frozen
+
+from catkinspan.coordination.host.coordinator import HostCoordinator
+from catkinspan.coordination.models import AuditEntry
+from catkinspan.transport.callers.messages import HealthStatus
+
+T = TypeVar("T")
+
+
+@frozen
+class AuditExcerpt:
+    """The latest entries of the audit trail, newest first."""
+
+    recorded: int
+    entries: tuple[AuditEntry, ...]
+
+
+class HostReader(Protocol):
+    """Reads from the host task by messages with a reply.
+
+    Each method raises TimeoutError if the host task does not answer in time.
+    """
+
+    @property
+    def is_draining(self) -> bool:
+        """Return whether a graceful shutdown has begun."""
+
+    @property
+    def dropped_frames(self) -> int:
+        """Return the peer frames dropped since the start."""
+
+    async def async_query(self, read: Callable[[HostCoordinator, float], T]) -> T:
+        """Run `read` within the host task; it must return immutable data."""
+
+    async def async_audit(self, limit: int) -> AuditExcerpt:
+        """Return the latest entries of the audit trail."""
+
+    async def async_health(self) -> HealthStatus:
+        """Return whether the balancer should send callers to this host."""
+
+    async def async_peer_bytes(self) -> int:
+        """Return the bytes sent on the open peer links."""
--- a/src/catkinspan/transport/simple_server.py
+++ b/src/catkinspan/transport/simple_server.py
@@ -35,6 +35,18 @@
     headers: dict[str, str] = field(factory=dict)
 
 
+@frozen
+class ServerLimits:
+    """Bounds of a server's connections; the default has none."""
+
+    max_connections: int | None = None
+    """Further connections are closed at once."""
+
+    max_body_bytes: int | None = None
+    idle_seconds: float | None = None
+    """Longest wait for a whole request."""
+
+
 class CutConnectionError(Exception):
     """The handler wants the connection closed without an answer."""
 
@@ -45,8 +57,11 @@
 class SimpleServer:
     """Serves requests, one after another on each connection."""
 
-    def __init__(self, handler: SimpleHandler) -> None:
+    def __init__(
+        self, handler: SimpleHandler, limits: ServerLimits | None = None
+    ) -> None:
         self._handler = handler
+        self._limits = limits or ServerLimits()
         self._server: asyncio.Server | None = None
         self._writers: set[asyncio.StreamWriter] = set()
 
@@ -73,12 +88,16 @@
     async def _async_serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        limit = self._limits.max_connections
+        if limit is not None and len(self._writers) >= limit:
+            writer.transport.abort()
+            return
         self._writers.add(writer)
         http = h11.Connection(h11.SERVER)
         try:
             while await self._async_serve_one(http, reader, writer):
                 http.start_next_cycle()
-        except (OSError, h11.ProtocolError, CutConnectionError):
+        except (OSError, TimeoutError, h11.ProtocolError, CutConnectionError):
             writer.transport.abort()
         finally:
             self._writers.discard(writer)
@@ -90,7 +109,8 @@
         reader: asyncio.StreamReader,
         writer: asyncio.StreamWriter,
     ) -> bool:
-        request = await _async_read_request(http, reader)
+        async with asyncio.timeout(self._limits.idle_seconds):
+            request = await _async_read_request(http, reader, self._limits)
         if request is None:
             return False
         response = await self._async_answer(http, request, reader)
@@ -141,10 +161,11 @@
 
 
 async def _async_read_request(
-    http: h11.Connection, reader: asyncio.StreamReader
+    http: h11.Connection, reader: asyncio.StreamReader, limits: ServerLimits
 ) -> SimpleRequest | None:
     head: h11.Request | None = None
     parts: list[bytes] = []
+    size = 0
     while True:
         event = http.next_event()
         if event is h11.NEED_DATA:
@@ -153,6 +174,9 @@
             head = event
         elif isinstance(event, h11.Data):
             parts.append(bytes(event.data))
+            size += len(event.data)
+            if limits.max_body_bytes is not None and size > limits.max_body_bytes:
+                raise CutConnectionError
         elif isinstance(event, h11.EndOfMessage) and head is not None:
             headers = {n.decode(): v.decode("latin-1") for n, v in head.headers}
             return SimpleRequest(
