--- /dev/null
+++ b/src/catkinspan/daemon/settings_tables.py
@@ -0,0 +1,23 @@
+"""Renew the tables of settings on a page.
+
+Example: ``python -m catkinspan.daemon.settings_tables docs/operations.md``.
+"""
+
+import argparse
+import sys
+from pathlib import Path
+
+from catkinspan.protocol.settings.tables import with_tables
+
+
+def main() -> int:
+    """Rewrite the page that the command line names."""
+    parser = argparse.ArgumentParser(description="Renew the tables of settings.")
+    parser.add_argument("page", type=Path, help="Markdown page to rewrite")
+    page: Path = parser.parse_args().page
+    page.write_text(with_tables(page.read_text()))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/src/catkinspan/state/hosts.py
+++ b/src/catkinspan/state/hosts.py
@@ -3,9 +3,10 @@
 from collections.abc import Mapping
 from enum import StrEnum
 
-from attrs import Factory, frozen
+from attrs import NOTHING, Factory, frozen
 
 from catkinspan.state.ids import NO_REVISION, DataCentre, HostId, Revision
+from catkinspan.state.policy import setting
 from catkinspan.state.tree import Address
 
 
@@ -13,10 +14,12 @@
 class ListedHost:
     """An entry host in the platform's list."""
 
-    id: HostId
-    data_centre: DataCentre
-    peer_address: Address
-    leaving: bool = False
+    id: HostId = setting(NOTHING, "", "Name of the host.")
+    data_centre: DataCentre = setting(NOTHING, "", "Data centre of the host.")
+    peer_address: Address = setting(
+        NOTHING, "IP:PORT", "Where other hosts reach its peers' listener."
+    )
+    leaving: bool = setting(False, "", "Whether it gets no roles any more.")
 
 
 @frozen
--- a/src/catkinspan/state/policy.py
+++ b/src/catkinspan/state/policy.py
@@ -18,9 +18,23 @@
     FAST = "fast"
 
 
-def setting(default: object, unit: str, description: str, json: str = "") -> Any:
-    """Declare one inherited setting with its unit and its name in JSON."""
-    metadata = {"unit": unit, "description": description, "json": json}
+def setting(
+    default: object,
+    unit: str,
+    description: str,
+    json: str = "",
+    shown_default: str = "",
+) -> Any:
+    """Declare one published setting with its unit and its name in JSON.
+
+    `shown_default` tells of a default that the reader of the document fills in.
+    """
+    metadata = {
+        "unit": unit,
+        "description": description,
+        "json": json,
+        "shown_default": shown_default,
+    }
     return field(default=default, metadata=metadata)
 
 
--- a/src/catkinspan/state/tree.py
+++ b/src/catkinspan/state/tree.py
@@ -3,7 +3,7 @@
 from collections.abc import Mapping
 from datetime import timedelta
 
-from attrs import Factory, frozen
+from attrs import NOTHING, Factory, frozen
 
 from catkinspan.state.ids import (
     NO_REVISION,
@@ -15,7 +15,7 @@
     ServiceId,
     WorkspaceId,
 )
-from catkinspan.state.policy import Policy
+from catkinspan.state.policy import Policy, setting
 
 
 @frozen
@@ -34,39 +34,55 @@
 class FleetSettings:
     """Limits that all hosts share."""
 
-    max_hosts: int = 40
-    """Largest number of hosts that may run at once; each mints 1/max_hosts."""
-
-    isolation: timedelta | None = timedelta(seconds=5)
-    """Time without the platform and a majority of peers before keyed requests are
-    refused; None lets an isolated host go on."""
-
-    rate_shards: int = 64
-    """Shards of workspaces, each with one grantor."""
+    max_hosts: int = setting(
+        40,
+        "hosts",
+        "Largest number of hosts that may run at once; each mints 1/max_hosts of "
+        "every rate and burst.",
+    )
+    isolation: timedelta | None = setting(
+        timedelta(seconds=5),
+        "ms",
+        "Time without the configuration service and a majority of peers before keyed "
+        "requests are refused; null lets an isolated host go on.",
+        "isolation_ms",
+    )
+    rate_shards: int = setting(
+        64,
+        "shards",
+        "Shards of workspaces, each with one granting host; read once at the start of "
+        "a host.",
+    )
 
 
 @frozen
 class Upstream:
     """A server of a service, as published."""
 
-    id: ServerId
-    address: Address
-    data_centre: DataCentre
-    slots: int
-    max_connections: int
-    leaving: bool = False
+    id: ServerId = setting(NOTHING, "", "Name of the server, unique in its service.")
+    address: Address = setting(NOTHING, "IP:PORT", "Where it serves.")
+    data_centre: DataCentre = setting(NOTHING, "", "Data centre of the server.")
+    slots: int = setting(NOTHING, "requests", "Requests that it runs at once.")
+    max_connections: int = setting(
+        350, "connections", "Connections over all hosts together."
+    )
+    leaving: bool = setting(False, "", "Whether it gets no new work.")
 
 
 @frozen
 class RouteMatch:
     """Condition for a request to take a route."""
 
-    path_prefix: str
-    methods: frozenset[str] = frozenset()
-    """Methods that match; empty for all."""
-
-    host: str | None = None
-    """Lower-case host name without a port; None for all."""
+    path_prefix: str = setting(NOTHING, "", "Beginning of the path, in whole segments.")
+    methods: frozenset[str] = setting(
+        frozenset(), "", "Methods that match; empty for all."
+    )
+    host: str | None = setting(
+        None,
+        "",
+        "Host name without a port, in any case; left out for all.",
+        shown_default="left out",
+    )
 
 
 @frozen
@@ -94,9 +110,10 @@
 class KeyEntry:
     """The published hash of a caller's key."""
 
-    id: KeyId
-    digest: bytes
-    """SHA-256 of the key."""
+    id: KeyId = setting(NOTHING, "", "Name of the key, unique in its workspace.")
+    digest: bytes = setting(
+        NOTHING, "hex", "SHA-256 of the key, as `catkinspan key` prints it.", "sha256"
+    )
 
 
 @frozen
@@ -104,18 +121,19 @@
     """A tenant with its keys and limits."""
 
     id: WorkspaceId
-    keys: tuple[KeyEntry, ...]
-    rate: float
-    """Requests per second over the whole fleet."""
-
-    burst: float
-    """Requests above the rate over the whole fleet."""
-
-    weight: float = 1.0
-    """Share of slots relative to other workspaces when capacity is short."""
-
-    max_in_flight: int = 1000
-    """Requests that one host runs or queues at once for the workspace."""
+    keys: tuple[KeyEntry, ...] = setting(
+        NOTHING, "", "Keys that open the workspace, see below.", "", "[]"
+    )
+    rate: float = setting(NOTHING, "requests/s", "Rate over the whole fleet.")
+    burst: float = setting(
+        NOTHING, "requests", "Requests above the rate, over the whole fleet."
+    )
+    weight: float = setting(
+        1.0, "", "Share of slots relative to others when capacity is short."
+    )
+    max_in_flight: int = setting(
+        1000, "requests", "Requests that one host runs or queues at once."
+    )
 
 
 @frozen
