--- /dev/null
+++ b/tests/coordination/audit/test_texts.py
@@ -0,0 +1,41 @@
+"""Guards the audit trail's words: each event has some, and none holds a secret."""
+
+import attrs
+
+from catkinspan.coordination.audit.texts import describe, has_words
+from catkinspan.coordination.configuration.errors import SettingsFault
+from catkinspan.coordination.configuration.models import ConfigurationRejected
+from catkinspan.coordination.health.models import ServerEjected
+from catkinspan.coordination.host.coordinator import CONCERNS
+from catkinspan.coordination.models import Event
+from catkinspan.state.ids import DataCentre, HostId, Revision, ServerId, ServiceId
+
+
+def test_each_event_has_words_of_its_own() -> None:
+    assert CONCERNS, "the import of all concerns makes their events known"
+    events = [e for e in Event.__subclasses__() if e.__module__.startswith("catkin")]
+    assert len(events) >= 19
+    assert [event for event in events if not has_words(event)] == []
+
+
+def test_an_ejection_tells_why_and_on_whose_evidence() -> None:
+    hosts = (HostId("host-1"), HostId("host-2"))
+    places = (DataCentre("lecco"), DataCentre("tirano"))
+    event = ServerEjected(
+        ServiceId("lab"), ServerId("s-1"), "slow", hosts, places, 30.0
+    )
+    assert describe(event).text == (
+        "server s-1 of lab ejected for at least 30 s: slow; evidence of 2 hosts in "
+        "lecco, tirano"
+    )
+
+
+def test_a_rejection_tells_each_fault_with_its_remedy() -> None:
+    faults = (SettingsFault("root/fleet", "too small", "write more"),)
+    event = ConfigurationRejected(Revision(1), Revision(2), "platform", (), faults)
+    assert describe(event).details == ("root/fleet: too small; write more",)
+
+
+def test_an_event_without_words_shows_digests_shortened() -> None:
+    seen = attrs.make_class("Seen", {"digest": attrs.field()}, bases=(Event,))
+    assert describe(seen(b"\xab" * 32)).text == f"digest={'ab' * 6}"
--- /dev/null
+++ b/tests/coordination/metrics/test_metrics.py
@@ -0,0 +1,91 @@
+"""Guards the bounds and the meaning of the counts."""
+
+from catkinspan.coordination.metrics.const import (
+    MAX_OVERFLOW_SERIES,
+    MAX_SERIES,
+    MAX_TRACKED,
+    OTHER,
+)
+from catkinspan.coordination.metrics.coordinator import MetricsCoordinator
+from catkinspan.coordination.metrics.models import FinishedRequest
+from catkinspan.coordination.outcomes import AttemptOutcome, OutcomeKind
+from catkinspan.coordination.requests.errors import RefusalKind
+from catkinspan.state.ids import RequestId, ServerId, ServiceId, WorkspaceId
+
+SERVICE = ServiceId("catalogue")
+SERVER = ServerId("catalogue-1")
+
+
+def finished(
+    workspace: str = "w",
+    kind: str = "passed",
+    status: int = 200,
+    service: str = SERVICE,
+) -> FinishedRequest:
+    return FinishedRequest(
+        ServiceId(service), WorkspaceId(workspace), status, kind, 0.01, 1
+    )
+
+
+def failed_attempt() -> AttemptOutcome:
+    return AttemptOutcome(
+        RequestId("r"),
+        1,
+        SERVICE,
+        SERVER,
+        WorkspaceId("w"),
+        OutcomeKind.TIMEOUT,
+        3.0,
+        True,
+    )
+
+
+def test_the_number_of_series_is_bounded_and_nothing_is_lost() -> None:
+    """26,000 workspaces must not take a histogram each."""
+    metrics = MetricsCoordinator()
+    count = MAX_SERIES + 50
+    for number in range(count):
+        metrics.record(finished(f"w-{number}"), 1.0)
+    for number in range(MAX_OVERFLOW_SERIES + 50):
+        metrics.record(finished(service=f"service-{number}"), 1.0)
+    latencies = metrics.snapshot(1.0).latencies
+    assert len(latencies) <= MAX_SERIES + MAX_OVERFLOW_SERIES + 1
+    assert sum(series.count for series in latencies) == count + MAX_OVERFLOW_SERIES + 50
+    assert any(series.key.workspace == OTHER for series in latencies)
+
+
+def test_tracked_workspaces_are_bounded_and_forgotten() -> None:
+    metrics = MetricsCoordinator()
+    for number in range(MAX_TRACKED + 10):
+        metrics.record(finished(f"w-{number}", "rate_exceeded", 429), 1.0)
+    assert len(metrics.recent_of_workspaces(1.0)) <= MAX_TRACKED + 1
+    metrics.tick(500.0)
+    assert metrics.recent_of_workspaces(500.0) == {}
+
+
+def test_worst_served_leaves_out_what_the_rate_and_the_key_ruled_out() -> None:
+    metrics = MetricsCoordinator()
+    for _ in range(20):
+        metrics.record(finished("greedy", "rate_exceeded", 429), 1.0)
+        metrics.record(finished("greedy"), 1.0)
+        metrics.record(finished("starved"), 1.0)
+    for _ in range(5):
+        metrics.record(finished("starved", "no_capacity", 503), 1.0)
+        metrics.record(finished("rare", "no_capacity", 503), 1.0)
+    worst = metrics.worst_served(1.0)
+    assert worst is not None
+    assert (worst.workspace, worst.share, worst.asked) == ("starved", 0.8, 25)
+    snapshot = metrics.snapshot(1.0)
+    assert snapshot.in_rate_refusals == {RefusalKind.NO_CAPACITY: 10}
+    assert snapshot.refusals == {"rate_exceeded": 20, "no_capacity": 10}
+
+
+def test_detection_time_counts_from_the_first_failure_of_the_run() -> None:
+    metrics = MetricsCoordinator()
+    metrics.record_attempt(failed_attempt(), 1.0)
+    for now in (100.0, 101.0, 102.0):
+        metrics.record_attempt(failed_attempt(), now)
+    metrics.record_ejection(SERVICE, SERVER, 102.5)
+    metrics.record_ejection(SERVICE, SERVER, 300.0)
+    stats = metrics.snapshot(300.0).detection[SERVICE]
+    assert (stats.count, stats.seconds_sum, stats.seconds_max) == (1, 2.5, 2.5)
--- /dev/null
+++ b/tests/coordination/reports/test_status.py
@@ -0,0 +1,225 @@
+"""Guards the judgement of services and what a host admits not to know."""
+
+from datetime import UTC, datetime
+
+import pytest
+
+from catkinspan.coordination.configuration.models import ConfigurationSnapshot
+from catkinspan.coordination.health.models import (
+    ServerReport,
+    ServerState,
+    ServiceReport,
+)
+from catkinspan.coordination.membership.models import MembershipSnapshot, Sighting
+from catkinspan.coordination.metrics.coordinator import MetricsCoordinator
+from catkinspan.coordination.metrics.models import EndCounts, Ending, FinishedRequest
+from catkinspan.coordination.rates.models import RatesSnapshot
+from catkinspan.coordination.reports.assess import assess
+from catkinspan.coordination.reports.gather import (
+    HostFacts,
+    ServiceFacts,
+    WorkspaceFacts,
+)
+from catkinspan.coordination.reports.history import Held, StatusHistory
+from catkinspan.coordination.reports.instants import Instants
+from catkinspan.coordination.reports.models import HeldBy, State, StatusReport
+from catkinspan.coordination.reports.status import status_report
+from catkinspan.state.hosts import FleetView, HostList, HostRecord
+from catkinspan.state.ids import (
+    DataCentre,
+    HostId,
+    KeyId,
+    Revision,
+    ServerId,
+    ServiceId,
+    WorkspaceId,
+)
+from catkinspan.state.tree import Address, KeyEntry, SettingsTree, Workspace
+
+SERVICE = ServiceId("laboratorio")
+MUSEUM = WorkspaceId("museum")
+SELF, PEER = HostId("host-1"), HostId("host-2")
+PLACE = DataCentre("lecco")
+AT = datetime(2026, 12, 4, 12, tzinfo=UTC)
+NOW = 1000.0
+S = ServerState
+
+
+def health_of(*states: ServerState, floor: int = 1, since: float = 900.0):
+    servers = tuple(
+        ServerReport(
+            ServerId(f"s-{n}"),
+            state,
+            None if state is S.HEALTHY else since,
+            "" if state is S.HEALTHY else "slow against its peers",
+            hosts=() if state is S.HEALTHY else (SELF, PEER),
+            data_centres=() if state is S.HEALTHY else (PLACE,),
+        )
+        for n, state in enumerate(states)
+    )
+    out = (S.EJECTED, S.TRIAL, S.COLD, S.DRAINING, S.AVOIDED)
+    unavailable = sum(state in out for state in states)
+    published = sum(state is not S.LEAVING for state in states)
+    return ServiceReport(SERVICE, servers, published, floor, unavailable, PEER, 995.0)
+
+
+def ends(**counts: int) -> EndCounts:
+    return EndCounts({Ending(name): count for name, count in counts.items()})
+
+
+@pytest.mark.parametrize(
+    ("states", "recent", "expected"),
+    [
+        ((S.HEALTHY, S.HEALTHY), {}, State.UP),
+        ((S.HEALTHY, S.COLD, S.DRAINING, S.LEAVING), {}, State.UP),
+        ((S.HEALTHY, S.SUSPECT), {}, State.UP),
+        ((S.HEALTHY, S.EJECTED), {}, State.DEGRADED),
+        ((S.HEALTHY, S.KEPT_BY_FLOOR), {}, State.DEGRADED),
+        ((S.HEALTHY, S.AVOIDED), {}, State.DEGRADED),
+        ((S.EJECTED, S.KEPT_BY_FLOOR), {}, State.DOWN),
+        ((), {}, State.DOWN),
+        ((S.HEALTHY,), {"served": 90, "failed": 10}, State.DEGRADED),
+        ((S.HEALTHY,), {"served": 10, "failed": 10}, State.DOWN),
+        ((S.HEALTHY,), {"served": 90, "capacity": 10}, State.DEGRADED),
+        # Too few requests say nothing, and refusals by rate are no fault.
+        ((S.HEALTHY,), {"failed": 9}, State.UP),
+        ((S.HEALTHY,), {"served": 10, "rate": 90, "key": 90}, State.UP),
+    ],
+)
+def test_states(states, recent, expected) -> None:
+    """A false `down` wakes people; a false `up` hides an outage."""
+    assert assess(health_of(*states), ends(**recent)).state is expected
+
+
+def test_the_floor_is_named() -> None:
+    reasons = assess(health_of(S.HEALTHY, S.EJECTED, floor=1), ends()).reasons
+    assert reasons == (
+        "1 ejected: s-1",
+        "at the floor: 1 of 2 unavailable, 1 must stay",
+    )
+
+
+def report(
+    health: ServiceReport | None = None,
+    contact: float | None = NOW,
+    reader: bool = True,
+    isolated: bool = False,
+    peer_heard: float = NOW,
+    since: float | None = None,
+    recent: EndCounts | None = None,
+    waiting: int = 0,
+) -> StatusReport:
+    records = {h: HostRecord(h, PLACE, Address("127.0.0.1", 1)) for h in (SELF, PEER)}
+    view = FleetView(SELF, PLACE, records, (SELF, PEER))
+    workspace = Workspace(MUSEUM, (KeyEntry(KeyId("k"), b"\1" * 32),), 5, 10)
+    facts = HostFacts(
+        NOW,
+        SettingsTree(Revision(7), workspaces={MUSEUM: workspace}),
+        HostList(),
+        MembershipSnapshot(
+            view, {PEER: Sighting(PEER, peer_heard, Revision(7), 1.0)}, 1.0, (), False
+        ),
+        ConfigurationSnapshot(
+            Revision(7), Revision(7), (), None, reader, contact, True
+        ),
+        ready=True,
+        isolated=isolated,
+    )
+    held = Held(State.UP if since is None else State.DEGRADED, since)
+    found = health or health_of(S.HEALTHY)
+    service = ServiceFacts(found, held, EndCounts(), None, None, None)
+    workspaces = WorkspaceFacts(
+        RatesSnapshot(True, None, {}, {}, ()),
+        {MUSEUM: recent or EndCounts()},
+        {},
+        {MUSEUM: waiting},
+        {},
+    )
+    return status_report(facts, [service], workspaces, False, Instants(NOW, AT))
+
+
+def test_a_sound_host_has_nothing_unknown() -> None:
+    sound = report()
+    assert sound.state is State.UP
+    assert sound.unknown == ()
+    assert sound.held_back == ()
+
+
+@pytest.mark.parametrize(
+    ("change", "text"),
+    [
+        ({"isolated": True}, "isolated: reaches neither"),
+        ({"contact": NOW - 7200}, "configuration service not reached for 2.0 h"),
+        ({"contact": None}, "configuration service never reached"),
+        ({"peer_heard": NOW - 11}, "peers not heard for 10 s: host-2"),
+    ],
+)
+def test_what_the_host_cannot_know_is_said(change, text) -> None:
+    assert text in report(**change).unknown[0]
+
+
+def test_a_silent_assessor_is_named() -> None:
+    health = health_of(S.HEALTHY)
+    silent = ServiceReport(SERVICE, health.servers, 1, 1, 0, PEER, NOW - 60)
+    [line] = report(silent).unknown
+    assert "laboratorio: assessor host-2 heard not for 60 s" in line
+
+
+def test_an_isolated_host_is_down() -> None:
+    assert report(isolated=True).state is State.DOWN
+
+
+def test_since_and_evidence_of_an_ejection() -> None:
+    [service] = report(health_of(S.HEALTHY, S.EJECTED, since=940.0)).services
+    assert service.since == datetime(2026, 12, 4, 11, 59, tzinfo=UTC)
+    assert service.evidence == ("2 hosts in lecco",)
+    [server] = service.servers
+    assert (server.server, server.reason) == ("s-1", "slow against its peers")
+    seen = report(health_of(S.HEALTHY, S.EJECTED), since=970.0).services[0]
+    assert seen.since == datetime(2026, 12, 4, 11, 59, 30, tzinfo=UTC)
+
+
+def test_workspaces_held_back_by_rate_and_capacity() -> None:
+    [line] = report(recent=ends(served=1, rate=3, capacity=2), waiting=4).held_back
+    assert [hold.by for hold in line.held_by] == [
+        HeldBy.RATE,
+        HeldBy.CAPACITY,
+        HeldBy.CAPACITY,
+    ]
+    assert line.held_by[0].detail == "3 refused above the rate in 30 s"
+    assert line.keys[0].digest == "01" * 6
+
+
+class ScriptedHealth:
+    def __init__(self) -> None:
+        self.states: tuple[ServerState, ...] = (S.HEALTHY, S.HEALTHY)
+        self.since = 0.0
+
+    def report(self, service: ServiceId, now: float) -> ServiceReport:
+        return health_of(*self.states, since=self.since)
+
+
+def test_history_remembers_beginnings_ejections_and_returns() -> None:
+    health, metrics = ScriptedHealth(), MetricsCoordinator()
+    history = StatusHistory(health, metrics)
+    assert history.observe(SERVICE, 10.0) == Held(State.UP, None)
+    health.states, health.since = (S.HEALTHY, S.EJECTED), 19.5
+    for now in (20.0, 21.0):
+        held = history.observe(SERVICE, now)
+        assert (held.state, held.since) == (State.DEGRADED, 20.0)
+    health.states = (S.HEALTHY, S.SLOW_START)
+    assert history.observe(SERVICE, 30.0).state is State.UP
+    snapshot = metrics.snapshot(30.0)
+    assert snapshot.ejections == {SERVICE: 1}
+    assert snapshot.returns == {SERVICE: 1}
+
+
+def test_failed_requests_make_a_service_down_after_all_servers_look_well() -> None:
+    """An outage that the health concern has not judged yet must show."""
+    health, metrics = ScriptedHealth(), MetricsCoordinator()
+    history = StatusHistory(health, metrics)
+    for _ in range(20):
+        failed = FinishedRequest(SERVICE, MUSEUM, 504, "upstream_timeout", 3.0, 1)
+        metrics.record(failed, 50.0)
+    assert history.observe(SERVICE, 50.0).state is State.DOWN
+    assert history.observe(SERVICE, 90.0).state is State.UP
--- /dev/null
+++ b/tests/daemon/operators/conftest.py
@@ -0,0 +1,13 @@
+"""A fleet that the tests of a module share, as long as they only read."""
+
+from collections.abc import AsyncIterator
+
+import pytest_asyncio
+
+from tests.fleet import Fleet, running_fleet
+
+
+@pytest_asyncio.fixture(scope="module", loop_scope="module")
+async def fleet() -> AsyncIterator[Fleet]:
+    async with running_fleet(hosts=1, upstreams=2) as running:
+        yield running
--- a/tests/daemon/operators/test_commands.py
+++ b/tests/daemon/operators/test_commands.py
@@ -1,165 +1,169 @@
-"""Guards the operators' commands against a host that runs on loopback."""
+"""Guards the operators' commands against hosts that run on loopback."""
+
+import json
+from datetime import timedelta
 
 import pytest
+from attrs import evolve
 
-from tests.daemon.operators.fleet import SmallFleet, json_of, small_fleet
+from tests.daemon.operators.fleet import ROUTE, publish, run_cli, until
+from tests.fleet import Fleet, request, running_fleet
 
+shared = pytest.mark.asyncio(loop_scope="module")
+Output = pytest.CaptureFixture[str]
 
-async def test_status_is_up_with_exit_status_0(capsys: pytest.CaptureFixture) -> None:
-    async with small_fleet() as fleet:
-        assert await fleet.cli("status") == 0
-        text = capsys.readouterr().out
-        assert text.startswith("UP, as host host-1 (lecco) sees it at ")
-        assert "accettazione: up" in text
-        assert await fleet.cli("status", "accettazione") == 0
-        text = capsys.readouterr().out
-        assert "s-1: healthy" in text
-        assert "s-2: healthy" in text
+
+@shared
+async def test_status_is_up_with_exit_status_0(fleet: Fleet, capsys: Output) -> None:
+    assert await run_cli(fleet, "status") == 0
+    text = capsys.readouterr().out
+    assert text.startswith("UP, as host host-1 (perth-1) sees it at ")
+    assert "catalogue: up" in text
+    assert await run_cli(fleet, "status", "catalogue") == 0
+    text = capsys.readouterr().out
+    assert "catalogue-1: healthy" in text
+    assert "catalogue-2: healthy" in text
+
+
+@shared
+async def test_an_unknown_name_is_no_state(fleet: Fleet, capsys: Output) -> None:
+    """Status 2 for a mistyped service would read as down."""
+    assert await run_cli(fleet, "status", "catalog") == 64
+    assert "name one of: catalogue" in capsys.readouterr().err
+    assert await run_cli(fleet, "explain", "catalogue/none") == 64
+    assert ROUTE in capsys.readouterr().err
+    with pytest.raises(SystemExit) as ended:
+        await run_cli(fleet, "status", "--watch", "never")
+    assert ended.value.code == 64
+
+
+@shared
+async def test_each_command_prints_json_too(fleet: Fleet, capsys: Output) -> None:
+    for command in ("status", "hosts", "workspaces", "config", "audit"):
+        assert await run_cli(fleet, command, "--json") == 0
+        report = json.loads(capsys.readouterr().out)
+        assert report["head"]["host"] == "host-1", command
+        assert report["head"]["revision"] == 1
+
+
+@shared
+async def test_each_command_prints_text(fleet: Fleet, capsys: Output) -> None:
+    """The text is built from the decoded JSON, so this guards the decoding too."""
+    shown = {
+        "hosts": "host-1  perth-1      alive   this host  1",
+        "workspaces": "studio     1e+06/s  1e+06",
+        "config": "1 services, 2 servers, 5 routes, 2 workspaces, 1 hosts listed",
+        "audit": "configuration_accepted: revision 1 is in force, after 0",
+    }
+    for command, text in shown.items():
+        assert await run_cli(fleet, command) == 0
+        assert text in capsys.readouterr().out
+
+
+@shared
+async def test_explain_shows_the_level_that_set_a_value(
+    fleet: Fleet, capsys: Output
+) -> None:
+    assert await run_cli(fleet, "explain", "catalogue/linked") == 0
+    lines = capsys.readouterr().out.splitlines()
+    found = {line.split()[0]: line.split()[1:] for line in lines[1:]}
+    parameter = found["key_query_parameter"]
+    assert parameter == ['"key"', "route", "catalogue/linked"]
+    assert found["deadline_ms"] == ["5000.0", "ms", "root"]
+    assert found["max_attempts"] == ["3", "attempts", "default"]
 
 
 async def test_status_without_servers_is_down_with_exit_status_2(
-    capsys: pytest.CaptureFixture,
+    capsys: Output,
 ) -> None:
-    async with small_fleet() as fleet:
-        fleet.tree["services"]["accettazione"]["upstreams"] = []
-        await fleet.publish()
-        for arguments in (["status"], ["status", "accettazione"]):
-            assert await fleet.cli(*arguments) == 2
+    async with running_fleet() as fleet:
+        fleet.tree["services"]["catalogue"]["upstreams"] = []
+        await publish(fleet)
+        for arguments in (["status"], ["status", "catalogue"]):
+            assert await run_cli(fleet, *arguments) == 2
             text = capsys.readouterr().out
             assert text.startswith("DOWN")
             assert "no server is published" in text
 
 
-async def test_status_while_draining_is_degraded_with_exit_status_1(
-    capsys: pytest.CaptureFixture,
+async def test_draining_gives_exit_status_1_and_a_stopped_host_3(
+    capsys: Output,
 ) -> None:
-    async with small_fleet() as fleet:
-        await fleet.node.async_drain()
-        assert await fleet.cli("status") == 1
-        assert "this host: degraded: draining" in capsys.readouterr().out
+    def without_wait(settings):  # type: ignore[no-untyped-def]
+        return evolve(settings, drain_notice=timedelta(milliseconds=1))
 
-
-async def test_a_host_that_cannot_be_asked_gives_exit_status_3(
-    capsys: pytest.CaptureFixture,
-) -> None:
-    async with small_fleet() as fleet:
-        await fleet.node.async_stop()
+    async with running_fleet(node=without_wait) as fleet:
+        await fleet.hosts[0].async_drain()
+        assert await run_cli(fleet, "status") == 1
+        assert "this host: degraded: draining" in capsys.readouterr().out
+        await fleet.hosts[0].async_stop()
         for command in ("status", "hosts", "workspaces", "config", "audit", "metrics"):
-            assert await fleet.cli(command) == 3, command
-        assert await fleet.cli("explain", "accettazione/repairs") == 3
+            assert await run_cli(fleet, command) == 3, command
+        assert await run_cli(fleet, "explain", ROUTE) == 3
         assert "check that the address is right" in capsys.readouterr().err
 
 
-async def test_an_unknown_name_is_no_state(capsys: pytest.CaptureFixture) -> None:
-    """Status 2 for a mistyped service would read as down."""
-    async with small_fleet() as fleet:
-        assert await fleet.cli("status", "acettazione") == 64
-        assert "name one of: accettazione" in capsys.readouterr().err
-        assert await fleet.cli("explain", "accettazione/none") == 64
-        assert "accettazione/repairs" in capsys.readouterr().err
-        with pytest.raises(SystemExit) as ended:
-            await fleet.cli("status", "--watch", "never")
-        assert ended.value.code == 64
-
-
-async def test_each_command_prints_json_too(capsys: pytest.CaptureFixture) -> None:
-    async with small_fleet() as fleet:
-        for command in ("status", "hosts", "workspaces", "config", "audit"):
-            assert await fleet.cli(command, "--json") == 0
-            report = json_of(capsys.readouterr().out)
-            assert report["head"]["host"] == "host-1", command
-            assert report["head"]["revision"] == 1
-
-
-async def test_config_and_hosts_tell_when_a_revision_came_into_force(
-    capsys: pytest.CaptureFixture,
+async def test_a_new_revision_is_told_with_its_time_and_difference(
+    capsys: Output,
 ) -> None:
-    async with small_fleet() as fleet:
-        fleet.tree["services"]["accettazione"]["settings"] = {"healthy_floor": 0.5}
-        await fleet.publish()
-        await fleet.cli("config", "--json")
-        config = json_of(capsys.readouterr().out)
+    async with running_fleet() as fleet:
+        fleet.tree["services"]["catalogue"]["settings"] = {"healthy_floor": 0.5}
+        await publish(fleet)
+        await run_cli(fleet, "config", "--json")
+        config = json.loads(capsys.readouterr().out)
         assert [line["revision"] for line in config["recent"]] == [2, 1]
         assert config["recent"][0]["at"] >= config["recent"][1]["at"]
         assert config["since"] == config["recent"][0]["at"]
-        await fleet.cli("hosts", "--json")
-        [host] = json_of(capsys.readouterr().out)["hosts"]
+        await run_cli(fleet, "hosts", "--json")
+        [host] = json.loads(capsys.readouterr().out)["hosts"]
         assert host["revision"] == 2
-        assert host["revision_since"][:19] == config["since"][:19]
-
-
-async def test_audit_shows_the_difference_of_a_configuration(
-    capsys: pytest.CaptureFixture,
-) -> None:
-    async with small_fleet() as fleet:
-        fleet.tree["services"]["accettazione"]["settings"] = {"healthy_floor": 0.5}
-        await fleet.publish()
-        assert await fleet.cli("audit", "--limit", "1") == 0
+        assert host["revision_since"][:16] == config["since"][:16]
+        assert await run_cli(fleet, "audit", "--limit", "1") == 0
         text = capsys.readouterr().out
         assert "configuration_accepted: revision 2 is in force, after 1" in text
-        assert "services/accettazione: healthy_floor 0.7 -> 0.5" in text
+        assert "services/catalogue: healthy_floor 0.7 -> 0.5" in text
 
 
-async def test_a_rejected_revision_is_shown_with_its_remedy(
-    capsys: pytest.CaptureFixture,
-) -> None:
-    async with small_fleet() as fleet:
+async def test_a_rejected_revision_is_told_with_its_remedy(capsys: Output) -> None:
+    async with running_fleet() as fleet:
         fleet.tree["fleet"]["max_hosts"] = 0
-        await fleet.platform.async_publish(fleet.tree)
-        await fleet.until(lambda c, now: c.configuration.snapshot().rejected)
-        assert await fleet.cli("config") == 0
+        await fleet.publish()
+        await until(fleet, lambda c, now: c.configuration.snapshot().rejected)
+        assert await run_cli(fleet, "config") == 0
         text = capsys.readouterr().out
         assert "REJECTED revision 2:" in text
         assert "max_hosts" in text
 
 
-async def test_explain_shows_the_level_that_set_a_value(
-    capsys: pytest.CaptureFixture,
+async def test_a_workspace_whose_key_was_withdrawn_is_held_back(
+    capsys: Output,
 ) -> None:
-    async with small_fleet() as fleet:
-        assert await fleet.cli("explain", "accettazione/repairs") == 0
-        lines = capsys.readouterr().out.splitlines()
-        [deadline] = [line for line in lines if "deadline_ms" in line]
-        assert deadline.split() == [
-            "deadline_ms",
-            "4000.0",
-            "ms",
-            "route",
-            "accettazione/repairs",
-        ]
-
-
-async def test_a_workspace_without_keys_is_held_back_by_key(
-    capsys: pytest.CaptureFixture,
-) -> None:
-    async with small_fleet() as fleet:
-        fleet.tree["workspaces"]["museum"]["keys"] = []
-        await fleet.publish()
-        await fleet.cli("status")
-        text = capsys.readouterr().out
-        assert "museum: key: key first withdrawn" in text
-        assert "no key is published" in text
-        await fleet.cli("workspaces")
+    async with running_fleet() as fleet:
+        fleet.tree["workspaces"]["studio"]["keys"] = []
+        await publish(fleet)
+        await run_cli(fleet, "status")
+        assert "studio: key: key k1 withdrawn" in capsys.readouterr().out
+        await run_cli(fleet, "workspaces")
         assert "no key is published" in capsys.readouterr().out
 
 
-async def test_metrics_of_two_hosts_are_merged(capsys: pytest.CaptureFixture) -> None:
-    async with small_fleet("host-1") as one, small_fleet("host-2") as two:
-        await one.serve("/repairs/1", 3)
-        await two.serve("/repairs/2", 4)
-        await _async_recorded(one, 3)
-        await _async_recorded(two, 4)
-        other = str(two.node.operators_address)
-        assert await one.cli("metrics", "--json", "--operators", other) == 0
-        answer = json_of(capsys.readouterr().out)
+async def test_latencies_of_two_hosts_are_merged(capsys: Output) -> None:
+    async with running_fleet(hosts=2) as fleet:
+        served = 0
+        for host in fleet.hosts:
+            for _ in range(3):
+                assert (await request(host.callers_address, "/suites")).status == 200
+            # The records follow the answers; those of the warm-up are in it too.
+            snapshot = await host.async_query(lambda c, now: c.metrics.snapshot(now))
+            while snapshot.requests.get(("catalogue", "passed"), 0) < 4:
+                snapshot = await host.async_query(
+                    lambda c, now: c.metrics.snapshot(now)
+                )
+            served += snapshot.requests[("catalogue", "passed")]
+        other = str(fleet.hosts[1].operators_address)
+        assert await run_cli(fleet, "metrics", "--json", "--operators", other) == 0
+        answer = json.loads(capsys.readouterr().out)
         assert sorted(answer["hosts"]) == ["host-1", "host-2"]
         [service] = answer["services"]
-        assert (service["name"], service["count"]) == ("accettazione", 7)
+        assert (service["name"], service["count"]) == ("catalogue", served)
         assert 0 < service["p50_ms"] <= service["p99_ms"] <= service["max_ms"]
-
-
-async def _async_recorded(fleet: SmallFleet, count: int) -> None:
-    """Wait for the records, which follow the answers."""
-    await fleet.until(
-        lambda c, now: c.metrics.recent_of_service("accettazione", now).served >= count
-    )
--- a/tests/daemon/operators/test_listener.py
+++ b/tests/daemon/operators/test_listener.py
@@ -6,69 +6,79 @@
 from loguru import logger
 from prometheus_client.parser import text_string_to_metric_families
 
+from catkinspan.coordination.metrics.models import MetricsSnapshot
 from catkinspan.transport.http_client import Answer, async_fetch
-from tests.daemon.operators.fleet import KEY, SmallFleet, digest, small_fleet
+from tests.daemon.operators.fleet import publish, until
+from tests.fleet import KEY, SAFETY_SECONDS, Fleet, digest, request, running_fleet
 
 PATHS = (
     "/v1/status",
-    "/v1/status/accettazione",
+    "/v1/status/catalogue",
     "/v1/hosts",
     "/v1/workspaces",
     "/v1/config",
     "/v1/audit?limit=2000",
-    "/v1/explain/accettazione%2Frepairs",
+    "/v1/explain/catalogue%2Flinked",
     "/v1/histograms",
     "/metrics",
     "/healthz",
 )
 SHOWN_CHARS = 12
+WRONG_KEY = "a-wrong-key-that-must-not-appear-either"
 
 
-async def ask(fleet: SmallFleet, path: str, method: str = "GET") -> Answer:
-    address = fleet.node.operators_address
-    return await async_fetch(address, path, 30.0, method=method)
+async def ask(fleet: Fleet, path: str, method: str = "GET") -> Answer:
+    address = fleet.hosts[0].operators_address
+    return await async_fetch(address, path, SAFETY_SECONDS, method=method)
 
 
 async def test_no_answer_and_no_log_line_holds_a_secret() -> None:
     """A key, or a whole digest to compare keys with, must not leave the host."""
     log = StringIO()
     handler = logger.add(log, level="DEBUG", diagnose=False)
-    wrong = "a-wrong-key-that-must-not-appear-either"
     try:
-        async with small_fleet() as fleet:
-            await fleet.serve("/repairs/1", 1)
-            assert await fleet.get("/repairs/2", wrong) == 401
-            fleet.tree["workspaces"]["museum"]["keys"] = []
-            await fleet.publish()
-            assert await fleet.get("/repairs/3") == 401
-            fleet.tree["workspaces"]["museum"]["keys"] = [
-                {"id": "second", "sha256": digest()}
-            ]
-            await fleet.publish()
+        async with running_fleet() as fleet:
+            await use_and_change_keys(fleet)
             answers = {path: await ask(fleet, path) for path in PATHS}
     finally:
         logger.remove(handler)
     for path, answer in answers.items():
         assert answer.status == 200, path
-        text = answer.body.decode()
-        for secret in (KEY, wrong, digest()[: SHOWN_CHARS + 1], digest(wrong)):
-            assert secret not in text, path
-    for secret in (KEY, wrong, digest()[: SHOWN_CHARS + 1]):
-        assert secret not in log.getvalue()
-    shown = digest()[:SHOWN_CHARS]
+    shown = digest(KEY)[:SHOWN_CHARS]
     assert shown in answers["/v1/workspaces"].body.decode()
     assert shown in answers["/v1/audit?limit=2000"].body.decode()
+    texts = {path: answer.body.decode() for path, answer in answers.items()}
+    texts["the log"] = log.getvalue()
+    for place, text in texts.items():
+        for secret in (KEY, WRONG_KEY, digest(KEY)[: SHOWN_CHARS + 1]):
+            assert secret not in text, place
+
+
+async def use_and_change_keys(fleet: Fleet) -> None:
+    """Use good and wrong keys in each place, and withdraw and give one."""
+    address = fleet.hosts[0].callers_address
+    assert (await request(address, "/suites")).status == 200
+    assert (await request(address, f"/linked?key={KEY}", key=None)).status == 200
+    for target in ("/suites", f"/linked?key={WRONG_KEY}", f"/{WRONG_KEY}/x"):
+        assert (await request(address, target, key=WRONG_KEY)).status >= 400
+    assert (await request(address, f"/suites/{KEY}")).status >= 400
+    fleet.tree["workspaces"]["studio"]["keys"] = []
+    await publish(fleet)
+    assert (await request(address, "/suites")).status == 401
+    fleet.tree["workspaces"]["studio"]["keys"] = [{"id": "k2", "sha256": digest(KEY)}]
+    await publish(fleet)
 
 
 async def test_healthz_follows_the_drain() -> None:
-    async with small_fleet() as fleet:
+    async with running_fleet() as fleet:
         assert (await ask(fleet, "/healthz")).status == 200
-        await fleet.node.async_drain()
+        await fleet.hosts[0].async_drain()
         answer = await ask(fleet, "/healthz")
         assert answer.status == 503
         assert b"draining" in answer.body
 
 
+@pytest.mark.asyncio(loop_scope="module")
 @pytest.mark.parametrize(
     ("path", "method", "status"),
     [
@@ -81,21 +91,25 @@
     ],
 )
 async def test_faults_are_answered_with_a_remedy(
-    path: str, method: str, status: int
+    fleet: Fleet, path: str, method: str, status: int
 ) -> None:
-    async with small_fleet() as fleet:
-        answer = await ask(fleet, path, method)
-        assert answer.status == status
-        assert b'"remedy"' in answer.body
+    answer = await ask(fleet, path, method)
+    assert answer.status == status
+    assert b'"remedy"' in answer.body
+
+
+def counted(snapshot: MetricsSnapshot) -> bool:
+    served = snapshot.requests.get(("catalogue", "passed"))
+    return served == 2 and snapshot.refusals.get("key_unknown") == 1
 
 
 async def test_metrics_are_in_the_prometheus_format() -> None:
-    async with small_fleet() as fleet:
-        await fleet.serve("/repairs/1", 2)
-        await fleet.get("/repairs/2", "unknown-key")
-        await fleet.until(
-            lambda c, now: c.metrics.snapshot(now).refusals.get("key_unknown")
-        )
+    async with running_fleet() as fleet:
+        address = fleet.hosts[0].callers_address
+        assert (await request(address, "/suites")).status == 200
+        assert (await request(address, "/suites", key="unknown")).status == 401
+        # Each host served one request in its warm-up too.
+        await until(fleet, lambda c, now: counted(c.metrics.snapshot(now)))
         text = (await ask(fleet, "/metrics")).body.decode()
     samples = {
         (sample.name, *sorted(sample.labels.values())): sample.value
@@ -103,11 +117,9 @@
         for sample in family.samples
     }
     assert samples[("catkinspan_refusals_total", "key_unknown")] == 1
-    requests = ("catkinspan_requests_total", "accettazione", "passed")
-    assert samples[requests] == 2
-    latency = ("catkinspan_request_seconds_count", "accettazione", "museum")
+    assert samples[("catkinspan_requests_total", "catalogue", "passed")] == 2
+    latency = ("catkinspan_request_seconds_count", "catalogue", "studio")
     assert samples[latency] == 2
-    p99 = ("catkinspan_request_seconds", "0.99", "accettazione", "museum")
-    assert samples[p99] > 0
-    assert samples[("catkinspan_service_state", "accettazione")] == 0
+    assert samples[("catkinspan_request_seconds", "0.99", "catalogue", "studio")] > 0
+    assert samples[("catkinspan_service_state", "catalogue")] == 0
     assert samples[("catkinspan_revision",)] == 1
--- /dev/null
+++ b/tests/examples/test_examples.py
@@ -0,0 +1,63 @@
+"""Guards the examples: the settings are accepted, and the program runs."""
+
+import runpy
+from pathlib import Path
+
+import pytest
+from attrs import frozen
+
+from catkinspan.daemon.cli import main
+from catkinspan.protocol.settings.tree import check_tree
+from catkinspan.state.policy import HealthProfile
+
+EXAMPLES = Path(__file__).parents[2] / "examples"
+
+
+@frozen
+class Deployment:
+    """Sizes and preference of a deployment on the design page."""
+
+    servers: dict[str, int]
+    slots: int
+    connections: int
+    profile: HealthProfile
+
+
+DEPLOYMENTS = {
+    "valtellina": Deployment(
+        {"accettazione": 25, "laboratorio": 6}, 3, 350, HealthProfile.CAUTIOUS
+    ),
+    "paperbark": Deployment(
+        {"catalogue": 20, "print-desk": 6}, 2, 330, HealthProfile.FAST
+    ),
+}
+
+
+def test_check_accepts_all(capsys: pytest.CaptureFixture[str]) -> None:
+    files = sorted(map(str, EXAMPLES.glob("*.json")))
+    assert len(files) == 3
+    assert main(["check", *files]) == 0
+    assert capsys.readouterr().out.count("accepted") == 3
+
+
+@pytest.mark.parametrize("name", DEPLOYMENTS)
+def test_trees_match_the_design_page(name: str) -> None:
+    expected = DEPLOYMENTS[name]
+    parsed = check_tree((EXAMPLES / f"{name}.json").read_text()).unwrap()
+    tree = parsed.tree
+    assert {n: len(s.upstreams) for n, s in tree.services.items()} == expected.servers
+    for service in tree.services.values():
+        assert {u.slots for u in service.upstreams} == {expected.slots}
+        assert {u.max_connections for u in service.upstreams} == {expected.connections}
+        assert len({u.data_centre for u in service.upstreams}) == 3
+        assert service.policy.health_profile is expected.profile
+    assert len(tree.workspaces) == 8
+    assert len(parsed.hosts.hosts) == tree.fleet.max_hosts == 40
+
+
+def test_the_embedding_program_runs(capsys: pytest.CaptureFixture[str]) -> None:
+    runpy.run_path(str(EXAMPLES / "embedding.py"), run_name="__main__")
+    words = capsys.readouterr().out.split()
+    admitted = int(words[words.index("admitted") + 1].rstrip(";"))
+    allowed = int(words[-1])
+    assert 0 < admitted <= allowed
