--- a/src/catkinspan/coordination/health/standing.py
+++ b/src/catkinspan/coordination/health/standing.py
@@ -20,8 +20,8 @@
 from catkinspan.state.ids import ServerId
 from catkinspan.state.tree import Service, Upstream
 
-CACHE_SECONDS = 0.1
-"""Life of a cached answer while a server is returning, cold, avoided or ejected."""
+CACHE_SECONDS = 0.25
+"""Life of a cached answer while a server is returning or cold."""
 
 
 @define
@@ -92,6 +92,9 @@
     """When each cold server was first seen."""
 
     next_trial: dict[ServerId, float] = Factory(dict)
+    _plain: dict[ServerId, Candidate] = Factory(dict)
+    """Candidates of servers that are simply in use, kept for speed."""
+
     _cached: Standing | None = None
     _cached_until: float = 0.0
 
@@ -118,6 +121,7 @@
         for server in self.cold.keys() - ids:
             del self.cold[server]
         self.service = service
+        self._plain.clear()
         self.invalidate()
 
     def take_verdict(
@@ -202,9 +206,25 @@
             return self._cached
         standing = self._compute(now)
         self._cached = standing
-        self._cached_until = float("inf") if self.is_plain else now + CACHE_SECONDS
+        self._cached_until = float("inf")
+        if not self.is_plain:
+            self._cached_until = self._next_change(now)
         return standing
 
+    def _next_change(self, now: float) -> float:
+        """Return until when a standing may be kept; no verdict may outlive its end."""
+        verdicts = [*self.ejections.values(), *self.avoids.values()]
+        ends = [held.verdict.valid_until for held in verdicts]
+        ends += [own.until for own in self.own_avoids.values()]
+        ends += self.drains.values()
+        moving = self.cold or any(
+            held.verdict.phase in (Phase.TRIAL, Phase.SLOW_START)
+            for held in self.ejections.values()
+        )
+        if moving:
+            ends.append(now + CACHE_SECONDS)
+        return min((end for end in ends if end > now), default=now + CACHE_SECONDS)
+
     def allowed_slots(self, promised: frozenset[ServerId], now: float) -> int:
         """Return how many ejection slots the floor leaves, as this host knows.
 
@@ -277,8 +297,12 @@
     ) -> Candidate | None:
         server = upstream.id
         if server not in ejected:
-            share = self._cold_share(server, now)
-            return Candidate(upstream, share, avoided=server in avoided)
+            if server in self.cold or server in avoided:
+                share = self._cold_share(server, now)
+                return Candidate(upstream, share, avoided=server in avoided)
+            if server not in self._plain:
+                self._plain[server] = Candidate(upstream)
+            return self._plain[server]
         held = self.ejections[server]
         phase = held.verdict.phase
         if phase is Phase.SLOW_START:
--- a/src/catkinspan/testing/channel.py
+++ b/src/catkinspan/testing/channel.py
@@ -71,12 +71,17 @@
         duplication: float = 0.0,
         path_delay: Callable[[HostId, HostId], tuple[float, float]] | None = None,
         on_send: Callable[[HostId, HostId, PeerMessage], None] | None = None,
+        late: float = 0.0,
+        late_delay: tuple[float, float] = (0.5, 10.0),
     ) -> None:
         """Create a channel without hosts.
 
         `path_delay` gives the range of the delay of a path in seconds, in place of
-        `delay`. `on_send` is called for each message, lost ones included.
+        `delay`. A share `late` of the messages takes `late_delay` instead. `on_send`
+        is called for each message, lost ones included.
         """
+        self._late = late
+        self._late_delay = late_delay
         self._rng = rng
         self._delay = delay
         self._loss = loss
@@ -124,6 +129,10 @@
         """Lose all messages from `source` to `target`."""
         self._cuts.add((source, target))
 
+    def connects(self, one: HostId, other: HostId) -> bool:
+        """Return whether messages pass between two hosts in both directions."""
+        return not self._cuts & {(one, other), (other, one)}
+
     def heal(self, source: HostId, target: HostId) -> None:
         """End a cut."""
         self._cuts.discard((source, target))
@@ -184,8 +193,10 @@
         copies = 2 if self._rng.random() < self._duplication else 1
         origin = Origin(source, incarnation)
         path = self._path_delay
-        delay = path(source, target) if path else self._delay
+        usual = path(source, target) if path else self._delay
         for _ in range(copies):
+            is_late = self._late > 0 and self._rng.random() < self._late
+            delay = self._late_delay if is_late else usual
             when = self.now + self._rng.uniform(*delay)
             self.at(when, lambda: self._deliver(target, message, origin))
 
