--- a/src/catkinspan/coordination/reports/unknown.py
+++ b/src/catkinspan/coordination/reports/unknown.py
@@ -2,10 +2,12 @@
 
 from collections.abc import Sequence
 
+from catkinspan.coordination.membership.const import PROBES_PER_SECOND
 from catkinspan.coordination.membership.models import MembershipSnapshot
 from catkinspan.coordination.reports.const import (
     ASSESSOR_SILENT_SECONDS,
     MAX_HOSTS_NAMED,
+    PEER_SILENT_ROUNDS,
     PEER_SILENT_SECONDS,
     PLATFORM_SILENT_SECONDS,
 )
@@ -75,15 +77,14 @@
 
 def _silent_peers(facts: HostFacts) -> str:
     membership = facts.membership
+    round_seconds = len(membership.sightings) / PROBES_PER_SECOND
+    limit = max(PEER_SILENT_SECONDS, PEER_SILENT_ROUNDS * round_seconds)
     silent = sorted(
         host
         for host, sighting in membership.sightings.items()
         if host in membership.view.hosts
         and membership.view.hosts[host].status is not HostStatus.DEAD
-        and (
-            sighting.heard_at is None
-            or facts.now - sighting.heard_at > PEER_SILENT_SECONDS
-        )
+        and (sighting.heard_at is None or facts.now - sighting.heard_at > limit)
     )
     if not silent:
         return ""
@@ -91,7 +92,7 @@
     rest = f" and {len(silent) - MAX_HOSTS_NAMED} more" * (
         len(silent) > MAX_HOSTS_NAMED
     )
-    return f"peers not heard for {span(PEER_SILENT_SECONDS)}: {shown}{rest}"
+    return f"peers not heard for {span(limit)}: {shown}{rest}"
 
 
 def _one_way(membership: MembershipSnapshot) -> str:
