--- a/src/catkinspan/coordination/requests/models.py
+++ b/src/catkinspan/coordination/requests/models.py
@@ -124,10 +124,10 @@
 
     refusal: Refusal
     service: ServiceId | None = None
-    """Service of the route; None if the route was not found."""
+    """Service of the route; None before route and key were accepted."""
 
     workspace: WorkspaceId | None = None
-    """Workspace of the key; None before the key was accepted."""
+    """Workspace of the key; None before route and key were accepted."""
 
 
 @frozen
