--- /dev/null
+++ b/src/catkinspan/coordination/reports/workspaces.py
@@ -0,0 +1,138 @@
+"""The report on workspaces and what holds them back."""
+
+from collections.abc import Iterator
+from itertools import islice
+
+from catkinspan.coordination.keys.models import shown_digest
+from catkinspan.coordination.metrics.const import RECENT_SECONDS
+from catkinspan.coordination.metrics.models import EndCounts, Ending
+from catkinspan.coordination.rates.models import WorkspaceRates
+from catkinspan.coordination.reports.const import MAX_WORKSPACES_SHOWN
+from catkinspan.coordination.reports.gather import HostFacts, WorkspaceFacts
+from catkinspan.coordination.reports.heads import report_head, request_line
+from catkinspan.coordination.reports.instants import Instants
+from catkinspan.coordination.reports.models import (
+    HeldBy,
+    Hold,
+    KeyLine,
+    WorkspaceLine,
+    WorkspacesReport,
+)
+from catkinspan.coordination.reports.unknown import span, unknown_to_host
+from catkinspan.state.ids import WorkspaceId
+from catkinspan.state.tree import Workspace
+
+
+def workspaces_report(
+    facts: HostFacts, workspaces: WorkspaceFacts, instants: Instants
+) -> WorkspacesReport:
+    """Return the workspaces, those that are held back first, up to a bound."""
+    tree = facts.tree.workspaces
+    active = _active(facts, workspaces)
+    idle = (name for name in sorted(tree) if name not in active)
+    chosen = (*active, *islice(idle, max(0, MAX_WORKSPACES_SHOWN - len(active))))
+    lines = [_line(tree[name], facts, workspaces) for name in chosen]
+    shown = sorted(lines, key=_held_first)[:MAX_WORKSPACES_SHOWN]
+    rates = workspaces.rates
+    return WorkspacesReport(
+        report_head(facts, instants),
+        rates.minting,
+        rates.not_minting_because,
+        tuple(shown),
+        len(tree) - len(shown),
+        unknown_to_host(facts),
+    )
+
+
+def held_lines(
+    facts: HostFacts, workspaces: WorkspaceFacts
+) -> tuple[WorkspaceLine, ...]:
+    """Return the workspaces that are held back at this host."""
+    tree = facts.tree.workspaces
+    return tuple(
+        _line(tree[name], facts, workspaces)
+        for name in sorted(_active(facts, workspaces))
+        if _holds(tree[name], facts, workspaces)
+    )
+
+
+def _active(facts: HostFacts, workspaces: WorkspaceFacts) -> set[WorkspaceId]:
+    """Return the workspaces of which there is something to say.
+
+    Lines of all 26,000 workspaces would take the event loop for tenths of a second.
+    """
+    tree = facts.tree.workspaces
+    names = {*workspaces.recent, *workspaces.waiting, *workspaces.withdrawn}
+    names.update(line.workspace for line in workspaces.rates.workspaces if line.waiting)
+    names.update(name for name, workspace in tree.items() if not workspace.keys)
+    return names & tree.keys()
+
+
+def _held_first(line: WorkspaceLine) -> tuple[int, int, str]:
+    return -len(line.held_by), -line.requests.asked, line.workspace
+
+
+def _line(
+    workspace: Workspace, facts: HostFacts, workspaces: WorkspaceFacts
+) -> WorkspaceLine:
+    name = workspace.id
+    recent = workspaces.recent.get(name, EndCounts())
+    held = workspaces.rates_of.get(name)
+    waiting = workspaces.waiting.get(name, 0)
+    return WorkspaceLine(
+        workspace=name,
+        held_by=_holds(workspace, facts, workspaces),
+        rate=workspace.rate,
+        burst=workspace.burst,
+        weight=workspace.weight,
+        max_in_flight=workspace.max_in_flight,
+        in_flight=workspaces.in_flight.get(name, 0),
+        waiting=waiting,
+        requests=request_line(recent),
+        served_share=recent.served_share,
+        grantor=held.grantor if held else None,
+        tokens_held=held.held if held else 0,
+        tokens_waiting=held.waiting if held else 0,
+        stock=held.stock if held else None,
+        keys=tuple(KeyLine(k.id, shown_digest(k.digest)) for k in workspace.keys),
+    )
+
+
+def _holds(
+    workspace: Workspace, facts: HostFacts, workspaces: WorkspaceFacts
+) -> tuple[Hold, ...]:
+    name = workspace.id
+    recent = workspaces.recent.get(name, EndCounts())
+    return (
+        *_key_holds(workspace, workspaces, facts.now),
+        *_rate_holds(recent, workspaces.rates_of.get(name)),
+        *_capacity_holds(recent, workspaces.waiting.get(name, 0)),
+    )
+
+
+def _key_holds(
+    workspace: Workspace, workspaces: WorkspaceFacts, now: float
+) -> Iterator[Hold]:
+    withdrawn = workspaces.withdrawn.get(workspace.id)
+    if withdrawn is not None:
+        age = span(now - withdrawn.at)
+        yield Hold(HeldBy.KEY, f"key {withdrawn.key} withdrawn {age} ago")
+    if not workspace.keys:
+        yield Hold(HeldBy.KEY, "no key is published")
+
+
+def _rate_holds(recent: EndCounts, rates: WorkspaceRates | None) -> Iterator[Hold]:
+    over = recent.counts.get(Ending.RATE, 0)
+    if over:
+        yield Hold(HeldBy.RATE, f"{over} refused above the rate in {RECENT_SECONDS} s")
+    if rates and rates.waiting:
+        yield Hold(HeldBy.RATE, f"{rates.waiting} wait for a token")
+
+
+def _capacity_holds(recent: EndCounts, waiting: int) -> Iterator[Hold]:
+    short = recent.counts.get(Ending.CAPACITY, 0)
+    if short:
+        detail = f"{short} refused for want of capacity in {RECENT_SECONDS} s"
+        yield Hold(HeldBy.CAPACITY, detail)
+    if waiting:
+        yield Hold(HeldBy.CAPACITY, f"{waiting} wait for a slot")
--- a/src/catkinspan/coordination/requests/models.py
+++ b/src/catkinspan/coordination/requests/models.py
@@ -123,6 +123,11 @@
     """Answer the caller with a refusal."""
 
     refusal: Refusal
+    service: ServiceId | None = None
+    """Service of the route; None before route and key were accepted."""
+
+    workspace: WorkspaceId | None = None
+    """Workspace of the key; None before route and key were accepted."""
 
 
 @frozen
--- /dev/null
+++ b/tests/daemon/operators/test_commands.py
@@ -0,0 +1,169 @@
+"""Guards the operators' commands against hosts that run on loopback."""
+
+import json
+from datetime import timedelta
+
+import pytest
+from attrs import evolve
+
+from tests.daemon.operators.fleet import ROUTE, publish, run_cli, until
+from tests.fleet import Fleet, request, running_fleet
+
+shared = pytest.mark.asyncio(loop_scope="module")
+Output = pytest.CaptureFixture[str]
+
+
+@shared
+async def test_status_is_up_with_exit_status_0(fleet: Fleet, capsys: Output) -> None:
+    assert await run_cli(fleet, "status") == 0
+    text = capsys.readouterr().out
+    assert text.startswith("UP, as host host-1 (perth-1) sees it at ")
+    assert "catalogue: up" in text
+    assert await run_cli(fleet, "status", "catalogue") == 0
+    text = capsys.readouterr().out
+    assert "catalogue-1: healthy" in text
+    assert "catalogue-2: healthy" in text
+
+
+@shared
+async def test_an_unknown_name_is_no_state(fleet: Fleet, capsys: Output) -> None:
+    """Status 2 for a mistyped service would read as down."""
+    assert await run_cli(fleet, "status", "catalog") == 64
+    assert "name one of: catalogue" in capsys.readouterr().err
+    assert await run_cli(fleet, "explain", "catalogue/none") == 64
+    assert ROUTE in capsys.readouterr().err
+    with pytest.raises(SystemExit) as ended:
+        await run_cli(fleet, "status", "--watch", "never")
+    assert ended.value.code == 64
+
+
+@shared
+async def test_each_command_prints_json_too(fleet: Fleet, capsys: Output) -> None:
+    for command in ("status", "hosts", "workspaces", "config", "audit"):
+        assert await run_cli(fleet, command, "--json") == 0
+        report = json.loads(capsys.readouterr().out)
+        assert report["head"]["host"] == "host-1", command
+        assert report["head"]["revision"] == 1
+
+
+@shared
+async def test_each_command_prints_text(fleet: Fleet, capsys: Output) -> None:
+    """The text is built from the decoded JSON, so this guards the decoding too."""
+    shown = {
+        "hosts": "host-1  perth-1      alive   this host  1",
+        "workspaces": "studio     1e+06/s  1e+06",
+        "config": "1 services, 2 servers, 5 routes, 2 workspaces, 1 hosts listed",
+        "audit": "configuration_accepted: revision 1 is in force, after 0",
+    }
+    for command, text in shown.items():
+        assert await run_cli(fleet, command) == 0
+        assert text in capsys.readouterr().out
+
+
+@shared
+async def test_explain_shows_the_level_that_set_a_value(
+    fleet: Fleet, capsys: Output
+) -> None:
+    assert await run_cli(fleet, "explain", "catalogue/linked") == 0
+    lines = capsys.readouterr().out.splitlines()
+    found = {line.split()[0]: line.split()[1:] for line in lines[1:]}
+    parameter = found["key_query_parameter"]
+    assert parameter == ['"key"', "route", "catalogue/linked"]
+    assert found["deadline_ms"] == ["5000.0", "ms", "root"]
+    assert found["max_attempts"] == ["3", "attempts", "default"]
+
+
+async def test_status_without_servers_is_down_with_exit_status_2(
+    capsys: Output,
+) -> None:
+    async with running_fleet() as fleet:
+        fleet.tree["services"]["catalogue"]["upstreams"] = []
+        await publish(fleet)
+        for arguments in (["status"], ["status", "catalogue"]):
+            assert await run_cli(fleet, *arguments) == 2
+            text = capsys.readouterr().out
+            assert text.startswith("DOWN")
+            assert "no server is published" in text
+
+
+async def test_draining_gives_exit_status_1_and_a_stopped_host_3(
+    capsys: Output,
+) -> None:
+    def without_wait(settings):  # type: ignore[no-untyped-def]
+        return evolve(settings, drain_notice=timedelta(milliseconds=1))
+
+    async with running_fleet(node=without_wait) as fleet:
+        await fleet.hosts[0].async_drain()
+        assert await run_cli(fleet, "status") == 1
+        assert "this host: degraded: draining" in capsys.readouterr().out
+        await fleet.hosts[0].async_stop()
+        for command in ("status", "hosts", "workspaces", "config", "audit", "metrics"):
+            assert await run_cli(fleet, command) == 3, command
+        assert await run_cli(fleet, "explain", ROUTE) == 3
+        assert "check that the address is right" in capsys.readouterr().err
+
+
+async def test_a_new_revision_is_told_with_its_time_and_difference(
+    capsys: Output,
+) -> None:
+    async with running_fleet() as fleet:
+        fleet.tree["services"]["catalogue"]["settings"] = {"healthy_floor": 0.5}
+        await publish(fleet)
+        await run_cli(fleet, "config", "--json")
+        config = json.loads(capsys.readouterr().out)
+        assert [line["revision"] for line in config["recent"]] == [2, 1]
+        assert config["recent"][0]["at"] >= config["recent"][1]["at"]
+        assert config["since"] == config["recent"][0]["at"]
+        await run_cli(fleet, "hosts", "--json")
+        [host] = json.loads(capsys.readouterr().out)["hosts"]
+        assert host["revision"] == 2
+        assert host["revision_since"][:16] == config["since"][:16]
+        assert await run_cli(fleet, "audit", "--limit", "1") == 0
+        text = capsys.readouterr().out
+        assert "configuration_accepted: revision 2 is in force, after 1" in text
+        assert "services/catalogue: healthy_floor 0.7 -> 0.5" in text
+
+
+async def test_a_rejected_revision_is_told_with_its_remedy(capsys: Output) -> None:
+    async with running_fleet() as fleet:
+        fleet.tree["fleet"]["max_hosts"] = 0
+        await fleet.publish()
+        await until(fleet, lambda c, now: c.configuration.snapshot().rejected)
+        assert await run_cli(fleet, "config") == 0
+        text = capsys.readouterr().out
+        assert "REJECTED revision 2:" in text
+        assert "max_hosts" in text
+
+
+async def test_a_workspace_whose_key_was_withdrawn_is_held_back(
+    capsys: Output,
+) -> None:
+    async with running_fleet() as fleet:
+        fleet.tree["workspaces"]["studio"]["keys"] = []
+        await publish(fleet)
+        await run_cli(fleet, "status")
+        assert "studio: key: key k1 withdrawn" in capsys.readouterr().out
+        await run_cli(fleet, "workspaces")
+        assert "no key is published" in capsys.readouterr().out
+
+
+async def test_latencies_of_two_hosts_are_merged(capsys: Output) -> None:
+    async with running_fleet(hosts=2) as fleet:
+        served = 0
+        for host in fleet.hosts:
+            for _ in range(3):
+                assert (await request(host.callers_address, "/suites")).status == 200
+            # The records follow the answers; those of the warm-up are in it too.
+            snapshot = await host.async_query(lambda c, now: c.metrics.snapshot(now))
+            while snapshot.requests.get(("catalogue", "passed"), 0) < 4:
+                snapshot = await host.async_query(
+                    lambda c, now: c.metrics.snapshot(now)
+                )
+            served += snapshot.requests[("catalogue", "passed")]
+        other = str(fleet.hosts[1].operators_address)
+        assert await run_cli(fleet, "metrics", "--json", "--operators", other) == 0
+        answer = json.loads(capsys.readouterr().out)
+        assert sorted(answer["hosts"]) == ["host-1", "host-2"]
+        [service] = answer["services"]
+        assert (service["name"], service["count"]) == ("catalogue", served)
+        assert 0 < service["p50_ms"] <= service["p99_ms"] <= service["max_ms"]
