Serve, connect and link hosts over TLS from the named files

The settings callers_tls, upstreams_tls and peers_tls were read but unused.

Without settings nothing changes. - Upstreams are verified by IP address or server id, health probes too. - Hosts present certificates to each other. The link checks that the peer is the host that it dialled; the listener drops frames of senders that the certificate does not name. Wildcards do not count on either side. - SIGHUP reads the files again. New connections use them, open ones go on; with a bad file the old contexts stay in force and the log has an error. - The callers' listener does the handshake in the connection's own task. asyncio's TLS listener shows a connection only after its handshake, so callers that never finish it were outside max_connections. - Dropped peer frames are logged at every power of two, so that a peer that sends nonsense cannot fill the log.

--- a/src/catkinspan/daemon/cli/serve.py
+++ b/src/catkinspan/daemon/cli/serve.py
@@ -2,6 +2,7 @@
 
 import argparse
 import asyncio
+import signal
 import sys
 from pathlib import Path
 
@@ -20,6 +21,7 @@
 from catkinspan.daemon.node import HostNode
 from catkinspan.protocol.settings.node import parse_node_settings
 from catkinspan.state.node import NodeSettings
+from catkinspan.transport.tls import TlsSettingsError
 
 
 def add_parser(subparsers: Subparsers) -> None:
@@ -28,7 +30,8 @@
         "serve",
         help="run one entry host",
         description="Run one entry host. SIGTERM drains it: the balancer's check "
-        "fails, running requests finish, then the process ends.",
+        "fails, running requests finish, then the process ends. SIGHUP reads the TLS "
+        "files again.",
     )
     parser.add_argument(
         "--settings",
@@ -55,7 +58,14 @@
 
 
 async def _async_serve(settings: NodeSettings) -> int:
-    node = HostNode(settings, SystemClock())
+    try:
+        node = HostNode(settings, SystemClock())
+    except TlsSettingsError as error:
+        for fault in error.faults:
+            print(f"fault: {fault}", file=sys.stderr)
+        return EXIT_USAGE
+    loop = asyncio.get_running_loop()
+    loop.add_signal_handler(signal.SIGHUP, node.reload_tls)
     try:
         await node.async_start()
     except OSError as error:
--- a/src/catkinspan/daemon/node.py
+++ b/src/catkinspan/daemon/node.py
@@ -2,13 +2,12 @@
 
 import asyncio
 import secrets
-import ssl
 from collections.abc import Callable
 from random import Random
 from typing import Any, TypeVar
 
 from loguru import logger
-from result import Err
+from result import Err, Result
 
 from catkinspan.coordination.clock import Clock
 from catkinspan.coordination.host.coordinator import (
@@ -42,6 +41,8 @@
 from catkinspan.transport.peers.server import PeerServer
 from catkinspan.transport.platform.reader import PlatformReader
 from catkinspan.transport.socket_port import SocketPort
+from catkinspan.transport.tls import TlsContexts, TlsSettingsError, load_tls
+from catkinspan.transport.tls_files import TlsFault
 from catkinspan.transport.upstreams.pool import PoolTask
 from catkinspan.transport.upstreams.prober import ProberTask
 
@@ -73,6 +74,7 @@
         self._new_request_id = new_request_id or _random_request_id
         self._clock = clock
         self._rng = Random(settings.seed)
+        self._tls = self._load_tls().unwrap_or_raise(TlsSettingsError)
         # A later process life has a higher number, as the wall clock moves on.
         incarnation = int(clock.now().timestamp() * 1000)
         listing = ListedHost(
@@ -105,13 +107,14 @@
             settings.platform, self._host.inbox, self._reader_inbox, self._rng
         )
         self._prober = self._new_prober()
-        self._peers = PeerServer(self._on_frame, None)
+        self._peers = PeerServer(self._on_frame, self._tls.peers_server)
         self._listener = CallerListener(
             self._new_connection,
             lambda mailbox: self._host.inbox.force(ConnectionOpened(mailbox)),
             lambda mailbox: self._host.inbox.force(ConnectionEnded(mailbox)),
             settings.http.max_connections,
-            self._callers_tls,
+            self._tls.callers,
+            settings.http.header_timeout.total_seconds(),
         )
         self._tasks: list[asyncio.Task[None]] = []
         self._callers_address = settings.callers
@@ -139,6 +142,11 @@
         """Return whether a graceful shutdown has begun."""
         return self._draining
 
+    @property
+    def dropped_frames(self) -> int:
+        """Return the number of peer frames that were refused or had no room."""
+        return self._dropped_frames
+
     async def async_start(self) -> None:
         """Start all tasks; raises OSError if an address is not free."""
         await self._peers.async_start(self._settings.peers)
@@ -183,6 +191,20 @@
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self._peers.async_stop()
 
+    def reload_tls(self) -> tuple[TlsFault, ...]:
+        """Read the TLS files again for new connections; open ones go on.
+
+        Returns the faults found; with any, the files in use stay in force.
+        """
+        loaded = self._load_tls()
+        if isinstance(loaded, Err):
+            for fault in loaded.err_value:
+                logger.error("TLS files in use stay in force: {}", fault)
+            return loaded.err_value
+        self._tls.replace(loaded.ok_value)
+        logger.info("TLS files are read again")
+        return ()
+
     async def async_query(self, read: Callable[[HostCoordinator, float], T]) -> T:
         """Read from the coordinator within its own task.
 
@@ -218,7 +240,7 @@
             self._settings.http,
             self._clock,
             self._new_request_id,
-            self._upstreams_tls(),
+            self._tls.upstreams,
         )
 
     def _new_link(
@@ -227,7 +249,8 @@
         address: Address,
         encode: Callable[[list[PeerMessage]], bytes],
     ) -> PeerLink:
-        return PeerLink(peer, address, encode, self._clock, self._rng, None)
+        tls = self._tls.peers_client
+        return PeerLink(peer, address, encode, self._clock, self._rng, tls)
 
     def _new_prober(self) -> ProberTask | None:
         interval = self._settings.probe_interval
@@ -238,21 +261,34 @@
             lambda *result: self._host.inbox.force(ProbeResult(*result)),
             self._clock,
             self._rng,
+            self._tls.upstreams,
         )
 
-    def _on_frame(self, data: bytes) -> None:
+    def _on_frame(self, data: bytes, certified: frozenset[str] | None) -> None:
         decoded = self._codec.decode(data)
         if isinstance(decoded, Err):
-            self._dropped_frames += 1
-            logger.warning("{}", decoded.err_value)
+            self._drop_frame(str(decoded.err_value))
             return
         frame = decoded.ok_value
+        if certified is not None and frame.origin.host not in certified:
+            self._drop_frame(
+                f"the certificate of {frame.origin.host!r:.60} names "
+                f"{', '.join(sorted(certified)) or 'no host'}; issue each host a "
+                "certificate of its own"
+            )
+            return
         if frame.unknown:
             logger.debug("{} peer messages were not understood", frame.unknown)
         try:
             self._host.inbox.post(PeerFrame(frame))
-        except InboxFullError:
-            self._dropped_frames += 1
+        except InboxFullError as error:
+            self._drop_frame(str(error))
+
+    def _drop_frame(self, reason: str) -> None:
+        """Count a frame, and log every power of two, so that no peer fills the log."""
+        self._dropped_frames += 1
+        if self._dropped_frames.bit_count() == 1:
+            logger.warning("{} peer frames dropped: {}", self._dropped_frames, reason)
 
     def _on_tree(self, tree: SettingsTree) -> None:
         if self._prober is not None:
@@ -271,11 +307,8 @@
             record.attempts,
         )
 
-    def _callers_tls(self) -> ssl.SSLContext | None:
-        return None
-
-    def _upstreams_tls(self) -> ssl.SSLContext | None:
-        return None
+    def _load_tls(self) -> Result[TlsContexts, tuple[TlsFault, ...]]:
+        return load_tls(self._settings, self._clock.now())
 
 
 def _random_request_id() -> RequestId:
--- a/src/catkinspan/standin/upstream.py
+++ b/src/catkinspan/standin/upstream.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import ssl
 from collections import Counter
 from random import Random
 
@@ -127,9 +128,11 @@
         """Replace the faults that are switched on."""
         self._faults = faults
 
-    async def async_start(self, address: Address) -> Address:
+    async def async_start(
+        self, address: Address, tls: ssl.SSLContext | None = None
+    ) -> Address:
         """Listen and return the address in use."""
-        return await self._server.async_start(address)
+        return await self._server.async_start(address, tls)
 
     async def async_stop(self) -> None:
         """Stop at once, as a crash does."""
--- a/src/catkinspan/transport/callers/listener.py
+++ b/src/catkinspan/transport/callers/listener.py
@@ -2,8 +2,8 @@
 
 import asyncio
 import ssl
-from collections.abc import Callable
-from typing import Any
+from collections.abc import Callable, Coroutine
+from typing import Any, cast
 
 from loguru import logger
 
@@ -16,6 +16,23 @@
 NewConnection = Callable[[SocketPort, Mailbox[Any]], CallerConnection]
 
 
+class _Gate(asyncio.Protocol):
+    """Hands over an accepted socket before its TLS handshake.
+
+    The listener then counts connections in their handshake like all others; asyncio's
+    own TLS listener shows a connection only afterwards.
+    """
+
+    def __init__(self, on_connected: Callable[[asyncio.Transport], None]) -> None:
+        self._on_connected = on_connected
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Hand over a new socket; nothing is read until the handshake begins."""
+        socket_transport = cast(asyncio.Transport, transport)
+        socket_transport.pause_reading()
+        self._on_connected(socket_transport)
+
+
 class CallerListener:
     """Accepts callers' connections up to a limit.
 
@@ -29,13 +46,15 @@
         on_opened: Callable[[Mailbox[Any]], None],
         on_ended: Callable[[Mailbox[Any]], None],
         max_connections: int,
-        tls: Callable[[], ssl.SSLContext | None],
+        tls: ssl.SSLContext | None,
+        handshake_timeout: float,
     ) -> None:
         self._new_connection = new_connection
         self._on_opened = on_opened
         self._on_ended = on_ended
         self._max_connections = max_connections
         self._tls = tls
+        self._handshake_timeout = handshake_timeout
         self._server: asyncio.Server | None = None
         self._tasks: set[asyncio.Task[None]] = set()
         self._refused = 0
@@ -54,7 +73,7 @@
         """Listen and return the address in use; raises OSError if it is taken."""
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
-            self._new_port, address.ip, address.port, ssl=self._tls(), backlog=1024
+            self._new_protocol, address.ip, address.port, backlog=1024
         )
         port = self._server.sockets[0].getsockname()[1]
         return Address(address.ip, port)
@@ -76,23 +95,66 @@
         for task in self._tasks:
             task.cancel()
 
-    def _new_port(self) -> SocketPort:
+    def _new_protocol(self) -> asyncio.Protocol:
+        if self._tls is not None:
+            return _Gate(self._accept_secure)
         mailbox: Mailbox[Any] = Mailbox(CONNECTION_INBOX)
         return SocketPort(mailbox, lambda port: self._accept(port, mailbox))
 
     def _accept(self, port: SocketPort, mailbox: Mailbox[Any]) -> None:
-        if len(self._tasks) >= self._max_connections:
-            self._refused += 1
+        if self._is_full():
             port.abort()
             return
-        connection = self._new_connection(port, mailbox)
-        task = asyncio.create_task(connection.async_run())
+        self._start(self._async_serve(port, mailbox))
+
+    def _accept_secure(self, transport: asyncio.Transport) -> None:
+        if self._is_full():
+            transport.abort()
+            return
+        self._start(self._async_serve_secure(transport))
+
+    def _is_full(self) -> bool:
+        if len(self._tasks) < self._max_connections:
+            return False
+        self._refused += 1
+        return True
+
+    def _start(self, run: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(run)
         self._tasks.add(task)
+        task.add_done_callback(self._end)
+
+    async def _async_serve_secure(self, transport: asyncio.Transport) -> None:
+        """Serve a connection after its TLS handshake."""
+        assert self._tls is not None
+        mailbox: Mailbox[Any] = Mailbox(CONNECTION_INBOX)
+        port = SocketPort(mailbox)
+        try:
+            secure = await asyncio.get_running_loop().start_tls(
+                transport,
+                port,
+                self._tls,
+                server_side=True,
+                ssl_handshake_timeout=self._handshake_timeout,
+                ssl_shutdown_timeout=self._handshake_timeout,
+            )
+        except (OSError, TimeoutError) as error:
+            logger.debug("TLS handshake with a caller failed: {!r}", error)
+            transport.abort()
+            return
+        if secure is not None:
+            port.connection_made(secure)
+            await self._async_serve(port, mailbox)
+
+    async def _async_serve(self, port: SocketPort, mailbox: Mailbox[Any]) -> None:
+        connection = self._new_connection(port, mailbox)
         self._on_opened(mailbox)
-        task.add_done_callback(lambda done: self._end(done, mailbox))
+        try:
+            await connection.async_run()
+        finally:
+            self._on_ended(mailbox)
 
-    def _end(self, task: "asyncio.Task[None]", mailbox: Mailbox[Any]) -> None:
+    def _end(self, task: "asyncio.Task[None]") -> None:
         self._tasks.discard(task)
-        self._on_ended(mailbox)
         if not task.cancelled() and (error := task.exception()) is not None:
             logger.opt(exception=error).error("connection task failed")
--- a/src/catkinspan/transport/http_client.py
+++ b/src/catkinspan/transport/http_client.py
@@ -7,6 +7,7 @@
 from attrs import frozen
 
 from catkinspan.state.tree import Address
+from catkinspan.transport.tls import check_server
 
 MAX_BODY_BYTES = 16 * 1024 * 1024
 _READ_BYTES = 64 * 1024
@@ -31,14 +32,16 @@
     tls: ssl.SSLContext | None = None,
     method: str = "GET",
     body: bytes = b"",
+    server: str = "",
 ) -> Answer:
     """Send one request on a new connection and return the whole answer.
 
-    `timeout` is in seconds. Raises FetchError if there is no whole answer in time.
+    `timeout` is in seconds. With TLS the certificate must name the address or
+    `server`. Raises FetchError if there is no whole answer in time.
     """
     try:
         async with asyncio.timeout(timeout):
-            return await _async_exchange(address, target, tls, method, body)
+            return await _async_exchange(address, target, tls, method, body, server)
     except (OSError, TimeoutError, h11.ProtocolError) as error:
         reason = str(error) or type(error).__name__
         remedy = "check that the address is right and the process runs"
@@ -46,10 +49,23 @@
 
 
 async def _async_exchange(
-    address: Address, target: str, tls: ssl.SSLContext | None, method: str, body: bytes
+    address: Address,
+    target: str,
+    tls: ssl.SSLContext | None,
+    method: str,
+    body: bytes,
+    server: str,
 ) -> Answer:
-    reader, writer = await asyncio.open_connection(address.ip, address.port, ssl=tls)
+    reader, writer = await asyncio.open_connection(
+        address.ip,
+        address.port,
+        ssl=tls,
+        server_hostname=address.ip if tls else None,
+    )
     try:
+        if tls is not None:
+            secure = writer.get_extra_info("ssl_object")
+            check_server(secure.getpeercert(), address.ip, server)
         http = h11.Connection(h11.CLIENT)
         headers = [("Host", str(address)), ("Connection", "close")]
         if body:
--- a/src/catkinspan/transport/peers/link.py
+++ b/src/catkinspan/transport/peers/link.py
@@ -2,12 +2,14 @@
 
 import asyncio
 import ssl
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from random import Random
 
 from attrs import frozen
 from grpclib.client import Channel, StreamStreamMethod
+from grpclib.config import Configuration
 from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
+from grpclib.protocol import Peer
 from loguru import logger
 
 from catkinspan.coordination.clock import Clock
@@ -26,18 +28,30 @@
     RETRY_MIN_SECONDS,
 )
 from catkinspan.transport.peers.raw_codec import RawCodec
+from catkinspan.transport.tls import dns_names
 
 Encode = Callable[[list[PeerMessage]], bytes]
 
 LINK_ERRORS = (
     OSError,
     TimeoutError,
+    UnicodeError,  # A host id that is no valid DNS name, with TLS.
     GRPCError,
     ProtocolError,
     StreamTerminatedError,
 )
 
 
+class WrongPeerError(ConnectionError):
+    """The process at a peer's address is certified as another host."""
+
+    def __init__(self, peer: HostId, names: Collection[str]) -> None:
+        super().__init__(
+            f"the certificate names {', '.join(sorted(names)) or 'no host'}, not "
+            f"{peer}; correct `peer_address` in the host list, or the certificate"
+        )
+
+
 @frozen
 class LinkEnded:
     """A link had no messages for a while, or its peer cannot be reached."""
@@ -45,6 +59,9 @@
     peer: HostId
 
 
+CERTIFICATE_ERRORS = (ssl.SSLError, UnicodeError, WrongPeerError)
+
+
 class PeerLink:
     """Sends the messages for one peer in frames, in their order.
 
@@ -67,6 +84,7 @@
         self._clock = clock
         self._rng = rng
         self._tls = tls
+        self._config = Configuration(ssl_target_name_override=peer if tls else None)
         self._inbox: Mailbox[PeerMessage] = Mailbox(LINK_INBOX)
         self._failures = 0
         self._retry_at = 0.0
@@ -116,6 +134,7 @@
             self._address.port,
             codec=RawCodec(),
             ssl=self._tls,
+            config=self._config,
         )
         try:
             method = StreamStreamMethod[bytes, bytes](
@@ -124,6 +143,7 @@
             async with method.open() as stream:
                 async with asyncio.timeout(CONNECT_SECONDS):
                     await stream.send_request()
+                self._check_peer(stream.peer)
                 message: PeerMessage | None = first
                 while message is not None:
                     await asyncio.sleep(BATCH_SECONDS)
@@ -137,6 +157,14 @@
         finally:
             channel.close()
 
+    def _check_peer(self, peer: Peer | None) -> None:
+        """Refuse a wildcard certificate, which the TLS library would accept."""
+        if self._tls is None:
+            return
+        names = dns_names(peer.cert() if peer is not None else None)
+        if self._peer not in names:
+            raise WrongPeerError(self._peer, names)
+
     def _batch(self, first: PeerMessage) -> list[PeerMessage]:
         batch = [first]
         while len(self._inbox) and len(batch) < FRAME_MESSAGES:
@@ -151,4 +179,7 @@
         self._dropped += 1
         delay = min(RETRY_MAX_SECONDS, RETRY_MIN_SECONDS * 2**self._failures)
         self._retry_at = self._clock.monotonic() + delay * self._rng.uniform(0.5, 1.0)
-        logger.debug("no link to peer {}: {!r}", self._peer, error)
+        # A wrong certificate needs an operator; a peer that is down does not.
+        certified = isinstance(error, CERTIFICATE_ERRORS)
+        level = "WARNING" if certified and self._failures == 1 else "DEBUG"
+        logger.log(level, "no link to peer {}: {!r}", self._peer, error)
--- a/src/catkinspan/transport/peers/server.py
+++ b/src/catkinspan/transport/peers/server.py
@@ -9,17 +9,24 @@
 from catkinspan.state.tree import Address
 from catkinspan.transport.peers.const import LINK_METHOD
 from catkinspan.transport.peers.raw_codec import RawCodec
+from catkinspan.transport.tls import dns_names
+
+OnFrame = Callable[[bytes, frozenset[str] | None], None]
+"""Takes a frame and the host ids that the sender's certificate names; None without
+TLS."""
 
 
 class _LinkService:
     """Hands the frames of incoming streams over."""
 
-    def __init__(self, on_frame: Callable[[bytes], None]) -> None:
+    def __init__(self, on_frame: OnFrame, secure: bool) -> None:
         self._on_frame = on_frame
+        self._secure = secure
 
     async def _async_link(self, stream: Stream[bytes, bytes]) -> None:
+        certified = dns_names(stream.peer.cert()) if self._secure else None
         async for frame in stream:
-            self._on_frame(frame)
+            self._on_frame(frame, certified)
 
     def __mapping__(self) -> dict[str, Handler]:
         handler = Handler(self._async_link, Cardinality.STREAM_STREAM, bytes, bytes)
@@ -29,11 +36,10 @@
 class PeerServer:
     """Listens for the streams of other hosts."""
 
-    def __init__(
-        self, on_frame: Callable[[bytes], None], tls: ssl.SSLContext | None
-    ) -> None:
+    def __init__(self, on_frame: OnFrame, tls: ssl.SSLContext | None) -> None:
         self._tls = tls
-        self._server = Server([_LinkService(on_frame)], codec=RawCodec())
+        service = _LinkService(on_frame, tls is not None)
+        self._server = Server([service], codec=RawCodec())
 
     async def async_start(self, address: Address) -> None:
         """Start to listen; raises OSError if the address is not free."""
--- a/src/catkinspan/transport/simple_server.py
+++ b/src/catkinspan/transport/simple_server.py
@@ -1,6 +1,7 @@
 """A small HTTP/1.1 server for the operators' listener and the stand-ins."""
 
 import asyncio
+import ssl
 from collections.abc import Awaitable, Callable
 
 import h11
@@ -55,10 +56,12 @@
         """Return the number of open connections."""
         return len(self._writers)
 
-    async def async_start(self, address: Address) -> Address:
+    async def async_start(
+        self, address: Address, tls: ssl.SSLContext | None = None
+    ) -> Address:
         """Listen and return the address in use; raises OSError if it is taken."""
         self._server = await asyncio.start_server(
-            self._async_serve, address.ip, address.port
+            self._async_serve, address.ip, address.port, ssl=tls
         )
         port = self._server.sockets[0].getsockname()[1]
         return Address(address.ip, port)
--- a/src/catkinspan/transport/socket_port.py
+++ b/src/catkinspan/transport/socket_port.py
@@ -3,7 +3,7 @@
 import asyncio
 import socket
 import struct
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Any, cast
 
 from attrs import frozen
@@ -72,6 +72,14 @@
         name = self._transport.get_extra_info("peername")
         return f"{name[0]}:{name[1]}" if name else "?"
 
+    @property
+    def peer_certificate(self) -> Mapping[str, Any] | None:
+        """Return the verified certificate of the other side; None without one."""
+        if self._transport is None:
+            return None
+        secure = self._transport.get_extra_info("ssl_object")
+        return None if secure is None else secure.getpeercert()
+
     def attach(self, mailbox: Mailbox[Any]) -> None:
         """Send later messages to another mailbox."""
         self._mailbox = mailbox
--- a/src/catkinspan/transport/upstreams/connection.py
+++ b/src/catkinspan/transport/upstreams/connection.py
@@ -10,6 +10,7 @@
 from catkinspan.state.tree import Address
 from catkinspan.transport.mailbox import Mailbox
 from catkinspan.transport.socket_port import SocketPort
+from catkinspan.transport.tls import check_server
 
 MAX_HEAD_BYTES = 64 * 1024
 
@@ -71,7 +72,8 @@
 ) -> UpstreamConnection:
     """Open a connection whose bytes go to a mailbox.
 
-    Raises OSError or TimeoutError if the server cannot be reached.
+    Raises OSError or TimeoutError if the server cannot be reached, or if its
+    certificate belongs to another one.
     """
     loop = asyncio.get_running_loop()
     _, port = await loop.create_connection(
@@ -81,6 +83,12 @@
         ssl=tls,
         server_hostname=address.ip if tls else None,
     )
+    if tls is not None:
+        try:
+            check_server(port.peer_certificate, address.ip, server)
+        except OSError:
+            port.abort()
+            raise
     return UpstreamConnection(server, port)
 
 
--- a/src/catkinspan/transport/upstreams/prober.py
+++ b/src/catkinspan/transport/upstreams/prober.py
@@ -1,6 +1,7 @@
 """The task that asks the health endpoints of the upstream servers."""
 
 import asyncio
+import ssl
 from collections.abc import Callable
 from random import Random
 
@@ -23,12 +24,18 @@
     """Probes each server once an interval, spread evenly over it."""
 
     def __init__(
-        self, interval: float, on_result: OnResult, clock: Clock, rng: Random
+        self,
+        interval: float,
+        on_result: OnResult,
+        clock: Clock,
+        rng: Random,
+        tls: ssl.SSLContext | None = None,
     ) -> None:
         self._interval = interval
         self._on_result = on_result
         self._clock = clock
         self._rng = rng
+        self._tls = tls
         self._inbox: Mailbox[SettingsTree] = Mailbox(TREES)
         self._servers: list[tuple[ServiceId, Upstream]] = []
 
@@ -65,7 +72,11 @@
         started = self._clock.monotonic()
         try:
             answer = await async_fetch(
-                upstream.address, HEALTH_TARGET, PROBE_TIMEOUT_SECONDS
+                upstream.address,
+                HEALTH_TARGET,
+                PROBE_TIMEOUT_SECONDS,
+                self._tls,
+                server=upstream.id,
             )
             ok = answer.status < 500
         except FetchError:
--- /dev/null
+++ b/tests/daemon/test_serve_tls.py
@@ -0,0 +1,91 @@
+"""`catkinspan serve` checks TLS files at start and reads them again on SIGHUP."""
+
+import asyncio
+import json
+import os
+import signal
+import sys
+from pathlib import Path
+
+from catkinspan.state.node import TlsFiles
+from catkinspan.state.tree import Address
+from tests.certificates import LOOPBACK, Authority
+from tests.fleet import SAFETY_SECONDS, free_addresses
+
+
+async def serve(folder: Path, files: TlsFiles) -> asyncio.subprocess.Process:
+    callers, operators, peers, platform = map(str, free_addresses(4))
+    settings = {
+        "host_id": "host-1",
+        "data_centre": "perth-1",
+        "callers": callers,
+        "operators": operators,
+        "peers": peers,
+        "platform": platform,
+        "drain_notice_ms": 1,
+        "callers_tls": {"certificate": str(files.certificate), "key": str(files.key)},
+    }
+    path = folder / "host.json"
+    path.write_text(json.dumps(settings))
+    return await asyncio.create_subprocess_exec(
+        *(sys.executable, "-m", "catkinspan", "serve", "--settings", str(path)),
+        stdout=asyncio.subprocess.DEVNULL,
+        stderr=asyncio.subprocess.PIPE,
+        env={**os.environ, "PYTHONPATH": "src"},
+    )
+
+
+async def read_until(process: asyncio.subprocess.Process, text: str) -> str:
+    """Return the first line of the log that holds a text."""
+    assert process.stderr is not None
+    async with asyncio.timeout(SAFETY_SECONDS):
+        while text not in (line := (await process.stderr.readline()).decode()):
+            assert line, f"the process ended without {text!r}"
+    return line
+
+
+async def shown_serial(line: str, authority: Authority) -> str:
+    ip, _, port = line.split()[-1].rpartition(":")
+    address = Address(ip, int(port))
+    _, writer = await asyncio.open_connection(
+        address.ip, address.port, ssl=authority.caller()
+    )
+    serial = writer.get_extra_info("ssl_object").getpeercert()["serialNumber"]
+    writer.close()
+    return str(serial)
+
+
+async def test_sighup_reads_the_files_again(tmp_path: Path) -> None:
+    """A certificate must be replaceable without a restart, and a bad one harmless."""
+    authority = Authority(tmp_path)
+    files = authority.issue("callers", LOOPBACK)
+    process = await serve(tmp_path, files)
+    try:
+        line = await read_until(process, "serves callers on")
+        first = await shown_serial(line, authority)
+        authority.issue("callers", LOOPBACK)
+        process.send_signal(signal.SIGHUP)
+        await read_until(process, "TLS files are read again")
+        second = await shown_serial(line, authority)
+        assert second != first
+        authority.issue("callers", LOOPBACK, days=-1)
+        process.send_signal(signal.SIGHUP)
+        error = await read_until(process, "TLS files in use stay in force")
+        assert str(files.certificate) in error
+        assert "install a renewed certificate" in error
+        assert await shown_serial(line, authority) == second
+        process.terminate()
+        assert await process.wait() == 0
+    finally:
+        if process.returncode is None:
+            process.kill()
+            await process.wait()
+
+
+async def test_bad_file_at_start_ends_with_a_typed_fault(tmp_path: Path) -> None:
+    files = Authority(tmp_path).issue("callers", LOOPBACK, days=-1)
+    process = await serve(tmp_path, files)
+    _, output = await asyncio.wait_for(process.communicate(), SAFETY_SECONDS)
+    assert process.returncode == 2
+    (line,) = output.decode().splitlines()
+    assert line.startswith(f"fault: callers_tls/certificate: {files.certificate}")
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -3,6 +3,7 @@
 import asyncio
 import hashlib
 import socket
+import ssl
 from collections.abc import AsyncIterator, Callable
 from contextlib import asynccontextmanager
 from datetime import timedelta
@@ -133,8 +134,14 @@
     upstream_addresses: dict[str, Address] | None = None,
     new_request_id: Callable[[], RequestId] | None = None,
     node: Callable[[NodeSettings], NodeSettings] | None = None,
+    callers_tls: ssl.SSLContext | None = None,
+    upstreams_tls: ssl.SSLContext | None = None,
 ) -> AsyncIterator[Fleet]:
-    """Run a fleet; `change` edits the settings tree before it is published."""
+    """Run a fleet; `change` edits the settings tree before it is published.
+
+    `callers_tls` is the context of the test's callers, `upstreams_tls` that of the
+    stand-ins.
+    """
     options = options or UpstreamOptions(
         name="", service="catalogue", slots=50, service_seconds=0.0
     )
@@ -145,7 +152,8 @@
     for number in range(0 if upstream_addresses else upstreams):
         name = f"catalogue-{number + 1}"
         servers[name] = StandinUpstream(evolve(options, name=name, seed=number))
-        addresses[name] = await servers[name].async_start(Address("127.0.0.1", 0))
+        address = Address("127.0.0.1", 0)
+        addresses[name] = await servers[name].async_start(address, upstreams_tls)
     settings = [node_settings(i, platform_address) for i in range(hosts)]
     if node is not None:
         settings = [node(item) for item in settings]
@@ -158,7 +166,7 @@
     try:
         for host in nodes:
             await host.async_start()
-        await wait_ready(nodes)
+        await wait_ready(nodes, callers_tls)
         yield fleet
     finally:
         for host in nodes:
@@ -185,13 +193,14 @@
     )
 
 
-async def wait_ready(nodes: list[HostNode]) -> None:
+async def wait_ready(nodes: list[HostNode], tls: ssl.SSLContext | None = None) -> None:
     """Wait until the hosts serve and have tokens for the test's workspaces."""
     async with asyncio.timeout(SAFETY_SECONDS):
         for host in nodes:
             while not await host.async_query(lambda c, now: c.is_ready(now)):
                 await asyncio.sleep(0.02)
-            while (await request(host.callers_address, "/suites/warm")).status != 200:
+            address = host.callers_address
+            while (await request(address, "/suites/warm", tls=tls)).status != 200:
                 await asyncio.sleep(0.05)
 
 
@@ -218,8 +227,10 @@
         self.http = h11.Connection(h11.CLIENT)
 
     @classmethod
-    async def connect(cls, address: Address) -> "Caller":
-        return cls(*await asyncio.open_connection(address.ip, address.port))
+    async def connect(
+        cls, address: Address, tls: ssl.SSLContext | None = None
+    ) -> "Caller":
+        return cls(*await asyncio.open_connection(address.ip, address.port, ssl=tls))
 
     def send(self, *events: h11.Event) -> None:
         for event in events:
@@ -283,9 +294,10 @@
     body: bytes = b"",
     key: str | None = KEY,
     headers: list[tuple[str, str]] | None = None,
+    tls: ssl.SSLContext | None = None,
 ) -> Reply:
     """Send one request on a new connection and return the answer."""
-    caller = await Caller.connect(address)
+    caller = await Caller.connect(address, tls)
     try:
         caller.send_request(target, method, body, key, headers)
         return await caller.read_reply()
