--- a/src/catkinspan/coordination/health/arbiter.py
+++ b/src/catkinspan/coordination/health/arbiter.py
@@ -35,7 +35,7 @@
 from catkinspan.coordination.health.permits import Permit, jitter
 from catkinspan.coordination.health.pool import Judgement, Pool
 from catkinspan.coordination.models import Event
-from catkinspan.state.ids import HostId, ServerId, ServiceId
+from catkinspan.state.ids import DataCentre, HostId, ServerId, ServiceId
 
 TRIAL_SIGNALS = (Signal.FAILURE, Signal.STALL, Signal.SLOW, Signal.SHED)
 RELAPSE_SCORE = 0.5
@@ -156,6 +156,10 @@
         if case is not None:
             case.permit.take_reply(voter, reply, now)
 
+    def take_bad_path(self, server: ServerId, place: DataCentre, now: float) -> None:
+        """Learn that one data centre alone reaches a server badly."""
+        self.pool.note_bad_path(server, place, now)
+
     def take_verdict(self, verdict: Verdict, outranks: bool, now: float) -> None:
         """Learn of another arbiter's decision; `outranks` if it goes first."""
         if verdict.phase is Phase.RETURNED:
--- a/src/catkinspan/coordination/health/const.py
+++ b/src/catkinspan/coordination/health/const.py
@@ -88,10 +88,13 @@
 MAX_TRIAL_SECONDS = 60.0
 """Longest trial; a service without idempotent requests yields no evidence."""
 
-PATH_CONFIRM_SECONDS = 1.0
+PATH_CONFIRM_SECONDS = 1.5
 """Wait before a data centre avoids a server, since an ejection may follow."""
 
 PATH_THRESHOLD_SHARE = 0.75
+BAD_PATH_SECONDS = 120.0
+"""Time that a data centre's bad path keeps its evidence out of the pool."""
+
 HELD_EVENT_SECONDS = 60.0
 MAX_HOLD_SECONDS = 300.0
 FORGIVE_SECONDS = 600.0
--- a/src/catkinspan/coordination/health/coordinator.py
+++ b/src/catkinspan/coordination/health/coordinator.py
@@ -19,6 +19,7 @@
 from catkinspan.coordination.health.links import Links, round_down
 from catkinspan.coordination.health.models import (
     MESSAGES,
+    BadPath,
     DrainNotice,
     HealthDigest,
     HostReport,
@@ -110,6 +111,7 @@
         self._handlers = {
             HealthDigest: self._take_digest,
             PooledEvidence: self._take_evidence,
+            BadPath: self._take_bad_path,
             HostReport: self._take_report,
             ReportAck: self._take_ack,
             Verdict: self._take_verdict,
@@ -137,6 +139,11 @@
         held = self._standings.get(service)
         return held.standing(now) if held else None
 
+    def verdicts(self, service: ServiceId) -> tuple[Verdict, ...]:
+        """Return the verdicts that this host holds on a service's servers."""
+        held = self._standings.get(service)
+        return tuple(h.verdict for h in held.ejections.values()) if held else ()
+
     def record_start(self, started: AttemptStarted, now: float) -> None:
         """Note an attempt that was just sent, to notice a hang before its timeout."""
         self._observer.start(started, now)
@@ -354,6 +361,9 @@
             ejected = frozenset(self._standings[name].ejections)
             for verdict in assessor.bad_paths(ejected, now):
                 self._spread(verdict, now)
+                message = BadPath(name, verdict.server, self._data_centre)
+                for arbiter in self._roles.of(name).arbiters:
+                    self._links.post(arbiter, message)
 
     def _tick_arbiters(self, now: float) -> None:
         for name, arbiter in self._arbiters.items():
@@ -410,6 +420,11 @@
             self._rates.set_place(evidence.service, place, rate, now)
             arbiter.take_evidence(evidence, now)
 
+    def _take_bad_path(self, path: BadPath, origin: Origin, now: float) -> None:
+        arbiter = self._arbiters.get(path.service)
+        if arbiter is not None:
+            arbiter.take_bad_path(path.server, path.data_centre, now)
+
     def _take_report(self, report: HostReport, origin: Origin, now: float) -> None:
         self._links.take_report(report, origin, now)
         if report.data_centre:
--- a/src/catkinspan/coordination/health/models.py
+++ b/src/catkinspan/coordination/health/models.py
@@ -93,6 +93,15 @@
     trials: Mapping[ServerId, int] = Factory(dict)
 
 
+@frozen
+class BadPath(PeerMessage):
+    """Tells the arbiters that one data centre alone reaches a server badly."""
+
+    service: ServiceId
+    server: ServerId
+    data_centre: DataCentre
+
+
 @frozen
 class HostReport(PeerMessage):
     """The sender's clock, and its rates at an average server of each service."""
@@ -182,6 +191,7 @@
 MESSAGES: tuple[type[PeerMessage], ...] = (
     HealthDigest,
     PooledEvidence,
+    BadPath,
     HostReport,
     ReportAck,
     Verdict,
--- a/src/catkinspan/coordination/health/pool.py
+++ b/src/catkinspan/coordination/health/pool.py
@@ -7,6 +7,7 @@
 from attrs import Factory, define, frozen
 
 from catkinspan.coordination.health.const import (
+    BAD_PATH_SECONDS,
     PEER_RATE_SECONDS,
     PEER_SCORE_FACTOR,
     SCORE_CAP,
@@ -111,6 +112,7 @@
         self._servers: tuple[ServerId, ...] = ()
         self._scores: dict[ServerId, dict[Signal, Score]] = {}
         self._places: dict[HostId, DataCentre] = {}
+        self._bad_paths: dict[tuple[ServerId, DataCentre], float] = {}
 
     @property
     def suspects(self) -> Sequence[ServerId]:
@@ -138,6 +140,17 @@
         """Drop the evidence about a server."""
         self._scores.pop(server, None)
 
+    def note_bad_path(
+        self, server: ServerId, data_centre: DataCentre, now: float
+    ) -> None:
+        """Leave out what a data centre says from now on of a server.
+
+        Its hosts avoid the server then, so their evidence fades and would no longer
+        stand out next to that of a second bad path. What was said before stays, since
+        the server may be faulty for all and its slots held by this data centre.
+        """
+        self._bad_paths[server, data_centre] = now + BAD_PATH_SECONDS
+
     def add(
         self,
         server: ServerId,
@@ -150,6 +163,8 @@
         """Add events that a host saw."""
         if server not in self._servers:
             return
+        if now < self._bad_paths.get((server, data_centre), 0.0):
+            return
         self._places[host] = data_centre
         scores = self._scores.setdefault(server, {})
         score = scores.get(signal)
@@ -167,6 +182,8 @@
         """Account for the time since the last evidence and drop what is settled."""
         present = {signal for scores in self._scores.values() for signal in scores}
         weights = {signal: self._weights(signal) for signal in present}
+        for path in [path for path, until in self._bad_paths.items() if now >= until]:
+            del self._bad_paths[path]
         for server in list(self._scores):
             scores = self._scores[server]
             for signal, score in list(scores.items()):
@@ -192,7 +209,7 @@
         reason = max(scores, key=lambda signal: scores[signal].value)
         return Judgement(
             total / self.threshold,
-            total >= self.threshold and self._is_spread(shares, total),
+            total >= self.threshold and self._is_spread(server, shares, total),
             reason.value,
             tuple(sorted(shares, key=lambda host: -shares[host])),
             tuple(sorted({self._places[host] for host in shares})),
@@ -207,12 +224,17 @@
         return self.threshold * WEIGHTS[signal].threshold
 
     def _weights(self, signal: Signal) -> tuple[float, float]:
-        """Return what an event adds and what a success takes off."""
+        """Return what an event adds and what each attempt takes off.
+
+        The rate counts an attempt with an event as well, so the event also gives back
+        what its attempt takes off.
+        """
         weight = WEIGHTS[signal]
         usual = 2.0 * self._peer_rate(signal)
         healthy = min(max(weight.healthy, usual), MAX_HEALTHY_RATE)
         faulty = max(weight.faulty, min(0.95, 2.5 * healthy))
-        return log(faulty / healthy), log((1.0 - healthy) / (1.0 - faulty))
+        drain = log((1.0 - healthy) / (1.0 - faulty))
+        return log(faulty / healthy) + drain, drain
 
     def _peer_rate(self, signal: Signal) -> float:
         """Return the median server's share of attempts with the signal."""
@@ -256,7 +278,9 @@
                     shares[host] = shares.get(host, 0.0) + part * used / value
         return shares
 
-    def _is_spread(self, shares: dict[HostId, float], total: float) -> bool:
+    def _is_spread(
+        self, server: ServerId, shares: dict[HostId, float], total: float
+    ) -> bool:
         """Return whether the evidence stands without its most affected place.
 
         Evidence of one host or one data centre means a bad path.
@@ -272,9 +296,12 @@
             by_place[place] = by_place.get(place, 0.0) + part
         place = max(by_place, key=lambda name: by_place[name])
         rest = total - by_place[place]
-        if by_place[place] <= SKEWED_SHARE * total:
-            return rest >= needed
+        is_skewed = by_place[place] > SKEWED_SHARE * total
+        if is_skewed:
+            needed = self.threshold * SKEWED_REST_SHARE
         # One attempt can leave both slow and stalled evidence, so next to a bad path
-        # a single unlucky request must not suffice.
+        # a single unlucky request, or a second cut host, must not suffice.
         elsewhere = sum(1 for host in shares if self._places[host] != place)
-        return elsewhere > 1 and rest >= self.threshold * SKEWED_REST_SHARE
+        if (is_skewed or (server, place) in self._bad_paths) and elsewhere < 2:
+            return False
+        return rest >= needed
--- a/src/catkinspan/testing/servers.py
+++ b/src/catkinspan/testing/servers.py
@@ -170,6 +170,10 @@
         """Return the requests per second that all slots can serve."""
         return sum(server.slots for server in self.servers.values()) / MEAN_LATENCY
 
+    def draw(self) -> float:
+        """Return a random number for functions that a test plugs in."""
+        return self._rng.random()
+
     def start(self) -> None:
         """Begin with the arrivals."""
         self._schedule_arrival()
