Drop token asks before the first configuration, and fix golden ids

Cause: a host without a configuration divided by 0 shards when a peer asked it for tokens; the schedules of whole hosts found it. The golden sessions had ids of varying length, so content lengths varied from run to run.

--- a/bench/rates_fleet.py
+++ b/bench/rates_fleet.py
@@ -203,7 +203,9 @@
         self.seed = seed
         self.rng = Random(seed)
         self.slots, self.drift = slots, drift
-        self.channel = FakeChannel(Random(seed + 1), delay, loss, duplication, late)
+        self.channel = FakeChannel(
+            Random(seed + 1), delay, loss, duplication, late=late
+        )
         limits = {item.id: item for item in workspaces}
         self.tree = SettingsTree(
             fleet=FleetSettings(max_hosts=slots, rate_shards=shards), workspaces=limits
--- a/src/catkinspan/coordination/rates/coordinator.py
+++ b/src/catkinspan/coordination/rates/coordinator.py
@@ -199,6 +199,9 @@
 
     def _answer_ask(self, ask: TokenAsk, origin: Origin, now: float) -> None:
         shards = self._lending.shards
+        if not shards:
+            # The host has no configuration yet.
+            return
         holder = (origin.host, origin.incarnation)
         grant = self._grantor.answer(ask, holder, shards, now)
         if grant is not None:
--- a/tests/golden/test_sessions.py
+++ b/tests/golden/test_sessions.py
@@ -98,7 +98,7 @@
     numbers = count(1)
     async with running_fleet(
         upstream_addresses={"catalogue-1": upstream.address},
-        new_request_id=lambda: RequestId(f"request-{next(numbers)}"),
+        new_request_id=lambda: RequestId(f"request-{next(numbers):04}"),
     ) as fleet:
         decisions.clear()
         first = next(numbers)
@@ -116,7 +116,7 @@
     parts += ["to caller:\n" + readable(answer)]
 
     def renumber(match: re.Match[str]) -> str:
-        return f"request-{int(match[1]) - first}"
+        return f"request-{int(match[1]) - first:04}"
 
     return re.sub(r"request-(\d+)", renumber, "\n\n".join(parts))
 
