Let a new dispatcher use all slots once no predecessor leases

At a cold start, or after its predecessor died, a dispatcher used half of the slots for a second, and the backlog delayed requests long after. Requests without a lease are limited by their sheds, so that an overload waits in the fair queue of the host.

--- a/src/catkinspan/coordination/slots/client.py
+++ b/src/catkinspan/coordination/slots/client.py
@@ -16,6 +16,7 @@
     FIRST_LEASE_SECONDS,
     IDLE_SECONDS,
     LEASE_SECONDS,
+    LEAST_DIRECT,
     REASK_SECONDS,
     RENEW_SHARE,
     ROLE_RETRY_SECONDS,
@@ -191,7 +192,8 @@
         if server := self._direct.pop(key, None):
             self._uncount(self._load, server)
             self._uncount(self._direct_load, server)
-            self._direct_limit.note(shed, len(self._direct) + 1)
+            least = 1.0 if self._in_fallback(now) else LEAST_DIRECT
+            self._direct_limit.note(shed, len(self._direct) + 1, least)
         lease = self._by_key.pop(key, None)
         if lease is not None:
             self._uncount(self._load, lease.server)
@@ -376,7 +378,7 @@
         return None
 
     def _choose(self, request: SlotRequest, now: float) -> Candidate | None:
-        if len(self._direct) >= self._direct_limit.value:
+        if len(self._direct) + 1 > max(1.0, self._direct_limit.value):
             return None
         servers = self._servers(self._service, now)
         return servers.choose(request, self._direct_load, self._load, self._rng)
--- a/src/catkinspan/coordination/slots/const.py
+++ b/src/catkinspan/coordination/slots/const.py
@@ -49,8 +49,12 @@
 """Share of the ask budget that is kept for requests which a server has shed."""
 
 CAREFUL_SECONDS = 1.0
-"""Time in which a new dispatcher uses half of each server's slots, rounded up, because
-its predecessor may still lease. The predecessor uses the other half."""
+"""Longest time in which a new dispatcher uses half of each server's slots, rounded up,
+because its predecessor may still lease. The predecessor uses the other half."""
+
+REPORT_SECONDS = 0.1
+"""Time in which hosts report their leases to a new dispatcher. Without a predecessor
+that still leases, it uses all slots after this time."""
 
 ROLE_RETRY_SECONDS = 0.2
 """Time for which a host asks the former dispatcher, when the new one does not know of
@@ -91,14 +95,15 @@
 """Least connections to a server for each host that uses it."""
 
 LEAST_DIRECT = 2.0
-"""Requests of a service that a host may always run at once without a lease."""
+"""Requests of a service that a host may always run at once without a lease, while its
+dispatcher answers; in fallback it is one."""
 
-DIRECT_STEP = 0.1
+DIRECT_STEP = 0.05
 """Requests by which a served request raises the limit of those without a lease."""
 
 DIRECT_BACKOFF = 0.7
-"""Factor on that limit after a shed one. With the step, a limit of 3 is in balance at
-about one shed in ten requests."""
+"""Factor on that limit after a shed one. With the step, a limit of 2 is in balance at
+about one shed in twelve requests."""
 
 DEFAULT_MAX_QUEUE = 200
 """Queue bound for a service without settings."""
--- a/src/catkinspan/coordination/slots/coordinator.py
+++ b/src/catkinspan/coordination/slots/coordinator.py
@@ -69,7 +69,7 @@
         self._mailbox = Mailbox()
         self._budget = AskBudget()
         self._view = FleetView(self_id, data_centre)
-        self._roles = Roles(self._view)
+        self._roles = self._roles_before = Roles(self._view)
         self._shares = ConnectionShares(self._view)
         self._locality = Locality.of(self._view)
         self._tree = SettingsTree()
@@ -153,7 +153,7 @@
 
     def apply_view(self, view: FleetView, now: float) -> None:
         """Move roles to their new holders, and free what dead hosts held."""
-        before = self._roles
+        self._roles_before = self._roles
         self._view = view
         self._roles = Roles(view)
         self._shares = ConnectionShares(view)
@@ -166,7 +166,7 @@
             dispatcher.hosts = self._roles.hosts_here
             dispatcher.replace_partners(self._roles.partners(name))
         for name in self._clients:
-            self._take_over(name, before)
+            self._dispatcher(name, now)
         for name, client in self._clients.items():
             client.use_dispatcher(self._dispatcher_of(name), now)
             self._touched.add(name)
@@ -246,6 +246,7 @@
             dispatcher.max_queue = self._max_queue(service)
             dispatcher.hosts = self._roles.hosts_here
             dispatcher.replace_partners(self._roles.partners(service))
+            dispatcher.start(self._former(service), now)
             self._dispatchers[service] = dispatcher
         if dispatcher.idle:
             dispatcher.update(self._own_servers(service, now), now)
@@ -259,21 +260,21 @@
         else:
             dispatcher.retire(now)
 
-    def _take_over(self, service: ServiceId, before: Roles) -> None:
-        """Tell the former dispatchers that this host has taken the role."""
-        own = self._view.self_data_centre
-        if self._dispatcher_of(service) != self._self_id:
-            return
-        if before.dispatcher(service, own) == self._self_id:
-            return
-        former = {
-            before.dispatcher(service, own),
+    def _former(self, service: ServiceId) -> list[HostId]:
+        """Return the living hosts that may have held the role before this one."""
+        candidates = {
+            self._roles_before.dispatcher(service, self._view.self_data_centre),
             self._roles.predecessor(service, self._self_id),
         }
-        for host in sorted(h for h in former if h):
-            record = self._view.hosts.get(host)
-            if host != self._self_id and record and record.status != HostStatus.DEAD:
-                self._mailbox.post(host, SlotTakeover(service))
+        hosts = self._view.hosts
+        return sorted(
+            host
+            for host in candidates
+            if host
+            and host != self._self_id
+            and host in hosts
+            and hosts[host].status != HostStatus.DEAD
+        )
 
     def _dispatcher_of(self, service: ServiceId) -> HostId | None:
         return self._roles.dispatcher(service, self._view.self_data_centre)
@@ -382,6 +383,8 @@
             case SlotTakeover():
                 if dispatcher := self._dispatchers.get(message.service):
                     dispatcher.yield_half(now)
+                else:
+                    self._mailbox.post(host, NotDispatcher(message.service))
             case SlotAsk() | SlotReturn() | SlotRenew() | LoanAsk() | LoanGrant():
                 self._to_dispatcher(message, host, now)
 
@@ -391,6 +394,10 @@
         host: HostId,
         now: float,
     ) -> None:
+        if isinstance(message, NotDispatcher) and (
+            dispatcher := self._dispatchers.get(message.service)
+        ):
+            dispatcher.release_from(host, now)
         client = self._clients.get(message.service)
         if client is None:
             return
--- a/src/catkinspan/coordination/slots/direct.py
+++ b/src/catkinspan/coordination/slots/direct.py
@@ -9,7 +9,6 @@
 from catkinspan.coordination.slots.const import (
     DIRECT_BACKOFF,
     DIRECT_STEP,
-    LEAST_DIRECT,
 )
 from catkinspan.coordination.slots.models import SlotRequest
 from catkinspan.state.hosts import FleetView
@@ -45,10 +44,10 @@
 
     value: float = float("inf")
 
-    def note(self, shed: bool, running: int) -> None:
+    def note(self, shed: bool, running: int, least: float) -> None:
         """Take into account how a request ended, and how many ran with it."""
         if shed:
-            self.value = max(LEAST_DIRECT, min(self.value, running) * DIRECT_BACKOFF)
+            self.value = max(least, min(self.value, running) * DIRECT_BACKOFF)
         else:
             self.value += DIRECT_STEP
 
--- a/src/catkinspan/coordination/slots/dispatcher.py
+++ b/src/catkinspan/coordination/slots/dispatcher.py
@@ -16,6 +16,7 @@
     LOAN_HYSTERESIS,
     LOAN_SECONDS,
     MAX_LOAN,
+    REPORT_SECONDS,
     SHED_SECONDS,
 )
 from catkinspan.coordination.slots.fairness import FairQueue
@@ -42,6 +43,7 @@
     SlotRenew,
     SlotRenewed,
     SlotReturn,
+    SlotTakeover,
     WorkspaceDemand,
 )
 from catkinspan.coordination.slots.pool import (
@@ -124,6 +126,7 @@
         self._pool = SlotPool()
         self._pool.restrict(Part.FIRST_HALF, now + CAREFUL_SECONDS)
         self._retires_at: float | None = None
+        self._former: set[HostId] = set()
         self._queue: FairQueue[Waiting] = FairQueue()
         self._tickets: dict[tuple[HostId, int], Waiting] = {}
         self._leases: dict[tuple[HostId, int], Lease] = {}
@@ -272,6 +275,23 @@
         """Leave half of the slots to another host that has taken the role."""
         self._pool.restrict(Part.SECOND_HALF, now + CAREFUL_SECONDS)
 
+    def start(self, former: Collection[HostId], now: float) -> None:
+        """Use half of the slots until the former dispatchers have let go."""
+        self._former = set(former)
+        for host in sorted(former):
+            self._mailbox.post(host, SlotTakeover(self._service))
+        self._end_care(now)
+
+    def release_from(self, host: HostId, now: float) -> None:
+        """Note that a former dispatcher leases no slots."""
+        if host in self._former:
+            self._former.remove(host)
+            self._end_care(now)
+
+    def _end_care(self, now: float) -> None:
+        if not self._former:
+            self._pool.restrict(Part.FIRST_HALF, now + REPORT_SECONDS)
+
     def retire(self, now: float) -> None:
         """Serve hosts that do not know the new dispatcher yet, for a moment."""
         if self._retires_at is None:
