--- a/src/catkinspan/coordination/slots/coordinator.py
+++ b/src/catkinspan/coordination/slots/coordinator.py
@@ -320,12 +320,12 @@
         It returns None for a host that may connect to all servers.
         """
         known: dict[HostId, Collection[ServerId] | None] = {}
-        seen: tuple[object, object] = (None, None)
+        shares, tree = self._shares, self._tree
 
         def allowed(host: HostId) -> Collection[ServerId] | None:
-            nonlocal seen
-            if seen != (id(self._shares), id(self._tree)):
-                seen = (id(self._shares), id(self._tree))
+            nonlocal shares, tree
+            if shares is not self._shares or tree is not self._tree:
+                shares, tree = self._shares, self._tree
                 known.clear()
             if host not in known:
                 known[host] = self._servers_of(service, host)
@@ -348,6 +348,12 @@
         self._touched.add(service)
         return self._clients[service]
 
+    def _settle(self, settled: list[SlotSettled]) -> None:
+        for item in settled:
+            if item.verdict.status is SlotStatus.REFUSED:
+                self._services.pop((item.request_id, item.attempt), None)
+        self._settled.extend(settled)
+
     def _settled_now(self, key: AttemptKey) -> SlotVerdict | None:
         for settled in self._settled:
             if (settled.request_id, settled.attempt) == key:
@@ -440,7 +446,7 @@
             for name in sorted(touched):
                 client = self._clients[name]
                 client.flush()
-                self._settled.extend(client.take_settled())
+                self._settle(client.take_settled())
             messages = self._mailbox.take()
             if not messages and not self._touched:
                 break
--- a/tests/coordination/slots/test_coordinator.py
+++ b/tests/coordination/slots/test_coordinator.py
@@ -137,6 +137,7 @@
     assert ended == sum(tally.arrived.values())
     assert set(tally.refused) == {"queue_full", "no_capacity_before_deadline"}
     assert fleet.servers.served == sum(tally.done.values())
+    assert not any(node.slots._services for node in fleet.nodes.values())
 
 
 @pytest.mark.parametrize("busy", [False, True])
@@ -154,3 +155,16 @@
     for node in fleet.nodes.values():
         for entry in node.slots.snapshot(fleet.channel.now).dispatched.values():
             assert (entry.used, sum(entry.waiting.values())) == (0, 0)
+
+
+def test_slow_start_limits_the_leased_slots() -> None:
+    # Guards against a returning server that gets work in all of its slots at once.
+    fleet = Fleet(attrs.evolve(SMALL, servers=1, slots=8, hosts=3, centres=1), 1)
+    fleet.availability.override(candidate(fleet, "s00", share=0.25))
+    host = sorted(fleet.hosts)[0]
+    fleet.channel.run(0.5)
+    for i in range(6):
+        fleet.nodes[host].slots.acquire(request(fleet, f"{i}"), fleet.channel.now)
+        fleet.nodes[host].settle()
+    fleet.channel.run(0.6)
+    assert len(fleet.leases_of(host)) == 2
