--- a/src/catkinspan/coordination/slots/client.py
+++ b/src/catkinspan/coordination/slots/client.py
@@ -5,8 +5,6 @@
 from functools import partial
 from random import Random
 
-from attrs import define
-
 from catkinspan.coordination.const import TICK_SECONDS
 from catkinspan.coordination.outcomes import Candidate
 from catkinspan.coordination.slots.budget import AskBudget
@@ -26,6 +24,7 @@
 )
 from catkinspan.coordination.slots.direct import DirectLimit, ServerSet
 from catkinspan.coordination.slots.fairness import FairQueue
+from catkinspan.coordination.slots.held import AttemptKey, HeldLease, Pending
 from catkinspan.coordination.slots.mailbox import Mailbox
 from catkinspan.coordination.slots.models import (
     QUEUED,
@@ -45,55 +44,7 @@
     SlotStatus,
     SlotVerdict,
 )
-from catkinspan.state.ids import HostId, RequestId, ServerId, ServiceId, WorkspaceId
-
-AttemptKey = tuple[RequestId, int]
-
-
-@define(eq=False)
-class Pending:
-    """A request that waits on this host."""
-
-    request: SlotRequest
-    ticket: int = 0
-    """Number of the ask; 0 while the dispatcher was not asked."""
-
-    asked_at: float = 0.0
-    sent_at: float = 0.0
-    answered: bool = False
-
-    @property
-    def workspace(self) -> WorkspaceId:
-        """Return the workspace of the request."""
-        return self.request.workspace
-
-    @property
-    def weight(self) -> float:
-        """Return the weight of the workspace."""
-        return self.request.weight
-
-    @property
-    def key(self) -> AttemptKey:
-        """Return the request and the attempt."""
-        return self.request.request_id, self.request.attempt
-
-
-@define(eq=False)
-class HeldLease:
-    """A leased slot."""
-
-    id: int
-    server: ServerId
-    lender: HostId
-    """The dispatcher that granted or last renewed the lease."""
-
-    expires: float
-    life: float
-    keep: bool
-    busy: AttemptKey | None = None
-    idle_since: float = 0.0
-    renewed_at: float = 0.0
-    """Time of the last request to renew."""
+from catkinspan.state.ids import HostId, ServerId, ServiceId, WorkspaceId
 
 
 class SlotClient:
--- a/src/catkinspan/coordination/slots/coordinator.py
+++ b/src/catkinspan/coordination/slots/coordinator.py
@@ -10,11 +10,12 @@
 from catkinspan.coordination.outbox import Outbox
 from catkinspan.coordination.outcomes import Candidate
 from catkinspan.coordination.slots.budget import AskBudget
-from catkinspan.coordination.slots.client import AttemptKey, SlotClient
+from catkinspan.coordination.slots.client import SlotClient
 from catkinspan.coordination.slots.connections import ConnectionShares
 from catkinspan.coordination.slots.const import DEFAULT_MAX_QUEUE
 from catkinspan.coordination.slots.direct import Locality, ServerSet
 from catkinspan.coordination.slots.dispatcher import Dispatcher
+from catkinspan.coordination.slots.held import AttemptKey
 from catkinspan.coordination.slots.mailbox import Mailbox
 from catkinspan.coordination.slots.models import (
     MESSAGES,
--- a/src/catkinspan/coordination/slots/dispatcher.py
+++ b/src/catkinspan/coordination/slots/dispatcher.py
@@ -4,8 +4,6 @@
 from functools import partial
 from random import Random
 
-from attrs import define, field
-
 from catkinspan.coordination.outcomes import Candidate
 from catkinspan.coordination.slots.const import (
     CAREFUL_SECONDS,
@@ -20,6 +18,7 @@
     SHED_SECONDS,
 )
 from catkinspan.coordination.slots.fairness import FairQueue
+from catkinspan.coordination.slots.ledger import Answers, Lease, Waiting
 from catkinspan.coordination.slots.lending import (
     Partner,
     Partners,
@@ -58,56 +57,6 @@
 _RECALL_GAP_SECONDS = 0.02
 
 
-@define(eq=False)
-class Waiting:
-    """An ask in the dispatcher's queue."""
-
-    host: HostId
-    ask: Ask
-    expires: float
-
-    @property
-    def workspace(self) -> WorkspaceId:
-        """Return the workspace of the request."""
-        return self.ask.workspace
-
-    @property
-    def weight(self) -> float:
-        """Return the weight of the workspace."""
-        return self.ask.weight
-
-
-@define(eq=False)
-class Lease:
-    """A slot in the hands of a host, or of another dispatcher as a loan."""
-
-    id: int
-    host: HostId
-    server: ServerId
-    expires: float
-    granted_at: float
-    ticket: int = 0
-    workspace: WorkspaceId = WorkspaceId("")
-    weight: float = 1.0
-    keep: bool = False
-    loan: bool = False
-    timed: bool = False
-    """Whether the lease serves one request, so that its length can be measured."""
-
-    borrowed: tuple[HostId, int] | None = None
-    """Key of the loan that the slot comes from; None for an own slot."""
-
-
-@define
-class _Answers:
-    """Answers of one call, merged into one message for each host."""
-
-    grants: dict[HostId, list[Grant]] = field(factory=dict)
-    denials: dict[HostId, list[Denial]] = field(factory=dict)
-    queued: dict[HostId, list[int]] = field(factory=dict)
-    loans: dict[HostId, list[Held]] = field(factory=dict)
-
-
 class Dispatcher:
     """Leases the slots of its servers and queues asks fairly when none is free."""
 
@@ -132,7 +81,7 @@
         self._leases: dict[tuple[HostId, int], Lease] = {}
         self._by_ticket: dict[tuple[HostId, int], Lease] = {}
         self._partners = Partners()
-        self._answers = _Answers()
+        self._answers = Answers()
         self._first_lease = self._next_lease = rng.getrandbits(24) << 16
         self._recalled_at = float("-inf")
         self.max_queue = 0
@@ -578,7 +527,7 @@
         self._mailbox.post(loan.lender, SlotReturn(self._service, (loan.lease,)))
 
     def _send(self) -> None:
-        answers, self._answers = self._answers, _Answers()
+        answers, self._answers = self._answers, Answers()
         for host in sorted({*answers.grants, *answers.denials, *answers.queued}):
             message = SlotAnswer(
                 self._service,
