--- a/src/catkinspan/coordination/slots/client.py
+++ b/src/catkinspan/coordination/slots/client.py
@@ -5,8 +5,6 @@
 from functools import partial
 from random import Random
 
-from attrs import define
-
 from catkinspan.coordination.const import TICK_SECONDS
 from catkinspan.coordination.outcomes import Candidate
 from catkinspan.coordination.slots.budget import AskBudget
@@ -16,6 +14,7 @@
     FIRST_LEASE_SECONDS,
     IDLE_SECONDS,
     LEASE_SECONDS,
+    LEAST_DIRECT,
     REASK_SECONDS,
     RENEW_SHARE,
     ROLE_RETRY_SECONDS,
@@ -25,6 +24,7 @@
 )
 from catkinspan.coordination.slots.direct import DirectLimit, ServerSet
 from catkinspan.coordination.slots.fairness import FairQueue
+from catkinspan.coordination.slots.held import AttemptKey, HeldLease, Pending
 from catkinspan.coordination.slots.mailbox import Mailbox
 from catkinspan.coordination.slots.models import (
     QUEUED,
@@ -44,55 +44,7 @@
     SlotStatus,
     SlotVerdict,
 )
-from catkinspan.state.ids import HostId, RequestId, ServerId, ServiceId, WorkspaceId
-
-AttemptKey = tuple[RequestId, int]
-
-
-@define(eq=False)
-class Pending:
-    """A request that waits on this host."""
-
-    request: SlotRequest
-    ticket: int = 0
-    """Number of the ask; 0 while the dispatcher was not asked."""
-
-    asked_at: float = 0.0
-    sent_at: float = 0.0
-    answered: bool = False
-
-    @property
-    def workspace(self) -> WorkspaceId:
-        """Return the workspace of the request."""
-        return self.request.workspace
-
-    @property
-    def weight(self) -> float:
-        """Return the weight of the workspace."""
-        return self.request.weight
-
-    @property
-    def key(self) -> AttemptKey:
-        """Return the request and the attempt."""
-        return self.request.request_id, self.request.attempt
-
-
-@define(eq=False)
-class HeldLease:
-    """A leased slot."""
-
-    id: int
-    server: ServerId
-    lender: HostId
-    """The dispatcher that granted or last renewed the lease."""
-
-    expires: float
-    life: float
-    keep: bool
-    busy: AttemptKey | None = None
-    idle_since: float = 0.0
-    renewed_at: float = 0.0
-    """Time of the last request to renew."""
+from catkinspan.state.ids import HostId, ServerId, ServiceId, WorkspaceId
 
 
 class SlotClient:
@@ -191,7 +143,8 @@
         if server := self._direct.pop(key, None):
             self._uncount(self._load, server)
             self._uncount(self._direct_load, server)
-            self._direct_limit.note(shed, len(self._direct) + 1)
+            least = 1.0 if self._in_fallback(now) else LEAST_DIRECT
+            self._direct_limit.note(shed, len(self._direct) + 1, least)
         lease = self._by_key.pop(key, None)
         if lease is not None:
             self._uncount(self._load, lease.server)
@@ -376,7 +329,7 @@
         return None
 
     def _choose(self, request: SlotRequest, now: float) -> Candidate | None:
-        if len(self._direct) >= self._direct_limit.value:
+        if len(self._direct) + 1 > max(1.0, self._direct_limit.value):
             return None
         servers = self._servers(self._service, now)
         return servers.choose(request, self._direct_load, self._load, self._rng)
--- a/src/catkinspan/coordination/slots/dispatcher.py
+++ b/src/catkinspan/coordination/slots/dispatcher.py
@@ -4,8 +4,6 @@
 from functools import partial
 from random import Random
 
-from attrs import define, field
-
 from catkinspan.coordination.outcomes import Candidate
 from catkinspan.coordination.slots.const import (
     CAREFUL_SECONDS,
@@ -16,9 +14,11 @@
     LOAN_HYSTERESIS,
     LOAN_SECONDS,
     MAX_LOAN,
+    REPORT_SECONDS,
     SHED_SECONDS,
 )
 from catkinspan.coordination.slots.fairness import FairQueue
+from catkinspan.coordination.slots.ledger import Answers, Lease, Waiting
 from catkinspan.coordination.slots.lending import (
     Partner,
     Partners,
@@ -42,6 +42,7 @@
     SlotRenew,
     SlotRenewed,
     SlotReturn,
+    SlotTakeover,
     WorkspaceDemand,
 )
 from catkinspan.coordination.slots.pool import (
@@ -56,56 +57,6 @@
 _RECALL_GAP_SECONDS = 0.02
 
 
-@define(eq=False)
-class Waiting:
-    """An ask in the dispatcher's queue."""
-
-    host: HostId
-    ask: Ask
-    expires: float
-
-    @property
-    def workspace(self) -> WorkspaceId:
-        """Return the workspace of the request."""
-        return self.ask.workspace
-
-    @property
-    def weight(self) -> float:
-        """Return the weight of the workspace."""
-        return self.ask.weight
-
-
-@define(eq=False)
-class Lease:
-    """A slot in the hands of a host, or of another dispatcher as a loan."""
-
-    id: int
-    host: HostId
-    server: ServerId
-    expires: float
-    granted_at: float
-    ticket: int = 0
-    workspace: WorkspaceId = WorkspaceId("")
-    weight: float = 1.0
-    keep: bool = False
-    loan: bool = False
-    timed: bool = False
-    """Whether the lease serves one request, so that its length can be measured."""
-
-    borrowed: tuple[HostId, int] | None = None
-    """Key of the loan that the slot comes from; None for an own slot."""
-
-
-@define
-class _Answers:
-    """Answers of one call, merged into one message for each host."""
-
-    grants: dict[HostId, list[Grant]] = field(factory=dict)
-    denials: dict[HostId, list[Denial]] = field(factory=dict)
-    queued: dict[HostId, list[int]] = field(factory=dict)
-    loans: dict[HostId, list[Held]] = field(factory=dict)
-
-
 class Dispatcher:
     """Leases the slots of its servers and queues asks fairly when none is free."""
 
@@ -124,12 +75,13 @@
         self._pool = SlotPool()
         self._pool.restrict(Part.FIRST_HALF, now + CAREFUL_SECONDS)
         self._retires_at: float | None = None
+        self._former: set[HostId] = set()
         self._queue: FairQueue[Waiting] = FairQueue()
         self._tickets: dict[tuple[HostId, int], Waiting] = {}
         self._leases: dict[tuple[HostId, int], Lease] = {}
         self._by_ticket: dict[tuple[HostId, int], Lease] = {}
         self._partners = Partners()
-        self._answers = _Answers()
+        self._answers = Answers()
         self._first_lease = self._next_lease = rng.getrandbits(24) << 16
         self._recalled_at = float("-inf")
         self.max_queue = 0
@@ -272,6 +224,23 @@
         """Leave half of the slots to another host that has taken the role."""
         self._pool.restrict(Part.SECOND_HALF, now + CAREFUL_SECONDS)
 
+    def start(self, former: Collection[HostId], now: float) -> None:
+        """Use half of the slots until the former dispatchers have let go."""
+        self._former = set(former)
+        for host in sorted(former):
+            self._mailbox.post(host, SlotTakeover(self._service))
+        self._end_care(now)
+
+    def release_from(self, host: HostId, now: float) -> None:
+        """Note that a former dispatcher leases no slots."""
+        if host in self._former:
+            self._former.remove(host)
+            self._end_care(now)
+
+    def _end_care(self, now: float) -> None:
+        if not self._former:
+            self._pool.restrict(Part.FIRST_HALF, now + REPORT_SECONDS)
+
     def retire(self, now: float) -> None:
         """Serve hosts that do not know the new dispatcher yet, for a moment."""
         if self._retires_at is None:
@@ -558,7 +527,7 @@
         self._mailbox.post(loan.lender, SlotReturn(self._service, (loan.lease,)))
 
     def _send(self) -> None:
-        answers, self._answers = self._answers, _Answers()
+        answers, self._answers = self._answers, Answers()
         for host in sorted({*answers.grants, *answers.denials, *answers.queued}):
             message = SlotAnswer(
                 self._service,
