--- a/bench/rates_fleet.py
+++ b/bench/rates_fleet.py
@@ -339,8 +339,9 @@
         rate: float,
         until: float,
         choose: Callable[[], HostId],
+        start: float = 0.0,
     ) -> None:
-        """Let requests arrive as a Poisson process until a virtual time."""
+        """Let requests arrive as a Poisson process between two virtual times."""
         rng = Random(f"{self.seed}/{name}/arrivals")
 
         def arrive() -> None:
@@ -348,7 +349,7 @@
             plan()
 
         def plan() -> None:
-            when = self.channel.now + rng.expovariate(rate)
+            when = max(start, self.channel.now) + rng.expovariate(rate)
             if when < until:
                 self.channel.at(when, arrive)
 
--- a/src/catkinspan/coordination/rates/right.py
+++ b/src/catkinspan/coordination/rates/right.py
@@ -116,7 +116,7 @@
             return "this host ranks past max_hosts"
         if now < self._rest_until:
             return "leases of an earlier process may still be in use"
-        if now < self._list_rest_until and len(self._seen_listed) > limit:
+        if now < self._list_rest_until and len(self._view.listed) > limit:
             return "more than max_hosts are listed and lists may differ"
         if not self._confirmed:
             return "peers have not confirmed the incarnation"
