Make two failure tests see what they guard against

A paused host got the held pushes on waking, so it never needed a manifest with removed names; probes repaired starting hosts before their readiness was looked at. Change: the host is cut off in place of paused, and the questions of a starting host have a unit test; the recorded decisions are compared, too.

--- a/tests/coordination/configuration/test_spread.py
+++ b/tests/coordination/configuration/test_spread.py
@@ -77,12 +77,12 @@
     cut = [host for host in fleet.ids if not fleet.hosts[host].configuration.is_reader]
     behind = cut[0]
     fleet.platform.unreachable.add(behind)
-    fleet.channel.pause(behind)
+    fleet.channel.partition([behind], [host for host in fleet.ids if host != behind])
     fleet.platform.published = fleet.platform.published.without("workspaces/old")
     for number in range(HISTORY_REVISIONS + 5):
         change(fleet, 20.0 + number)
         fleet.run_for(0.25)
-    fleet.channel.wake(behind)
+    fleet.channel.heal_all()
     fleet.run_for(TARGET_SECONDS)
     assert texts(fleet, behind) == published(fleet)
     assert len(revisions(fleet)) == 1
--- a/tests/coordination/configuration/test_startup.py
+++ b/tests/coordination/configuration/test_startup.py
@@ -1,11 +1,23 @@
 """Guards that a new host never serves an older configuration than its peers."""
 
+from random import Random
+
 import pytest
-from bench.configuration_fleet import Fleet, FleetHost, Published, shard_text
+from bench.configuration_fleet import (
+    Fleet,
+    FleetHost,
+    Published,
+    host_ids,
+    shard_text,
+)
 
 from catkinspan.coordination.configuration.const import STARTUP_WAIT_SECONDS
-from catkinspan.coordination.configuration.models import StartupDecided
-from catkinspan.state.ids import HostId
+from catkinspan.coordination.configuration.models import (
+    RevisionReply,
+    StartupDecided,
+)
+from catkinspan.coordination.configuration.startup import StartupInquiry
+from catkinspan.state.ids import HostId, Revision
 
 SEED = 14
 
@@ -103,13 +115,31 @@
     for host in fresh:
         fleet.stop(host)
         fleet.platform.replicas[host] = stale
-    pending = [fleet.start(host, incarnation=2, seeded=stale) for host in fresh]
-    while pending and fleet.channel.now < 60.0:
-        fleet.run_for(0.05)
-        for node in [node for node in pending if is_ready(node)]:
-            assert node.configuration.revision == 2
-            pending.remove(node)
-    assert not pending
+    nodes = [fleet.start(host, incarnation=2, seeded=stale) for host in fresh]
+    fleet.run_for(10.0)
+    decided = [
+        event.revision
+        for node in nodes
+        for event in node.outbox.log
+        if isinstance(event, StartupDecided)
+    ]
+    assert decided == [2] * len(fresh)
+
+
+def test_unready_answers_lead_to_further_questions() -> None:
+    # Failure: three starting peers vouch for the stale replica that all of them read.
+    peers = host_ids(20)
+    inquiry = StartupInquiry(Random(SEED), 7, 0.0)
+    first = inquiry.due(peers, 0.0)
+    for host in first:
+        inquiry.take_reply(host, RevisionReply(7, Revision(1), ready=False))
+    assert inquiry.target(peers, 0.1) is None
+    second = inquiry.due(peers, 0.1)
+    assert len(second) == len(first) == 3
+    assert not set(first) & set(second)
+    for host in second:
+        inquiry.take_reply(host, RevisionReply(7, Revision(2), ready=True))
+    assert inquiry.target(peers, 0.2) == 2
 
 
 def test_lone_hosts_go_on_with_bounded_reads() -> None:
