Judge services by the latest seconds

A trial on the demo with all servers of a service failing read as degraded for its first 15 s, since 30 s of requests were counted: 37 of 94 failed after 2 s of an outage. Services are now judged by 5 s if these have 10 requests.

--- a/src/catkinspan/coordination/metrics/const.py
+++ b/src/catkinspan/coordination/metrics/const.py
@@ -20,7 +20,14 @@
 """Decoded histograms have this size, and equal ones are added without a loop."""
 
 RECENT_SECONDS = 30
-"""Span of the counts by which a service is called up, degraded or down."""
+"""Span of the counts that operators see as recent."""
+
+LATEST_SECONDS = 5
+"""Span by which a service is judged if it has enough requests. Over 30 s an outage of
+all servers would read as degraded for its first 15 s."""
+
+LEAST_REQUESTS = 10
+"""Requests below which their shares say nothing."""
 
 IDLE_SECONDS = 120.0
 """Recent counts without a request for this long are forgotten."""
--- a/src/catkinspan/coordination/metrics/coordinator.py
+++ b/src/catkinspan/coordination/metrics/coordinator.py
@@ -8,6 +8,8 @@
     FAILURE_RUN_SECONDS,
     IDLE_SECONDS,
     KEY_NEWS_SECONDS,
+    LATEST_SECONDS,
+    LEAST_REQUESTS,
     MAX_TRACKED,
     OTHER,
     RECENT_SECONDS,
@@ -36,9 +38,6 @@
 
 K = TypeVar("K", ServiceId, WorkspaceId)
 
-WORST_SERVED_REQUESTS = 10
-"""Recent requests from which a workspace's served share counts."""
-
 _NO_EVIDENCE = frozenset({OutcomeKind.OK, OutcomeKind.CANCELLED, OutcomeKind.DRAINING})
 
 
@@ -136,6 +135,14 @@
         recent = self._services.get(service)
         return recent.counts(now) if recent else EndCounts()
 
+    def judged_of_service(self, service: ServiceId, now: float) -> EndCounts:
+        """Return the requests to judge a service by: the latest if these are enough."""
+        recent = self._services.get(service)
+        if recent is None:
+            return EndCounts()
+        latest = recent.latest(LATEST_SECONDS, now)
+        return latest if latest.asked >= LEAST_REQUESTS else recent.counts(now)
+
     def recent_of_workspaces(self, now: float) -> dict[WorkspaceId, EndCounts]:
         """Return the recent requests of all workspaces that sent any."""
         return {name: recent.counts(now) for name, recent in self._workspaces.items()}
@@ -150,7 +157,7 @@
         worst: WorstServed | None = None
         for name, counts in self.recent_of_workspaces(now).items():
             asked = counts.asked
-            if asked < WORST_SERVED_REQUESTS:
+            if asked < LEAST_REQUESTS:
                 continue
             share = counts.served / asked
             if worst is None or share < worst.share:
--- a/src/catkinspan/coordination/metrics/models.py
+++ b/src/catkinspan/coordination/metrics/models.py
@@ -5,6 +5,7 @@
 
 from attrs import Factory, frozen
 
+from catkinspan.coordination.metrics.const import RECENT_SECONDS
 from catkinspan.state.ids import KeyId, ServiceId, WorkspaceId
 
 
@@ -57,6 +58,8 @@
     """Requests by the way they ended."""
 
     counts: Mapping[Ending, int] = Factory(dict)
+    seconds: int = RECENT_SECONDS
+    """Span of the counts."""
 
     @property
     def asked(self) -> int:
--- a/src/catkinspan/coordination/metrics/recent.py
+++ b/src/catkinspan/coordination/metrics/recent.py
@@ -26,7 +26,16 @@
     def counts(self, now: float) -> EndCounts:
         """Return the counts of the span."""
         self._trim(now)
-        return EndCounts(dict(self._total))
+        return EndCounts(dict(self._total), self._span)
+
+    def latest(self, seconds: int, now: float) -> EndCounts:
+        """Return the counts of the last few seconds."""
+        total: Counter[Ending] = Counter()
+        for second, counts in reversed(self._seconds):
+            if second <= now - seconds:
+                break
+            total.update(counts)
+        return EndCounts(dict(total), seconds)
 
     def is_idle(self, seconds: float, now: float) -> bool:
         """Return whether nothing was counted for a time."""
--- a/src/catkinspan/coordination/reports/assess.py
+++ b/src/catkinspan/coordination/reports/assess.py
@@ -7,11 +7,11 @@
     ServerState,
     ServiceReport,
 )
+from catkinspan.coordination.metrics.const import LEAST_REQUESTS
 from catkinspan.coordination.metrics.models import EndCounts
 from catkinspan.coordination.reports.const import (
     FAILED_SHARE_DEGRADED,
     FAILED_SHARE_DOWN,
-    LEAST_REQUESTS,
     MAX_SERVERS_NAMED,
 )
 from catkinspan.coordination.reports.models import State
@@ -94,7 +94,7 @@
         reasons.append(_failures(recent))
     if _share(recent.refused_inside_rate, recent) >= FAILED_SHARE_DEGRADED:
         count = recent.refused_inside_rate
-        reasons.append(f"{count} of {recent.asked} recent requests found no capacity")
+        reasons.append(f"{count} of {_asked(recent)} found no capacity")
     return tuple(reasons)
 
 
@@ -105,7 +105,11 @@
 
 
 def _failures(recent: EndCounts) -> str:
-    return f"{recent.failed} of {recent.asked} recent requests failed"
+    return f"{recent.failed} of {_asked(recent)} failed"
+
+
+def _asked(recent: EndCounts) -> str:
+    return f"{recent.asked} requests of the last {recent.seconds} s"
 
 
 def _named(state: ServerState, servers: list[ServerReport]) -> str:
--- a/src/catkinspan/coordination/reports/const.py
+++ b/src/catkinspan/coordination/reports/const.py
@@ -9,9 +9,6 @@
 """Share of recent requests that failed or found no capacity from which a service is
 degraded."""
 
-LEAST_REQUESTS = 10
-"""Recent requests below which their shares say nothing."""
-
 ASSESSOR_SILENT_SECONDS = MAX_REPORT_AGE_SECONDS
 """An assessor that did not answer for this long counts as not heard. Hosts report to
 it every 30 s, so this is two missed answers."""
--- a/src/catkinspan/coordination/reports/gather.py
+++ b/src/catkinspan/coordination/reports/gather.py
@@ -38,6 +38,9 @@
     health: ServiceReport
     held: Held
     recent: EndCounts
+    judged: EndCounts
+    """Requests by which the service is judged."""
+
     slots: ServiceSlots | None
     dispatched: DispatcherSlots | None
     retries: RetryBudget | None
@@ -85,6 +88,7 @@
         health,
         held,
         host.metrics.recent_of_service(service, now),
+        host.metrics.judged_of_service(service, now),
         slots,
         dispatched,
         host.retries.service_snapshot(service),
--- a/src/catkinspan/coordination/reports/history.py
+++ b/src/catkinspan/coordination/reports/history.py
@@ -70,7 +70,7 @@
         health = self._health.report(service, now)
         if health is None:
             return None
-        recent = self._metrics.recent_of_service(service, now)
+        recent = self._metrics.judged_of_service(service, now)
         state = assess(health, recent).state
         before = self._held.get(service)
         ejected = self._ejected(health, before, now)
--- a/src/catkinspan/coordination/reports/status.py
+++ b/src/catkinspan/coordination/reports/status.py
@@ -96,7 +96,7 @@
 
 def _service_line(facts: ServiceFacts, instants: Instants, whole: bool) -> ServiceLine:
     health, slots, retries = facts.health, facts.slots, facts.retries
-    assessment = assess(health, facts.recent)
+    assessment = assess(health, facts.judged)
     shown = [
         _server_line(server, instants)
         for server in health.servers
@@ -139,9 +139,11 @@
     lines = []
     hosts = {host for server in facts.health.servers for host in server.hosts}
     places = {p for server in facts.health.servers for p in server.data_centres}
-    if hosts or places:
-        where = ", ".join(sorted(places)) or "one data centre"
-        lines.append(f"{len(hosts)} hosts in {where}")
+    where = ", ".join(sorted(places))
+    if hosts:
+        lines.append(f"{len(hosts)} hosts" + (f" in {where}" if where else ""))
+    elif places:
+        lines.append(f"pooled evidence of {where}")
     if facts.recent.asked:
         lines.append(f"{facts.recent.asked} recent requests of this host")
     return tuple(lines) or ("no recent requests of this host, no reports of others",)
--- a/tests/coordination/reports/test_status.py
+++ b/tests/coordination/reports/test_status.py
@@ -130,7 +130,7 @@
     )
     held = Held(State.UP if since is None else State.DEGRADED, since)
     found = health or health_of(S.HEALTHY)
-    service = ServiceFacts(found, held, EndCounts(), None, None, None)
+    service = ServiceFacts(found, held, EndCounts(), EndCounts(), None, None, None)
     workspaces = WorkspaceFacts(
         RatesSnapshot(True, None, {}, {}, ()),
         {MUSEUM: recent or EndCounts()},
@@ -244,12 +244,32 @@
     assert set(health.judged) == set(names)
 
 
-def test_failed_requests_make_a_service_down_after_all_servers_look_well() -> None:
-    """An outage that the health concern has not judged yet must show."""
+def test_an_outage_shows_within_seconds_and_so_does_its_end() -> None:
+    """Servers look well until they are judged, and 30 s of good requests before the
+    outage must not hide it."""
     health, metrics = ScriptedHealth(), MetricsCoordinator()
     history = StatusHistory(health, metrics)
-    for _ in range(20):
+
+    def serve(seconds: range, status: int, kind: str) -> None:
+        for second in seconds:
+            for _ in range(20):
+                request = FinishedRequest(SERVICE, MUSEUM, status, kind, 0.1, 1)
+                metrics.record(request, float(second))
+
+    serve(range(30), 200, "passed")
+    assert history.observe(SERVICE, 29.9).state is State.UP
+    serve(range(30, 33), 504, "upstream_timeout")
+    held = history.observe(SERVICE, 32.9)
+    assert (held.state, held.since) == (State.DOWN, 32.9)
+    serve(range(33, 38), 200, "passed")
+    assert history.observe(SERVICE, 37.9).state is State.UP
+
+
+def test_a_service_with_few_requests_is_judged_by_a_longer_span() -> None:
+    health, metrics = ScriptedHealth(), MetricsCoordinator()
+    history = StatusHistory(health, metrics)
+    for second in range(0, 24, 2):
         failed = FinishedRequest(SERVICE, MUSEUM, 504, "upstream_timeout", 3.0, 1)
-        metrics.record(failed, 50.0)
-    assert history.observe(SERVICE, 50.0).state is State.DOWN
-    assert history.observe(SERVICE, 90.0).state is State.UP
+        metrics.record(failed, float(second))
+    assert history.observe(SERVICE, 24.0).state is State.DOWN
+    assert history.observe(SERVICE, 60.0).state is State.UP
