--- a/src/catkinspan/coordination/slots/dispatcher.py
+++ b/src/catkinspan/coordination/slots/dispatcher.py
@@ -53,7 +53,6 @@
 )
 from catkinspan.state.ids import HostId, ServerId, ServiceId, WorkspaceId
 
-_HOLD_SMOOTHING = 0.05
 _RECALL_GAP_SECONDS = 0.02
 
 
@@ -132,7 +131,6 @@
         self._partners = Partners()
         self._answers = _Answers()
         self._first_lease = self._next_lease = rng.getrandbits(24) << 16
-        self._hold_seconds: float | None = None
         self._recalled_at = float("-inf")
         self.max_queue = 0
         self.hosts = 0
@@ -219,19 +217,21 @@
         if partner is None:
             return
         partner.demand, partner.demand_at = message.demand, now
-        fair = self._fair_for(message)
+        capacity, fair = self._shares_of(message)
         renewed = self._renew_loans(message, host, now)
-        excess = message.capacity - int(fair + 1) if len(self._queue) else 0
+        excess = int(capacity - fair) if len(self._queue) else 0
         recalled = renewed[: max(0, excess)]
         wants = min(message.wants, MAX_LOAN)
         if len(self._queue):
             # Small differences are noise; moving slots for them costs more than it
             # gives. A borrower has none to spare.
-            missing = fair - message.capacity * (1 + LOAN_HYSTERESIS)
+            missing = fair - capacity * (1 + LOAN_HYSTERESIS)
             wants = 0 if self._pool.borrowed else max(0, min(wants, int(missing)))
-        partner.owed = wants
+        partner.owed, partner.first = wants, len(self._queue) > 0
         partner.owed_until = now + LOAN_BACKOFF_SECONDS
-        self._pay_owed(now)
+        self._pay_owed(now, first=len(self._queue) > 0)
+        if partner.owed:
+            self._recall(now)
         loans = tuple(self._answers.loans.pop(host, ()))
         grant = LoanGrant(self._service, loans, renewed, recalled)
         self._mailbox.post(host, grant)
@@ -321,14 +321,14 @@
         queued.append(waiting.ask.ticket)
 
     def _expected_wait(self, waiting: Waiting) -> float:
-        capacity = self._pool.capacity
-        if self._hold_seconds is None or not capacity:
+        rate = self._pool.rate
+        if not rate:
             return 0.0
         ahead = self._queue.length(waiting.workspace) + 1
         others = self._queue.total_weight(besides=waiting.workspace)
         by_share = ahead * (others + waiting.weight) / max(waiting.weight, 1e-3)
         turns = min(by_share, len(self._queue) + 1)
-        return turns * self._hold_seconds / capacity
+        return turns / rate
 
     def _deny(self, waiting: Waiting, reason: SlotRefusal) -> None:
         denial = Denial(waiting.ask.ticket, reason)
@@ -339,7 +339,7 @@
         self._tickets.pop((waiting.host, waiting.ask.ticket), None)
 
     def _serve(self, now: float) -> None:
-        self._pay_owed(now)
+        self._pay_owed(now, first=True)
         while len(self._queue) and (opened := self._pool.open(now)):
             waiting = self._queue.pop(partial(self._fits, opened))
             if waiting is None:
@@ -349,10 +349,12 @@
         if len(self._queue):
             self._recall(now)
             self._ask_partner(now)
+        else:
+            self._pay_owed(now, first=False)
 
-    def _pay_owed(self, now: float) -> None:
+    def _pay_owed(self, now: float, *, first: bool) -> None:
         """Lend free slots to the dispatchers to which they were promised."""
-        while partner := self._partners.owed(now):
+        while partner := self._partners.owed(now, first=first):
             if not self._lend_one(partner, now):
                 break
             partner.owed -= 1
@@ -437,18 +439,12 @@
             return
         self._by_ticket.pop((lease.host, lease.ticket), None)
         if measured and lease.timed:
-            self._measure(now - lease.granted_at)
+            self._pool.measure(lease.server, now - lease.granted_at)
         if lease.borrowed:
             self._free_loan(lease.borrowed)
         elif server := self._pool.servers.get(lease.server):
             server.used = max(0, server.used - 1)
 
-    def _measure(self, seconds: float) -> None:
-        last = self._hold_seconds
-        self._hold_seconds = (
-            seconds if last is None else last + _HOLD_SMOOTHING * (seconds - last)
-        )
-
     def _recall(self, now: float) -> None:
         if now - self._recalled_at < _RECALL_GAP_SECONDS:
             return
@@ -471,9 +467,15 @@
             weights[waiting.workspace] = waiting.weight
         return largest(WorkspaceDemand(w, weights[w], n) for w, n in slots.items())
 
-    def _fair_for(self, message: LoanAsk) -> float:
-        own = self._pool.capacity - sum(v.loan for v in self._leases.values())
-        return fair_capacity(own + message.capacity, self._demand(), message.demand)
+    def _shares_of(self, message: LoanAsk) -> tuple[float, float]:
+        """Return the borrower's capacity and its fair one, in own typical slots."""
+        lent = sum(lease.loan for lease in self._leases.values())
+        own, theirs = float(self._pool.capacity - lent), float(message.capacity)
+        typical = self._pool.typical_hold
+        if typical and message.rate:
+            own = self._pool.rate * typical - lent
+            theirs = message.rate * typical
+        return theirs, fair_capacity(own + theirs, self._demand(), message.demand)
 
     def _renew_loans(
         self, message: LoanAsk, host: HostId, now: float
@@ -502,7 +504,7 @@
         return True
 
     def _ask_partner(self, now: float) -> None:
-        partner = self._partners.next(now)
+        partner = self._partners.next(min(len(self._queue), MAX_LOAN), now)
         if partner:
             self._post_loan_ask(partner, now)
 
@@ -510,6 +512,7 @@
         """Ask for slots for the queue, and renew the loans that are due."""
         partner.asked_at = now
         partner.answered = False
+        partner.wanted = min(len(self._queue), MAX_LOAN)
         due = [
             loan
             for loan in self._pool.borrowed.values()
@@ -519,8 +522,9 @@
             loan.asked_at = now
         ask = LoanAsk(
             self._service,
-            min(len(self._queue), MAX_LOAN),
+            partner.wanted,
             self._pool.capacity,
+            round(self._pool.rate, 1),
             self._demand(),
             tuple(Held(loan.lease, loan.server) for loan in due),
         )
