--- a/src/catkinspan/coordination/metrics/endings.py
+++ b/src/catkinspan/coordination/metrics/endings.py
@@ -17,6 +17,7 @@
             RefusalKind.UPSTREAM_RESET,
             RefusalKind.UPSTREAM_TRUNCATED,
             RefusalKind.UPSTREAM_CROSSED,
+            RefusalKind.UPSTREAM_ERROR,
             RefusalKind.INTERNAL_ERROR,
         }
     ),
@@ -33,6 +34,20 @@
         {RefusalKind.KEY_MISSING, RefusalKind.KEY_UNKNOWN, RefusalKind.KEY_WITHDRAWN}
     ),
     Ending.HOST: frozenset({RefusalKind.NOT_READY, RefusalKind.ISOLATED}),
+    Ending.REQUEST: frozenset(
+        {
+            RefusalKind.BAD_REQUEST,
+            RefusalKind.HEADER_TOO_LARGE,
+            RefusalKind.BODY_TOO_LARGE,
+            RefusalKind.REQUEST_TIMEOUT,
+            RefusalKind.ROUTE_NOT_FOUND,
+            RefusalKind.METHOD_NOT_ALLOWED,
+            RefusalKind.QUARANTINED,
+            RefusalKind.DUPLICATE_RUNNING,
+            RefusalKind.DUPLICATE_RAN,
+            RefusalKind.IDEMPOTENCY_KEY_REUSED,
+        }
+    ),
     Ending.ABANDONED: frozenset({"abandoned", ""}),
 }
 _ENDINGS = {kind: ending for ending, kinds in _GROUPS.items() for kind in kinds}
@@ -56,3 +71,8 @@
     if request.kind == PASSED:
         return Ending.FAILED if request.status >= 500 else Ending.SERVED
     return _ENDINGS.get(request.kind, Ending.REQUEST)
+
+
+def is_grouped(kind: str) -> bool:
+    """Return whether a kind has a group of its own choice."""
+    return kind in _ENDINGS
--- a/src/catkinspan/daemon/node.py
+++ b/src/catkinspan/daemon/node.py
@@ -145,11 +145,6 @@
         """Return the address of the operators' listener in use."""
         return self._operators_address
 
-    @property
-    def dropped_frames(self) -> int:
-        """Return the peer frames dropped since the start."""
-        return self._dropped_frames
-
     @property
     def failed(self) -> asyncio.Event:
         """Return the event that is set when a task of the host has failed."""
--- a/tests/coordination/metrics/test_metrics.py
+++ b/tests/coordination/metrics/test_metrics.py
@@ -7,6 +7,7 @@
     OTHER,
 )
 from catkinspan.coordination.metrics.coordinator import MetricsCoordinator
+from catkinspan.coordination.metrics.endings import is_grouped
 from catkinspan.coordination.metrics.models import FinishedRequest
 from catkinspan.coordination.outcomes import AttemptOutcome, OutcomeKind
 from catkinspan.coordination.requests.errors import RefusalKind
@@ -89,3 +90,8 @@
     metrics.record_ejection(SERVICE, SERVER, 300.0)
     stats = metrics.snapshot(300.0).detection[SERVICE]
     assert (stats.count, stats.seconds_sum, stats.seconds_max) == (1, 2.5, 2.5)
+
+
+def test_each_kind_of_refusal_has_a_group() -> None:
+    """A new kind would count as the caller's fault, and hide an outage."""
+    assert [kind for kind in RefusalKind if not is_grouped(kind)] == []
