--- a/src/catkinspan/coordination/audit/texts.py
+++ b/src/catkinspan/coordination/audit/texts.py
@@ -33,6 +33,7 @@
     OneWayPathFound,
 )
 from catkinspan.coordination.models import Event
+from catkinspan.coordination.naming import counted
 from catkinspan.coordination.quarantine.models import (
     QuarantineEnded,
     RequestQuarantined,
@@ -89,7 +90,8 @@
 
 
 def _ejected(event: ServerEjected) -> str:
-    evidence = f"{len(event.hosts)} hosts in {_names(event.data_centres)}"
+    hosts = counted(len(event.hosts), "host")
+    evidence = f"{hosts} in {_names(event.data_centres)}"
     return (
         f"server {event.server} of {event.service} ejected for at least "
         f"{event.hold:.0f} s: {event.reason}; evidence of {evidence}"
--- a/src/catkinspan/coordination/reports/status.py
+++ b/src/catkinspan/coordination/reports/status.py
@@ -6,6 +6,7 @@
     ServerReport,
     ServerState,
 )
+from catkinspan.coordination.naming import counted
 from catkinspan.coordination.reports.assess import IN_USE, assess
 from catkinspan.coordination.reports.const import MAX_WORKSPACES_SHOWN
 from catkinspan.coordination.reports.gather import (
@@ -141,7 +142,7 @@
     places = {p for server in facts.health.servers for p in server.data_centres}
     where = ", ".join(sorted(places))
     if hosts:
-        lines.append(f"{len(hosts)} hosts" + (f" in {where}" if where else ""))
+        lines.append(counted(len(hosts), "host") + (f" in {where}" if where else ""))
     elif places:
         lines.append(f"pooled evidence of {where}")
     if facts.recent.asked:
--- a/src/catkinspan/daemon/cli/text/status.py
+++ b/src/catkinspan/daemon/cli/text/status.py
@@ -2,6 +2,7 @@
 
 from datetime import datetime
 
+from catkinspan.coordination.naming import counted
 from catkinspan.coordination.reports.models import (
     ServerLine,
     ServiceLine,
@@ -94,7 +95,8 @@
         text += f": {server.reason}"
     if server.hosts:
         places = ", ".join(server.data_centres)
-        text += f" (evidence of {len(server.hosts)} hosts in {places or '?'})"
+        hosts = counted(len(server.hosts), "host")
+        text += f" (evidence of {hosts}" + (f" in {places})" if places else ")")
     if server.hold_until is not None:
         text += f", until at least {instant(server.hold_until)}"
     return text
