--- a/src/catkinspan/coordination/reports/status.py
+++ b/src/catkinspan/coordination/reports/status.py
@@ -6,6 +6,7 @@
     ServerReport,
     ServerState,
 )
+from catkinspan.coordination.naming import counted
 from catkinspan.coordination.reports.assess import IN_USE, assess
 from catkinspan.coordination.reports.const import MAX_WORKSPACES_SHOWN
 from catkinspan.coordination.reports.gather import (
@@ -96,7 +97,7 @@
 
 def _service_line(facts: ServiceFacts, instants: Instants, whole: bool) -> ServiceLine:
     health, slots, retries = facts.health, facts.slots, facts.retries
-    assessment = assess(health, facts.recent)
+    assessment = assess(health, facts.judged)
     shown = [
         _server_line(server, instants)
         for server in health.servers
@@ -139,9 +140,11 @@
     lines = []
     hosts = {host for server in facts.health.servers for host in server.hosts}
     places = {p for server in facts.health.servers for p in server.data_centres}
-    if hosts or places:
-        where = ", ".join(sorted(places)) or "one data centre"
-        lines.append(f"{len(hosts)} hosts in {where}")
+    where = ", ".join(sorted(places))
+    if hosts:
+        lines.append(counted(len(hosts), "host") + (f" in {where}" if where else ""))
+    elif places:
+        lines.append(f"pooled evidence of {where}")
     if facts.recent.asked:
         lines.append(f"{facts.recent.asked} recent requests of this host")
     return tuple(lines) or ("no recent requests of this host, no reports of others",)
