Check the values of peer messages in the codec, and bound what a peer can create

Fuzzing `HostCoordinator.handle` with well-formed frames of absurd values found:

- Negative evidence in a health digest made `Score.advance` divide by zero in a tick, which ends the host.
- cattrs converted text, so "nan" and "9999..." became numbers.
Durations then overflowed a float in the quarantine, slots and rates concerns, and answers above 64 bits could not be encoded, which ended the link task with a traceback.
- A place with a host name or port 70000 made the link ask the name service, or end with an OverflowError.
- Messages of senders that no list or introduction names left an incarnation behind for each invented id (rates, slots, claims), and every invented service made the slots concern keep a dispatcher or a role, and the health concern a rate.

One general check replaces special cases: the codec accepts only the JSON type of a field, integers from 0 to 2^53 and floats from 0 to 1e12; a field with other bounds is annotated with `Between`. A message outside of them is dropped and counted like an unknown one. A frame holds at most 1,024 messages. The host coordinator passes messages of unknown senders to the membership only. The slots and health concerns ignore services that are not in the settings.

--- a/src/catkinspan/coordination/claims/models.py
+++ b/src/catkinspan/coordination/claims/models.py
@@ -7,7 +7,7 @@
 
 from catkinspan.coordination.claims.const import DIGEST_BYTES, REQUEST_DIGEST_BYTES
 from catkinspan.coordination.claims.errors import ClaimRefusal
-from catkinspan.coordination.models import PeerMessage
+from catkinspan.coordination.models import Digest64, Millis, PeerMessage
 from catkinspan.state.ids import HostId, RequestId, RouteId, WorkspaceId
 
 
@@ -130,7 +130,7 @@
     workspace: WorkspaceId
     digest: bytes
     request_digest: bytes
-    holder_sets: tuple[int, ...]
+    holder_sets: tuple[Digest64, ...]
     """Digests of the holder sets in which the claimant seeks a majority."""
 
 
@@ -143,7 +143,7 @@
     """Incarnation of the claimant that asked."""
 
     answer: Answer
-    wait_ms: int = 0
+    wait_ms: Millis = 0
     """Remaining time of an abstention or of a promise to another request."""
 
     holder_sets: tuple[tuple[HostId, ...], ...] = ()
--- a/src/catkinspan/coordination/configuration/models.py
+++ b/src/catkinspan/coordination/configuration/models.py
@@ -10,7 +10,7 @@
     RejectedConfiguration,
     SettingsFault,
 )
-from catkinspan.coordination.models import Event, PeerMessage
+from catkinspan.coordination.models import Digest64, Event, PeerMessage
 from catkinspan.state.hosts import HostList
 from catkinspan.state.ids import HostId, Revision
 from catkinspan.state.tree import SettingsTree
@@ -90,7 +90,7 @@
     start: int
     end: int
     text: str
-    digest: int
+    digest: Digest64
     """64-bit xxhash of the whole new text."""
 
     removed: bool = False
@@ -128,7 +128,7 @@
     name: str
     revision: Revision
     length: int
-    digest: int
+    digest: Digest64
 
 
 @frozen
--- a/src/catkinspan/coordination/health/coordinator.py
+++ b/src/catkinspan/coordination/health/coordinator.py
@@ -412,13 +412,15 @@
 
     def _take_report(self, report: HostReport, origin: Origin, now: float) -> None:
         self._links.take_report(report, origin, now)
+        known = self._standings
+        rates = {name: rate for name, rate in report.rates.items() if name in known}
         if report.data_centre:
             record = self._roles.view.hosts.get(origin.host)
             place = record.data_centre if record else self._data_centre
-            for service, rate in report.rates.items():
+            for service, rate in rates.items():
                 self._rates.set_place(service, place, rate, now)
         else:
-            self._rates.set_host(origin.host, report.rates, now)
+            self._rates.set_host(origin.host, rates, now)
         if origin.host != self._self_id:
             self._links.post(origin.host, ReportAck(report.sent_at))
 
--- a/src/catkinspan/coordination/host/coordinator.py
+++ b/src/catkinspan/coordination/host/coordinator.py
@@ -33,7 +33,7 @@
 from catkinspan.coordination.routing.coordinator import RoutingCoordinator
 from catkinspan.coordination.slots.coordinator import SlotCoordinator
 from catkinspan.state.hosts import FleetView, ListedHost
-from catkinspan.state.ids import NO_REVISION, Revision
+from catkinspan.state.ids import NO_REVISION, HostId, Revision
 from catkinspan.state.tree import SettingsTree
 
 RequestMessage = RequestArrived | BodyReceived | AttemptFinished | RequestAbandoned
@@ -187,14 +187,22 @@
                 self.requests.abandon(message, now)
 
     def handle(self, message: PeerMessage, origin: Origin, now: float) -> None:
-        """Process a message from a peer; unknown kinds are ignored."""
+        """Process a message from a peer; unknown kinds and senders are ignored."""
         self._catch_up(now)
         concern = self._by_message.get(type(message))
-        if concern is None:
+        if concern is None or not self._is_known(origin.host, concern):
             return
         concern.handle(message, origin, now)
         self._settle(now)
 
+    def _is_known(self, sender: HostId, concern: Concern) -> bool:
+        """Return whether a concern may keep state for a sender.
+
+        A host becomes known through the platform's list or an introduction, which the
+        membership bounds. Nothing could be sent back to any other one.
+        """
+        return concern is self.membership or sender in self.membership.view.hosts
+
     def take_snapshot(self, snapshot: Snapshot, now: float) -> None:
         """Process what the platform's service published."""
         self._catch_up(now)
--- a/src/catkinspan/coordination/membership/models.py
+++ b/src/catkinspan/coordination/membership/models.py
@@ -1,10 +1,11 @@
 """Messages, events and interfaces of the membership."""
 
-from typing import Protocol
+from ipaddress import ip_address
+from typing import Annotated, Protocol
 
-from attrs import frozen
+from attrs import Attribute, field, frozen
 
-from catkinspan.coordination.models import Event, PeerMessage
+from catkinspan.coordination.models import Between, Event, PeerMessage
 from catkinspan.state.hosts import HostStatus
 from catkinspan.state.ids import DataCentre, HostId, Revision
 
@@ -23,14 +24,22 @@
     refutation: int
 
 
+Port = Annotated[int, Between(1, 65535)]
+
+
+def _check_numeric(_: "Place", __: "Attribute[str]", value: str) -> None:
+    """Refuse a name, which a link would ask the name service for."""
+    ip_address(value)
+
+
 @frozen
 class Place:
     """Data centre and peer address of a host that the platform's list may lack."""
 
     host: HostId
     data_centre: DataCentre
-    ip: str
-    port: int
+    ip: str = field(validator=_check_numeric)
+    port: Port
 
 
 @frozen
--- a/src/catkinspan/coordination/models.py
+++ b/src/catkinspan/coordination/models.py
@@ -1,15 +1,46 @@
 """Message and event bases that all concerns share."""
 
 from datetime import datetime
+from typing import Annotated
 
 from attrs import field, frozen
 
 from catkinspan.state.ids import HostId
 
 
+@frozen
+class Between:
+    """Bounds, both included, of a number in a peer message."""
+
+    low: float
+    high: float
+
+    def holds(self, value: float) -> bool:
+        """Return whether a value is within the bounds; NaN is not."""
+        return self.low <= value <= self.high
+
+
+WHOLE = Between(0, 2**53)
+"""Integers that stay exact as a float, such as times in milliseconds."""
+
+NUMBER = Between(0.0, 1e12)
+"""Counts, rates and seconds; sums of them stay far from the ends of a float."""
+
+Digest64 = Annotated[int, Between(0, 2**64 - 1)]
+"""A 64-bit hash."""
+
+Millis = Annotated[int, Between(0, 10**12)]
+"""A duration in milliseconds; a workspace of the lowest rate gets a token within it."""
+
+
 @frozen
 class PeerMessage:
-    """Base of the messages between hosts."""
+    """Base of the messages between hosts.
+
+    The codec drops a message that holds an integer outside of `WHOLE` or a float
+    outside of `NUMBER`, so that no concern has to expect one. A field that needs other
+    bounds says so by an annotation with `Between`.
+    """
 
 
 @frozen
--- a/src/catkinspan/coordination/quarantine/models.py
+++ b/src/catkinspan/coordination/quarantine/models.py
@@ -4,7 +4,7 @@
 
 from attrs import define, field, frozen
 
-from catkinspan.coordination.models import Event, PeerMessage
+from catkinspan.coordination.models import Event, Millis, PeerMessage
 from catkinspan.coordination.quarantine.const import DIGEST_BYTES
 from catkinspan.state.ids import HostId, RouteId, ServerId, WorkspaceId
 
@@ -49,7 +49,7 @@
     id: CrashId
     fingerprint: Fingerprint
     server: ServerId
-    age_ms: int
+    age_ms: Millis
     """Time since the crash when the message was sent."""
 
 
@@ -58,7 +58,7 @@
     """A request succeeded, so that earlier crashes had another cause."""
 
     fingerprint: Fingerprint
-    age_ms: int
+    age_ms: Millis
     """Time since the success when the message was sent."""
 
 
--- a/src/catkinspan/coordination/rates/models.py
+++ b/src/catkinspan/coordination/rates/models.py
@@ -4,7 +4,7 @@
 
 from attrs import frozen
 
-from catkinspan.coordination.models import PeerMessage
+from catkinspan.coordination.models import Millis, PeerMessage
 from catkinspan.state.ids import HostId, RequestId, WorkspaceId
 
 
@@ -86,7 +86,7 @@
     """Asks a grantor for tokens; voids the grants of all earlier asks."""
 
     sequence: int
-    life_ms: int
+    life_ms: Millis
     """Life of the tokens for waiting requests, counted from this message."""
 
     entries: tuple[AskEntry, ...]
@@ -99,7 +99,7 @@
     workspace: WorkspaceId
     granted: int
     ahead: int = 0
-    hold_ms: int = 0
+    hold_ms: Millis = 0
     """Time until the next token, when fewer than needed were granted."""
 
 
--- a/src/catkinspan/coordination/slots/coordinator.py
+++ b/src/catkinspan/coordination/slots/coordinator.py
@@ -238,6 +238,9 @@
         """Return the dispatcher of a service if this host is it, or just was."""
         dispatcher = self._dispatchers.get(service)
         if dispatcher is None:
+            # A peer may name any service; roles and ledgers of each have no bound.
+            if service not in self._tree.services:
+                return None
             if self._dispatcher_of(service) != self._self_id:
                 return None
             dispatcher = Dispatcher(
--- a/src/catkinspan/coordination/slots/models.py
+++ b/src/catkinspan/coordination/slots/models.py
@@ -6,7 +6,7 @@
 
 from attrs import Factory, frozen
 
-from catkinspan.coordination.models import PeerMessage
+from catkinspan.coordination.models import Millis, PeerMessage
 from catkinspan.coordination.outcomes import Candidate
 from catkinspan.state.ids import (
     HostId,
@@ -105,7 +105,7 @@
     ticket: int
     workspace: WorkspaceId
     weight: float
-    left_ms: int
+    left_ms: Millis
     """Milliseconds that the request may still wait."""
 
     idempotent: bool = True
--- a/src/catkinspan/protocol/peers/codec.py
+++ b/src/catkinspan/protocol/peers/codec.py
@@ -5,21 +5,32 @@
 near 60 bytes.
 """
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Callable, Iterable, Sequence
+from enum import Enum, IntEnum, StrEnum
 from typing import Any
 
 import orjson
 from attrs import frozen
 from cattrs import UnstructureStrategy
-from cattrs.preconf.orjson import make_converter
+from cattrs.preconf.orjson import OrjsonConverter, make_converter
 from result import Err, Ok, Result
 
-from catkinspan.coordination.models import Origin, PeerMessage
+from catkinspan.coordination.models import (
+    NUMBER,
+    WHOLE,
+    Between,
+    Origin,
+    PeerMessage,
+)
 from catkinspan.state.ids import HostId
 
 MAX_FRAME_BYTES = 4 * 1024 * 1024
 """A snapshot chunk carries one document of up to 1 MB; JSON escapes may double it."""
 
+MAX_FRAME_MESSAGES = 1024
+"""Links put up to 64 messages into a frame. The host task handles a frame in one go,
+so a frame of very many small messages would delay its tick."""
+
 
 @frozen
 class MalformedFrame:
@@ -47,7 +58,7 @@
 
     def __init__(self, classes: Iterable[type[PeerMessage]]) -> None:
         self._classes = {cls.__name__: cls for cls in classes}
-        self._converter = make_converter(unstruct_strat=UnstructureStrategy.AS_TUPLE)
+        self._converter = _make_converter()
 
     @property
     def tags(self) -> frozenset[str]:
@@ -74,6 +85,8 @@
             return Err(MalformedFrame(str(error)))
         if not _is_valid_head(host, incarnation, tagged):
             return Err(MalformedFrame("head is not [host, incarnation, messages]"))
+        if len(tagged) > MAX_FRAME_MESSAGES:
+            return Err(MalformedFrame(f"{len(tagged)} messages are over the limit"))
         messages = [m for m in map(self._decode_message, tagged) if m is not None]
         origin = Origin(HostId(host), incarnation)
         return Ok(Frame(origin, tuple(messages), len(tagged) - len(messages)))
@@ -89,6 +102,64 @@
 def _is_valid_head(host: object, incarnation: object, tagged: object) -> bool:
     if not isinstance(host, str) or not host:
         return False
-    if not isinstance(incarnation, int) or isinstance(incarnation, bool):
-        return False
-    return isinstance(tagged, list)
+    return _is_whole(incarnation, WHOLE) and isinstance(tagged, list)
+
+
+def _is_whole(value: object, bounds: Between) -> bool:
+    return type(value) is int and bounds.holds(value)
+
+
+def _make_converter() -> OrjsonConverter:
+    """Return a converter that accepts only the JSON types of the fields.
+
+    cattrs would convert, such as the text "nan" to a float that no bound holds.
+    """
+    converter = make_converter(unstruct_strat=UnstructureStrategy.AS_TUPLE)
+    converter.register_structure_hook(int, _whole_hook(WHOLE))
+    converter.register_structure_hook(float, _structure_float)
+    converter.register_structure_hook(str, _structure_str)
+    converter.register_structure_hook(bool, _structure_bool)
+    # The hooks of int and str would else serve their enums, and pass any value.
+    converter.register_structure_hook(IntEnum, _structure_enum)
+    converter.register_structure_hook(StrEnum, _structure_enum)
+    converter.register_structure_hook_factory(
+        _is_bounded, lambda kind: _whole_hook(kind.__metadata__[0])
+    )
+    return converter
+
+
+def _is_bounded(kind: Any) -> bool:
+    return isinstance(getattr(kind, "__metadata__", (None,))[0], Between)
+
+
+def _whole_hook(bounds: Between) -> Callable[[Any, Any], int]:
+    low, high = bounds.low, bounds.high
+
+    def structure(value: Any, _: Any) -> int:
+        if type(value) is not int or not low <= value <= high:
+            raise ValueError(f"not a whole number from {low} to {high}")
+        return value
+
+    return structure
+
+
+def _structure_float(value: Any, _: Any) -> float:
+    if type(value) not in (float, int) or not NUMBER.holds(value):
+        raise ValueError(f"not a number from {NUMBER.low} to {NUMBER.high}")
+    return float(value)
+
+
+def _structure_str(value: Any, _: Any) -> str:
+    if type(value) is not str:
+        raise TypeError("not a text")
+    return value
+
+
+def _structure_bool(value: Any, _: Any) -> bool:
+    if type(value) is not bool:
+        raise TypeError("not a boolean")
+    return value
+
+
+def _structure_enum(value: Any, kind: type[Enum]) -> Enum:
+    return kind(value)
