Refuse a request whose body does not arrive before its deadline

The wait for a body was renewed by each byte, and nothing ended it while the first 64 KiB were incomplete: a caller that sent one byte each 29 s held a request and a place of its workspace without a bound.

--- a/src/catkinspan/coordination/requests/coordinator.py
+++ b/src/catkinspan/coordination/requests/coordinator.py
@@ -188,6 +188,7 @@
             self._check_quarantine(request, now)
             return
         limit = request.route.policy.max_body_bytes
+        self._timed.add(request.id)
         self._outbox.direct(BodyWanted(request.id, limit))
 
     def receive_body(self, received: BodyReceived, now: float) -> None:
@@ -195,6 +196,7 @@
         request = self._requests.get(received.request_id)
         if request is None or request.stage is not Stage.BODY:
             return
+        self._timed.discard(request.id)
         request.body_digest = received.digest
         self._check_quarantine(request, now)
 
@@ -483,6 +485,9 @@
     ) -> None:
         if request is None:
             self._timed.discard(request_id)
+        elif request.stage is Stage.BODY:
+            if now >= request.deadline:
+                self._refuse(request, refusals.BODY_TOO_SLOW, now)
         elif request.stage is Stage.BACKOFF and now >= request.backoff_until:
             self._timed.discard(request_id)
             self._seek_slot(request, now)
--- a/src/catkinspan/coordination/requests/refusals.py
+++ b/src/catkinspan/coordination/requests/refusals.py
@@ -53,6 +53,11 @@
     "find out whether the request ran; report the request id to the operators",
     ran=Ran.MAYBE,
 )
+BODY_TOO_SLOW = Refusal(
+    RefusalKind.REQUEST_TIMEOUT,
+    "the request body did not arrive before the deadline",
+    "send the body faster, or ask for a route with a longer deadline",
+)
 CLAIM_EXPIRED = Refusal(
     RefusalKind.CLAIM_UNDECIDED,
     "the claim of the Idempotency-Key expired before the request started",
--- a/src/catkinspan/daemon/node.py
+++ b/src/catkinspan/daemon/node.py
@@ -142,6 +142,11 @@
         """Return whether a graceful shutdown has begun."""
         return self._draining
 
+    @property
+    def open_connections(self) -> int:
+        """Return the number of callers' connections."""
+        return self._listener.open_connections
+
     @property
     def dropped_frames(self) -> int:
         """Return the number of peer frames that were refused or had no room."""
