--- a/src/catkinspan/coordination/rates/models.py
+++ b/src/catkinspan/coordination/rates/models.py
@@ -4,7 +4,7 @@
 
 from attrs import frozen
 
-from catkinspan.coordination.models import PeerMessage
+from catkinspan.coordination.models import Millis, PeerMessage
 from catkinspan.state.ids import HostId, RequestId, WorkspaceId
 
 
@@ -88,7 +88,7 @@
     sequence: int
     """The asker's incarnation plus a number, so that none occurs in two processes."""
 
-    life_ms: int
+    life_ms: Millis
     """Life of the tokens for waiting requests, counted from this message."""
 
     entries: tuple[AskEntry, ...]
@@ -100,7 +100,7 @@
 
     granted: int
     ahead: int = 0
-    hold_ms: int = 0
+    hold_ms: Millis = 0
     """Time during which the asker shall not ask again for the workspace."""
 
 
