--- a/src/catkinspan/coordination/health/coordinator.py
+++ b/src/catkinspan/coordination/health/coordinator.py
@@ -318,6 +318,8 @@
         self._observer.cold[name] = frozenset(held.cold)
 
     def _deliver_local(self, now: float) -> None:
+        if not self._links.has_local:
+            return
         self._links.deliver_local(
             lambda message: self._handlers[type(message)](message, self._origin, now)
         )
--- a/src/catkinspan/coordination/health/links.py
+++ b/src/catkinspan/coordination/health/links.py
@@ -44,6 +44,11 @@
         self._sent: deque[float] = deque(maxlen=_KEPT_REPORTS)
         self._local: deque[PeerMessage] = deque()
 
+    @property
+    def has_local(self) -> bool:
+        """Return whether messages to the own host wait."""
+        return bool(self._local)
+
     def post(self, to: HostId, message: PeerMessage) -> None:
         """Send a message; one to the own host waits for `deliver_local`."""
         if to == self._self_id:
--- a/src/catkinspan/coordination/health/observer.py
+++ b/src/catkinspan/coordination/health/observer.py
@@ -197,6 +197,8 @@
 
     def digests(self, now: float) -> dict[ServiceId, HealthDigest]:
         """Return the digests that are due and within the host's budget."""
+        if not self._dirty:
+            return {}
         elapsed = max(0.0, now - self._credited_at)
         self._credit = min(DIGEST_BURST, self._credit + elapsed * DIGESTS_PER_SECOND)
         self._credited_at = now
