--- a/bench/health.py
+++ b/bench/health.py
@@ -772,8 +772,8 @@
 
 HOUR_CASES = tuple(
     HourCase(deployment, load, profile, baseline)
+    for load in sorted(LOADS)
     for deployment in DEPLOYMENTS
-    for load in LOADS
     for profile, baseline in VARIANTS
     if profile is HealthProfile.BALANCED
     or (load < 0.2 and deployment.servers * deployment.slots < 15)
--- a/src/catkinspan/coordination/health/pool.py
+++ b/src/catkinspan/coordination/health/pool.py
@@ -35,6 +35,8 @@
 """Events that one host adds to a score at most, so that one host never decides."""
 
 MAX_HEALTHY_RATE = 0.5
+SHARED_EVENTS = 1.0
+"""Recent events at the median server from which a signal counts as shared."""
 
 
 @define
@@ -79,6 +81,9 @@
         self.by_host[host] = before + min(amount, room, max(0.0, host_cap - before))
 
 
+_NO_SCORE = Score()
+
+
 @frozen
 class Judgement:
     """What the pooled evidence says about one server."""
@@ -253,18 +258,32 @@
 
     def _excess(self, server: ServerId, signal: Signal) -> float:
         """Return by how much a score exceeds that of the other servers."""
-        own = self._scores[server][signal].value
+        own = self._scores[server][signal]
         if len(self._scores) * 2 < len(self._servers):
-            return own
+            return own.value
         others = [
-            scores[signal].value if signal in scores else 0.0
+            self._scores.get(other, {}).get(signal, _NO_SCORE)
             for other in self._servers
             if other != server
-            for scores in (self._scores.get(other, {}),)
         ]
-        if not others:
+        if not others or self._is_shared(own, others):
             return 0.0
-        return max(0.0, own - PEER_SCORE_FACTOR * median(others))
+        usual = median(score.value for score in others)
+        return max(0.0, own.value - PEER_SCORE_FACTOR * usual)
+
+    def _is_shared(self, own: Score, others: Sequence[Score]) -> bool:
+        """Return whether the events fit what the other servers see as well.
+
+        When load slows all servers at once, scores rise on all of them and differ by
+        chance. The events are then compared by their Poisson likelihood ratio.
+        """
+        usual = median(score.recent for score in others)
+        if usual < SHARED_EVENTS:
+            return False
+        if own.recent <= usual:
+            return True
+        ratio = own.recent * log(own.recent / usual) - (own.recent - usual)
+        return ratio < self.threshold
 
     def _shares(
         self, scores: dict[Signal, Score], excess: dict[Signal, float]
