Serve few fetches of chunks at once

All hosts that saw the revision fetched from the few that had it, shared their rate and finished late. Change: a host serves at most two fetches by chunks at once; the others ask elsewhere after 0.5 s.

--- a/src/catkinspan/coordination/configuration/const.py
+++ b/src/catkinspan/coordination/configuration/const.py
@@ -42,6 +42,12 @@
 
 SERVED_CHUNKS_PER_SECOND = 128.0
 SERVED_CHUNKS_BURST = 32.0
+SERVED_FETCHES = 2
+"""Peers that fetch chunks from a host at once; two use up the rate above."""
+
+SERVED_IDLE_SECONDS = 0.2
+"""Time without a request after which a fetch gives up its place."""
+
 FETCH_TIMEOUT_SECONDS = 0.5
 """Time without progress after which another source is tried, and after which a chunk
 is requested again."""
--- a/src/catkinspan/coordination/configuration/coordinator.py
+++ b/src/catkinspan/coordination/configuration/coordinator.py
@@ -327,11 +327,15 @@
     def _on_changes_request(
         self, request: ChangesRequest, origin: Origin, now: float
     ) -> None:
-        if request.have >= self._revision or not self._serving.take(now):
+        if request.have >= self._revision:
             return
         changes = self._history.since(request.have) if request.patches else None
-        manifest = changes or self._store.manifest(request.have, self._revision)
-        self._outbox.send(origin.host, manifest)
+        if changes is None and not self._serving.admit(origin.host, now):
+            return
+        if not self._serving.take(now):
+            return
+        answer = changes or self._store.manifest(request.have, self._revision)
+        self._outbox.send(origin.host, answer)
 
     def _on_manifest(self, manifest: Manifest, origin: Origin, now: float) -> None:
         if manifest.revision <= self._useless_up_to or manifest.base > self._revision:
@@ -346,7 +350,7 @@
         if document is None or document.revision != request.revision:
             self._outbox.send(origin.host, RevisionNotice(self._revision))
             return
-        if not self._serving.take(now):
+        if not self._serving.admit(origin.host, now) or not self._serving.take(now):
             return
         text = document.text[request.offset : request.offset + CHUNK_CHARS]
         self._outbox.send(
