--- a/src/catkinspan/coordination/membership/const.py
+++ b/src/catkinspan/coordination/membership/const.py
@@ -19,7 +19,7 @@
 
 UPDATES_PER_MESSAGE = 3
 """Piggybacked updates; bounds the cost while a whole data centre fails to about
-3.7 KB a second more (16 messages with 3 updates of 77 bytes)."""
+3.7 KB a second more (16 messages with 3 updates of 77 bytes each)."""
 
 TRANSMISSIONS_FACTOR = 4
 """An update is sent this often for each decimal digit of the fleet's size."""
