Lend between dispatchers that both have a queue at smaller differences

A data centre with up to a tenth too much capacity served its other workspaces in full and the flooding one with the rest.

--- a/src/catkinspan/coordination/slots/const.py
+++ b/src/catkinspan/coordination/slots/const.py
@@ -79,7 +79,7 @@
 LOAN_BACKOFF_SECONDS = 0.1
 """Time before a dispatcher that had nothing to lend is asked again."""
 
-LOAN_HYSTERESIS = 0.1
+LOAN_HYSTERESIS = 0.02
 """Share by which a dispatcher must be short before one with a queue lends to it."""
 
 MAX_LOAN = 8
