--- a/src/catkinspan/coordination/health/pool.py
+++ b/src/catkinspan/coordination/health/pool.py
@@ -26,6 +26,9 @@
 """Part of the threshold that must remain without the most affected host, and without
 the most affected data centre."""
 
+MIN_HOSTS = 3
+"""Hosts with evidence, unless the server is quiet."""
+
 SKEWED_SHARE = 0.7
 """Part of the score above which one data centre dominates it, as a bad path does."""
 
@@ -315,6 +318,10 @@
         needed = min(total, self.threshold) * MIN_REST_SHARE
         if self.hosts > 1 and total - max(shares.values()) < needed:
             return False
+        # One cut host and one unlucky request elsewhere must not eject a server that
+        # still serves others.
+        if not is_quiet and len(shares) < min(MIN_HOSTS, self.hosts):
+            return False
         if self.data_centres < 2:
             return True
         by_place: dict[DataCentre, float] = {}
