--- a/src/catkinspan/coordination/reports/gather.py
+++ b/src/catkinspan/coordination/reports/gather.py
@@ -80,9 +80,9 @@
 ) -> ServiceFacts | None:
     """Return the facts about one service, None for an unknown one."""
     health = host.health.report(service, now)
-    held = host.history.observe(service, now)
-    if health is None or held is None:
+    if health is None:
         return None
+    held = host.history.judge(health, now)
     slots, dispatched = host.slots.service_snapshot(service, now)
     return ServiceFacts(
         health,
--- a/src/catkinspan/coordination/reports/history.py
+++ b/src/catkinspan/coordination/reports/history.py
@@ -66,10 +66,13 @@
         self.observe(self._services[self._next], now)
 
     def observe(self, service: ServiceId, now: float) -> Held | None:
-        """Judge a service now and return its state."""
+        """Judge a service now and return its state, None for an unknown one."""
         health = self._health.report(service, now)
-        if health is None:
-            return None
+        return None if health is None else self.judge(health, now)
+
+    def judge(self, health: ServiceReport, now: float) -> Held:
+        """Judge a service by a report of its health made now."""
+        service = health.service
         recent = self._metrics.judged_of_service(service, now)
         state = assess(health, recent).state
         before = self._held.get(service)
