--- a/bench/rates_fleet.py
+++ b/bench/rates_fleet.py
@@ -203,7 +203,9 @@
         self.seed = seed
         self.rng = Random(seed)
         self.slots, self.drift = slots, drift
-        self.channel = FakeChannel(Random(seed + 1), delay, loss, duplication, late)
+        self.channel = FakeChannel(
+            Random(seed + 1), delay, loss, duplication, late=late
+        )
         limits = {item.id: item for item in workspaces}
         self.tree = SettingsTree(
             fleet=FleetSettings(max_hosts=slots, rate_shards=shards), workspaces=limits
@@ -339,8 +341,9 @@
         rate: float,
         until: float,
         choose: Callable[[], HostId],
+        start: float = 0.0,
     ) -> None:
-        """Let requests arrive as a Poisson process until a virtual time."""
+        """Let requests arrive as a Poisson process between two virtual times."""
         rng = Random(f"{self.seed}/{name}/arrivals")
 
         def arrive() -> None:
@@ -348,7 +351,7 @@
             plan()
 
         def plan() -> None:
-            when = self.channel.now + rng.expovariate(rate)
+            when = max(start, self.channel.now) + rng.expovariate(rate)
             if when < until:
                 self.channel.at(when, arrive)
 
--- a/src/catkinspan/coordination/slots/coordinator.py
+++ b/src/catkinspan/coordination/slots/coordinator.py
@@ -10,11 +10,12 @@
 from catkinspan.coordination.outbox import Outbox
 from catkinspan.coordination.outcomes import Candidate
 from catkinspan.coordination.slots.budget import AskBudget
-from catkinspan.coordination.slots.client import AttemptKey, SlotClient
+from catkinspan.coordination.slots.client import SlotClient
 from catkinspan.coordination.slots.connections import ConnectionShares
 from catkinspan.coordination.slots.const import DEFAULT_MAX_QUEUE
 from catkinspan.coordination.slots.direct import Locality, ServerSet
 from catkinspan.coordination.slots.dispatcher import Dispatcher
+from catkinspan.coordination.slots.held import AttemptKey
 from catkinspan.coordination.slots.mailbox import Mailbox
 from catkinspan.coordination.slots.models import (
     MESSAGES,
@@ -71,7 +72,7 @@
         self._mailbox = Mailbox()
         self._budget = AskBudget()
         self._view = FleetView(self_id, data_centre)
-        self._roles = Roles(self._view)
+        self._roles = self._roles_before = Roles(self._view)
         self._shares = ConnectionShares(self._view)
         self._locality = Locality.of(self._view)
         self._tree = SettingsTree()
@@ -166,7 +167,7 @@
 
     def apply_view(self, view: FleetView, now: float) -> None:
         """Move roles to their new holders, and free what dead hosts held."""
-        before = self._roles
+        self._roles_before = self._roles
         self._view = view
         self._roles = Roles(view)
         self._shares = ConnectionShares(view)
@@ -179,7 +180,7 @@
             dispatcher.hosts = self._roles.hosts_here
             dispatcher.replace_partners(self._roles.partners(name))
         for name in self._clients:
-            self._take_over(name, before)
+            self._dispatcher(name, now)
         for name, client in self._clients.items():
             client.use_dispatcher(self._dispatcher_of(name), now)
             self._touched.add(name)
@@ -251,6 +252,9 @@
         """Return the dispatcher of a service if this host is it, or just was."""
         dispatcher = self._dispatchers.get(service)
         if dispatcher is None:
+            # A peer may name any service; roles and ledgers of each have no bound.
+            if service not in self._tree.services:
+                return None
             if self._dispatcher_of(service) != self._self_id:
                 return None
             dispatcher = Dispatcher(
@@ -259,6 +263,7 @@
             dispatcher.max_queue = self._max_queue(service)
             dispatcher.hosts = self._roles.hosts_here
             dispatcher.replace_partners(self._roles.partners(service))
+            dispatcher.start(self._former(service), now)
             self._dispatchers[service] = dispatcher
         if dispatcher.idle:
             dispatcher.update(self._own_servers(service, now), now)
@@ -272,21 +277,21 @@
         else:
             dispatcher.retire(now)
 
-    def _take_over(self, service: ServiceId, before: Roles) -> None:
-        """Tell the former dispatchers that this host has taken the role."""
-        own = self._view.self_data_centre
-        if self._dispatcher_of(service) != self._self_id:
-            return
-        if before.dispatcher(service, own) == self._self_id:
-            return
-        former = {
-            before.dispatcher(service, own),
+    def _former(self, service: ServiceId) -> list[HostId]:
+        """Return the living hosts that may have held the role before this one."""
+        candidates = {
+            self._roles_before.dispatcher(service, self._view.self_data_centre),
             self._roles.predecessor(service, self._self_id),
         }
-        for host in sorted(h for h in former if h):
-            record = self._view.hosts.get(host)
-            if host != self._self_id and record and record.status != HostStatus.DEAD:
-                self._mailbox.post(host, SlotTakeover(service))
+        hosts = self._view.hosts
+        return sorted(
+            host
+            for host in candidates
+            if host
+            and host != self._self_id
+            and host in hosts
+            and hosts[host].status != HostStatus.DEAD
+        )
 
     def _dispatcher_of(self, service: ServiceId) -> HostId | None:
         return self._roles.dispatcher(service, self._view.self_data_centre)
@@ -332,12 +337,12 @@
         It returns None for a host that may connect to all servers.
         """
         known: dict[HostId, Collection[ServerId] | None] = {}
-        seen: tuple[object, object] = (None, None)
+        shares, tree = self._shares, self._tree
 
         def allowed(host: HostId) -> Collection[ServerId] | None:
-            nonlocal seen
-            if seen != (id(self._shares), id(self._tree)):
-                seen = (id(self._shares), id(self._tree))
+            nonlocal shares, tree
+            if shares is not self._shares or tree is not self._tree:
+                shares, tree = self._shares, self._tree
                 known.clear()
             if host not in known:
                 known[host] = self._servers_of(service, host)
@@ -360,6 +365,12 @@
         self._touched.add(service)
         return self._clients[service]
 
+    def _settle(self, settled: list[SlotSettled]) -> None:
+        for item in settled:
+            if item.verdict.status is SlotStatus.REFUSED:
+                self._services.pop((item.request_id, item.attempt), None)
+        self._settled.extend(settled)
+
     def _settled_now(self, key: AttemptKey) -> SlotVerdict | None:
         for settled in self._settled:
             if (settled.request_id, settled.attempt) == key:
@@ -395,6 +406,8 @@
             case SlotTakeover():
                 if dispatcher := self._dispatchers.get(message.service):
                     dispatcher.yield_half(now)
+                else:
+                    self._mailbox.post(host, NotDispatcher(message.service))
             case SlotAsk() | SlotReturn() | SlotRenew() | LoanAsk() | LoanGrant():
                 self._to_dispatcher(message, host, now)
 
@@ -404,6 +417,10 @@
         host: HostId,
         now: float,
     ) -> None:
+        if isinstance(message, NotDispatcher) and (
+            dispatcher := self._dispatchers.get(message.service)
+        ):
+            dispatcher.release_from(host, now)
         client = self._clients.get(message.service)
         if client is None:
             return
@@ -446,7 +463,7 @@
             for name in sorted(touched):
                 client = self._clients[name]
                 client.flush()
-                self._settled.extend(client.take_settled())
+                self._settle(client.take_settled())
             messages = self._mailbox.take()
             if not messages and not self._touched:
                 break
