--- a/src/catkinspan/coordination/requests/coordinator.py
+++ b/src/catkinspan/coordination/requests/coordinator.py
@@ -7,7 +7,10 @@
 from attrs import define, evolve, field, frozen
 from result import Err, Ok, Result
 
-from catkinspan.coordination.claims.coordinator import ClaimCoordinator
+from catkinspan.coordination.claims.coordinator import (
+    ClaimCoordinator,
+    may_run_unclaimed,
+)
 from catkinspan.coordination.claims.models import (
     ClaimDecision,
     ClaimVerdict,
@@ -207,7 +210,8 @@
         if request is None or outcome.attempt not in request.running:
             return
         del request.running[outcome.attempt]
-        self._stages.slots.release(request.id, outcome.attempt, now)
+        shed = outcome.kind is OutcomeKind.SHED
+        self._stages.slots.release(request.id, outcome.attempt, now, shed=shed)
         self._record(request, outcome, now)
         if request.stage is Stage.ENDED:
             self._forget_if_idle(request)
@@ -358,7 +362,12 @@
             return
         if verdict.decision is ClaimDecision.GRANTED:
             self._first_attempt(request, now)
-        elif verdict.refusal is not None:
+        elif verdict.refusal is None:
+            return
+        elif may_run_unclaimed(verdict.refusal, request.route.policy):
+            request.claimed = False
+            self._first_attempt(request, now)
+        else:
             self._refuse(request, refusals.claim_refusal(verdict.refusal), now)
 
     # Slots and attempts
@@ -568,6 +577,7 @@
             policy.max_attempts,
             request.deadline,
             now,
+            ran=finished.outcome.kind not in DID_NOT_RUN_KINDS,
         )
 
     def _is_quarantined(self, request: _Request, now: float) -> bool:
