Judge errors that a server answered with apart from bad paths

Cause: slots keep a server's requests within its data centre, so all evidence of a server that answers 20% of its requests with 5xx came from one data centre and counted as a bad path; it was avoided there, never ejected. Ruled out: too little evidence (101 requests in 20 s). Change: answered errors are a signal of their own, which no path explains and one host may give alone. Whole hosts in virtual time, 9 hosts, a third of capacity: before, not ejected in 20 s; after, ejected on all hosts within 1.0 s.

--- a/src/catkinspan/coordination/health/arbiter.py
+++ b/src/catkinspan/coordination/health/arbiter.py
@@ -42,7 +42,7 @@
 from catkinspan.coordination.models import Event
 from catkinspan.state.ids import DataCentre, HostId, ServerId, ServiceId
 
-TRIAL_SIGNALS = (Signal.FAILURE, Signal.STALL, Signal.SLOW, Signal.SHED)
+TRIAL_SIGNALS = (Signal.FAILURE, Signal.ERROR, Signal.STALL, Signal.SLOW, Signal.SHED)
 RELAPSE_SCORE = 0.5
 """Part of the threshold that ends a slow start."""
 
--- a/src/catkinspan/coordination/health/models.py
+++ b/src/catkinspan/coordination/health/models.py
@@ -16,6 +16,10 @@
     STALL = "stall"
     """An attempt without a response for many times the usual latency."""
 
+    ERROR = "error"
+    """An answer that shows a fault and that only the server itself can have given, so
+    that no path explains it."""
+
     SLOW = "slow"
     SHED = "shed"
     PROBE = "probe"
--- a/src/catkinspan/coordination/health/observer.py
+++ b/src/catkinspan/coordination/health/observer.py
@@ -31,6 +31,9 @@
 )
 from catkinspan.state.ids import RequestId, ServerId, ServiceId
 
+ANSWERED = frozenset({OutcomeKind.SERVER_ERROR, OutcomeKind.CROSSED})
+"""Failures that the server itself answered with, which no path can cause."""
+
 FAILURES = frozenset(
     {
         OutcomeKind.CONNECT_ERROR,
@@ -161,7 +164,8 @@
         elif kind is OutcomeKind.SHED:
             self.add(outcome.service, outcome.server, Signal.SHED)
         elif kind in FAILURES and reference.add_failure(outcome.server):
-            self.add(outcome.service, outcome.server, Signal.FAILURE)
+            signal = Signal.ERROR if kind in ANSWERED else Signal.FAILURE
+            self.add(outcome.service, outcome.server, signal)
 
     def add(
         self,
--- a/src/catkinspan/coordination/health/pool.py
+++ b/src/catkinspan/coordination/health/pool.py
@@ -16,7 +16,7 @@
 from catkinspan.coordination.health.profiles import WEIGHTS
 from catkinspan.state.ids import DataCentre, HostId, ServerId
 
-JUDGED_SIGNALS = (Signal.FAILURE, Signal.STALL, Signal.SLOW)
+JUDGED_SIGNALS = (Signal.FAILURE, Signal.ERROR, Signal.STALL, Signal.SLOW)
 """Signals whose scores add up; shedding is judged alone, probes only assist."""
 
 PROBE_SHARE = 0.5
@@ -181,10 +181,15 @@
         gain, drain = self._weights(signal)
         score.advance(now, drain * self.rate)
         score.recent += count
-        host_cap = max(
-            HOST_EVENTS * gain, self._needed(signal) * HOST_SHARE / self.hosts
-        )
-        score.add(host, gain * count, host_cap, SCORE_CAP * self._needed(signal))
+        cap = SCORE_CAP * self._needed(signal)
+        score.add(host, gain * count, self._host_cap(signal, gain, cap), cap)
+
+    def _host_cap(self, signal: Signal, gain: float, cap: float) -> float:
+        """Return how much one host may add to a score."""
+        if signal is Signal.ERROR:
+            # The server itself said it, so one host that uses the server suffices.
+            return cap
+        return max(HOST_EVENTS * gain, self._needed(signal) * HOST_SHARE / self.hosts)
 
     def advance(self, now: float) -> None:
         """Account for the time since the last evidence and drop what is settled."""
@@ -218,10 +223,14 @@
         if total <= 0.0:
             return HEALTHY
         reason = max(scores, key=lambda signal: scores[signal].value)
+        answered = excess.get(Signal.ERROR, 0.0) >= self.threshold
         return Judgement(
             total / self.threshold,
-            total >= self.threshold
-            and self._is_spread(server, shares, total, is_quiet),
+            answered
+            or (
+                total >= self.threshold
+                and self._is_spread(server, shares, total, is_quiet)
+            ),
             reason.value,
             tuple(sorted(shares, key=lambda host: -shares[host])),
             tuple(sorted({self._places[host] for host in shares})),
--- a/src/catkinspan/coordination/health/profiles.py
+++ b/src/catkinspan/coordination/health/profiles.py
@@ -25,6 +25,7 @@
 
 WEIGHTS: Mapping[Signal, SignalWeight] = {
     Signal.FAILURE: SignalWeight(0.005, 0.2),
+    Signal.ERROR: SignalWeight(0.005, 0.2),
     Signal.STALL: SignalWeight(0.0001, 0.3),
     Signal.SLOW: SignalWeight(0.005, 0.25),
     Signal.SHED: SignalWeight(0.25, 0.9, threshold=8.0),
