Give typed errors for absurd settings, platform answers and deadlines

Hypothesis tests of check_tree, parse_node_settings and the platform's answers, and tests with chosen values, found:

- An address with a port of 5,000 digits raised ValueError in check_tree and parse_node_settings.
Ports of other scripts' digits were accepted.
- X-Deadline-Ms was checked by its first 12 digits and converted whole, so a value of thousands of digits ended the caller's task with a traceback.
- `"hosts": false` or 0 was taken for an empty list, `fleet` and `defaults` alike.
- Service `a/b` with route `c` and service `a` with route `b/c` share the route id a/b/c, and one route replaced the other.
Names with / or without any character are faults now.
- A fault of a member without a name had an empty path.
- The platform's revision had no upper bound.
One above 2^53 could never go back nor spread to peers.
- The reader took a document of another name than it had asked for.
- A TLS path with a null byte raised ValueError.

--- a/src/catkinspan/protocol/http/heads.py
+++ b/src/catkinspan/protocol/http/heads.py
@@ -21,6 +21,7 @@
 
 _HOST = re.compile(rb"^(\[[0-9a-fA-F:.]+\]|[A-Za-z0-9._-]+)(:\d{1,5})?$")
 _MAX_DEADLINE_MS = 24 * 3600 * 1000
+_MAX_DEADLINE_DIGITS = 12
 
 
 @frozen
@@ -143,7 +144,8 @@
     value = _single(headers, DEADLINE_MS)
     if value is None:
         return Ok(None)
-    if not value.isdigit() or not 0 < int(value[:12]) <= _MAX_DEADLINE_MS:
+    is_whole = value.isdigit() and len(value) <= _MAX_DEADLINE_DIGITS
+    if not is_whole or not 0 < int(value) <= _MAX_DEADLINE_MS:
         remedy = f"send whole milliseconds from 1 to {_MAX_DEADLINE_MS}"
         return Err(bad_request("invalid X-Deadline-Ms header", remedy))
     return Ok(timedelta(milliseconds=int(value)))
--- a/src/catkinspan/protocol/platform/documents.py
+++ b/src/catkinspan/protocol/platform/documents.py
@@ -12,6 +12,7 @@
 from result import Err, Ok, Result
 
 from catkinspan.coordination.configuration.models import Document
+from catkinspan.coordination.models import WHOLE
 from catkinspan.state.ids import Revision
 
 
@@ -67,6 +68,7 @@
 
 
 def _revision(value: object) -> Revision:
-    if not isinstance(value, int) or isinstance(value, bool) or value < 0:
+    # Peers drop larger numbers, so a larger revision could not spread.
+    if type(value) is not int or not WHOLE.holds(value):
         raise ValueError(f"not a revision: {value!r:.40}")
     return Revision(value)
--- a/src/catkinspan/protocol/settings/reader.py
+++ b/src/catkinspan/protocol/settings/reader.py
@@ -15,6 +15,7 @@
 T = TypeVar("T")
 
 MAX_PORT = 65535
+MAX_PORT_DIGITS = 5
 MAX_DURATION_MS = 24 * 3600 * 1000
 
 
@@ -79,6 +80,7 @@
 
     def at(self, name: str) -> str:
         """Return the path of a member."""
+        name = name or "(empty)"
         return f"{self._path}/{name}" if self._path else name
 
     def fault(self, name: str, message: str, remedy: str) -> None:
@@ -210,6 +212,10 @@
     return isinstance(value, int | float) and not isinstance(value, bool)
 
 
+def _is_port(text: str) -> bool:
+    return text.isascii() and text.isdecimal() and int(text) <= MAX_PORT
+
+
 def parse_address(value: object) -> Result[Address, str]:
     """Parse ``IP:PORT`` or ``[IPv6]:PORT``."""
     if not isinstance(value, str):
@@ -220,6 +226,7 @@
         ip_address(ip)
     except ValueError:
         return Err("no numeric IP address")
-    if not separator or not port.isdecimal() or not 0 <= int(port) <= MAX_PORT:
+    # The length first: int() refuses texts of thousands of digits with an exception.
+    if not separator or len(port) > MAX_PORT_DIGITS or not _is_port(port):
         return Err("no port from 0 to 65535")
     return Ok(Address(ip, int(port)))
--- a/src/catkinspan/protocol/settings/tree.py
+++ b/src/catkinspan/protocol/settings/tree.py
@@ -103,6 +103,7 @@
     """Read a ``services/NAME`` document."""
     service_id = ServiceId(name)
     reader = ObjectReader(value, SERVICES_PREFIX + name, faults)
+    _check_name(name, reader)
     inherited = read_policy(reader.child("settings"), defaults, f"service {name}")
     upstreams = tuple(_read_upstream(item) for item in reader.items("upstreams"))
     _check_unique(reader, "upstreams", [upstream.id for upstream in upstreams])
@@ -130,6 +131,7 @@
 def _read_route(
     service: ServiceId, name: str, reader: ObjectReader, parent: InheritedPolicy
 ) -> Route:
+    _check_name(name, reader)
     route_id = RouteId(f"{service}/{name}")
     match = _read_match(reader.child("match"))
     inherited = read_policy(reader.child("settings"), parent, f"route {route_id}")
@@ -210,6 +212,12 @@
     return host
 
 
+def _check_name(name: str, reader: ObjectReader) -> None:
+    """Refuse names by which two routes would share an id, `SERVICE/ROUTE`."""
+    if not name or "/" in name:
+        reader.fault("(name)", f"{name!r:.60} is no name", "write a name without /")
+
+
 def _check_unique(reader: ObjectReader, name: str, ids: list[Any]) -> None:
     for repeated in (item for item, times in Counter(ids).items() if times > 1):
         reader.fault(name, f"id {repeated!r} stands twice", "give each its own id")
@@ -342,16 +350,20 @@
                 faults.add(f"workspaces/{workspace.id}/keys", message, remedy)
 
 
+def _or_empty(value: object, empty: object) -> object:
+    return empty if value is None else value
+
+
 def split_documents(tree: object) -> Result[dict[str, str], tuple[SettingsFault, ...]]:
     """Split an operators' settings file into the documents to publish."""
     faults = FaultList()
     reader = ObjectReader(tree, "", faults)
     documents: dict[str, object] = {
         ROOT: {
-            "fleet": reader.raw("fleet") or {},
-            "defaults": reader.raw("defaults") or {},
+            "fleet": _or_empty(reader.raw("fleet"), {}),
+            "defaults": _or_empty(reader.raw("defaults"), {}),
         },
-        HOSTS: {"hosts": reader.raw("hosts") or []},
+        HOSTS: {"hosts": _or_empty(reader.raw("hosts"), [])},
     }
     services = reader.child("services")
     for name in services.names():
--- a/src/catkinspan/transport/platform/reader.py
+++ b/src/catkinspan/transport/platform/reader.py
@@ -167,6 +167,9 @@
             document = decode_document(await self._async_get(target, READ_SECONDS))
             if isinstance(document, Err):
                 return document
+            if document.ok_value.name != name:
+                reason = f"asked for document {name!r:.60}, got another"
+                return Err(PlatformAnswerError(reason))
             documents.append(document.ok_value)
         return Ok(documents)
 
--- a/src/catkinspan/transport/tls_files.py
+++ b/src/catkinspan/transport/tls_files.py
@@ -88,6 +88,8 @@
             return Err(self.fault(TlsFaultKind.MISSING))
         except OSError as error:
             return Err(self.fault(TlsFaultKind.UNREADABLE, error.strerror))
+        except ValueError as error:  # A path with a null byte.
+            return Err(self.fault(TlsFaultKind.MISSING, error))
 
     def certificates(self) -> Result[list[x509.Certificate], TlsFault]:
         """Return the certificates in the file; at least one."""
--- a/tests/transport/test_bad_callers.py
+++ b/tests/transport/test_bad_callers.py
@@ -226,6 +226,8 @@
     "name_and_value",
     [
         ("X-Deadline-Ms", "9" * 400),
+        # The first 12 digits are in range; the whole number made int() raise.
+        ("X-Deadline-Ms", "000000000001" + "9" * 5000),
         ("X-Deadline-Ms", "-1"),
         ("X-Deadline-Ms", "nan"),
         ("X-Deadline-Ms", "1e400"),
--- a/tests/transport/test_tls_files.py
+++ b/tests/transport/test_tls_files.py
@@ -61,6 +61,11 @@
         ("key", garbage("key"), TlsFaultKind.MALFORMED),
         ("authority", garbage("authority"), TlsFaultKind.MALFORMED),
         ("key", lambda a, f: evolve(f, key=a.folder), TlsFaultKind.UNREADABLE),
+        (
+            "key",
+            lambda _, f: evolve(f, key=Path("a\x00b")),
+            TlsFaultKind.MISSING,
+        ),
         ("key", foreign_key, TlsFaultKind.MISMATCHED),
         ("authority", lambda _, f: evolve(f, authority=None), TlsFaultKind.NOT_NAMED),
         ("certificate", foreign_authority, TlsFaultKind.UNTRUSTED),
