Refuse a peer's message by its announced size

grpclib collects a message of any announced size, up to 4 GB, before the codec sees it, so that one peer could exhaust a host's memory. Streams now end with RESOURCE_EXHAUSTED when more than MAX_FRAME_BYTES are announced.

--- a/src/catkinspan/transport/peers/server.py
+++ b/src/catkinspan/transport/peers/server.py
@@ -3,9 +3,11 @@
 import ssl
 from collections.abc import Callable
 
-from grpclib.const import Cardinality, Handler
+from grpclib.const import Cardinality, Handler, Status
+from grpclib.exceptions import GRPCError
 from grpclib.server import Server, Stream
 
+from catkinspan.protocol.peers.codec import MAX_FRAME_BYTES
 from catkinspan.state.tree import Address
 from catkinspan.transport.peers.const import LINK_METHOD
 from catkinspan.transport.peers.raw_codec import RawCodec
@@ -25,6 +27,7 @@
 
     async def _async_link(self, stream: Stream[bytes, bytes]) -> None:
         certified = dns_names(stream.peer.cert()) if self._secure else None
+        _bound_messages(stream)
         async for frame in stream:
             self._on_frame(frame, certified)
 
@@ -33,6 +36,23 @@
         return {LINK_METHOD: handler}
 
 
+def _bound_messages(stream: Stream[bytes, bytes]) -> None:
+    """Refuse a message by its announced size.
+
+    grpclib has no such limit and would collect up to 4 GB for one message.
+    """
+    inner = stream._stream
+    receive = inner.recv_data
+
+    async def async_receive(size: int) -> bytes:
+        if size > MAX_FRAME_BYTES:
+            message = f"{size} bytes in one frame; send at most {MAX_FRAME_BYTES}"
+            raise GRPCError(Status.RESOURCE_EXHAUSTED, message)
+        return await receive(size)
+
+    inner.recv_data = async_receive  # type: ignore[method-assign]
+
+
 class PeerServer:
     """Listens for the streams of other hosts."""
 
