Start over with the incarnation that membership takes at the start

Cause: a host whose clock is behind its predecessor's learns a higher incarnation from its peers. Membership raised its own, rates and claims kept theirs, and took the host for superseded. The host task now builds the coordinators anew with the raised number, and the reader hands the whole configuration over again.

Found on the way: a stopped peer server left its connections open, and the other host wrote to it for good; in one process, a host that was started again stayed dead to its peers. Ruled out for processes of their own, where the system closes the sockets (tests/test_processes.py, restarted host).

--- a/src/catkinspan/daemon/host_task.py
+++ b/src/catkinspan/daemon/host_task.py
@@ -72,7 +72,7 @@
 
     def __init__(
         self,
-        coordinator: HostCoordinator,
+        new_coordinator: Callable[[int], HostCoordinator],
         origin: Origin,
         codec: PeerCodec,
         clock: Clock,
@@ -82,7 +82,8 @@
         on_tree: Callable[[SettingsTree], None],
         on_record: Callable[[RequestRecord], None],
     ) -> None:
-        self._coordinator = coordinator
+        self._new_coordinator = new_coordinator
+        self._coordinator = new_coordinator(origin.incarnation)
         self._origin = origin
         self._codec = codec
         self._clock = clock
@@ -130,10 +131,27 @@
                     next_tick = now + TICK_SECONDS
                     served = 0
                 self._drain_outbox()
+                self._adopt_incarnation()
         finally:
             for _, task in self._links.values():
                 task.cancel()
 
+    def _adopt_incarnation(self) -> None:
+        """Start over with a higher incarnation that membership took at the start.
+
+        Peers of a host whose clock is behind its predecessor's know a higher number.
+        Leases and claims name the incarnation, so all concerns start over with it.
+        """
+        incarnation = self._coordinator.membership.incarnation
+        if incarnation == self._origin.incarnation:
+            return
+        logger.info("starting over with incarnation {}", incarnation)
+        for request_id, reply in self._replies.items():
+            reply.force(Refused(request_id, INTERNAL_ERROR))
+        self._replies.clear()
+        self._origin = Origin(self._origin.host, incarnation)
+        self._coordinator = self._new_coordinator(incarnation)
+
     def _handle_safely(self, message: Any) -> None:
         """Keep a fault in one message from ending the host.
 
--- a/src/catkinspan/daemon/node.py
+++ b/src/catkinspan/daemon/node.py
@@ -83,23 +83,12 @@
         self._tls = self._load_tls().unwrap_or_raise(TlsSettingsError)
         # A later process life has a higher number, as the wall clock moves on.
         incarnation = int(clock.now().timestamp() * 1000)
-        listing = ListedHost(
-            settings.host_id, settings.data_centre, settings.peer_address
-        )
         self._origin = Origin(settings.host_id, incarnation)
         self._codec = PeerCodec(PEER_MESSAGES)
-        coordinator = HostCoordinator(
-            HostIdentity(listing, incarnation),
-            TreeParser(),
-            Outbox(),
-            self._rng,
-            settings.http.max_requests,
-            clock.monotonic(),
-        )
         self._pool = PoolTask(clock)
         self._reader_inbox: Mailbox[Any] = Mailbox(64)
         self._host = HostTask(
-            coordinator,
+            self._new_coordinator,
             self._origin,
             self._codec,
             clock,
@@ -261,6 +250,20 @@
 
     # Wiring
 
+    def _new_coordinator(self, incarnation: int) -> HostCoordinator:
+        settings = self._settings
+        listing = ListedHost(
+            settings.host_id, settings.data_centre, settings.peer_address
+        )
+        return HostCoordinator(
+            HostIdentity(listing, incarnation),
+            TreeParser(),
+            Outbox(),
+            self._rng,
+            settings.http.max_requests,
+            self._clock.monotonic(),
+        )
+
     async def _async_guard(self, run: Callable[[], Any]) -> None:
         """Log the failure of a task that must not end."""
         try:
--- a/src/catkinspan/transport/peers/server.py
+++ b/src/catkinspan/transport/peers/server.py
@@ -28,8 +28,13 @@
     async def _async_link(self, stream: Stream[bytes, bytes]) -> None:
         certified = dns_names(stream.peer.cert()) if self._secure else None
         _bound_messages(stream)
-        async for frame in stream:
-            self._on_frame(frame, certified)
+        try:
+            async for frame in stream:
+                self._on_frame(frame, certified)
+        finally:
+            # A link has one stream. grpclib leaves the connection of a stopped server
+            # open, and the link would go on writing to it.
+            stream._stream.connection.close()
 
     def __mapping__(self) -> dict[str, Handler]:
         handler = Handler(self._async_link, Cardinality.STREAM_STREAM, bytes, bytes)
--- a/src/catkinspan/transport/platform/reader.py
+++ b/src/catkinspan/transport/platform/reader.py
@@ -108,10 +108,13 @@
         match message:
             case StartReading():
                 self._active = True
+                # A restarted coordinator has no configuration and needs all of it.
+                self._revision = NO_REVISION
             case StopReading():
                 self._active = False
             case ReadingOnce():
                 self._once = True
+                self._revision = NO_REVISION
 
     async def _async_round(self) -> None:
         watch = self._active
--- a/tests/test_processes.py
+++ b/tests/test_processes.py
@@ -33,6 +33,11 @@
     """Platform, upstreams and hosts, in this order."""
 
     tree: dict[str, Any]
+    operators: list[Address]
+    host_files: list[Path]
+
+    async def start_host(self, index: int) -> asyncio.subprocess.Process:
+        return await start("serve", "--settings", str(self.host_files[index]))
 
     @property
     def hosts(self) -> list[asyncio.subprocess.Process]:
@@ -93,7 +98,15 @@
         }
         path.write_text(json.dumps(settings))
         processes.append(await start("serve", "--settings", str(path)))
-    fleet = ProcessFleet(platform, upstreams, callers, processes, tree)
+    fleet = ProcessFleet(
+        platform,
+        upstreams,
+        callers,
+        processes,
+        tree,
+        [node.operators for node in nodes],
+        [folder / f"{node.host_id}.json" for node in nodes],
+    )
     try:
         for address in callers:
             await wait_status(address, "/suites/1", 200)
@@ -177,3 +190,27 @@
     assert await process.wait() == 2
     process = await start("check", str(path))
     assert await process.wait() == 2
+
+
+async def test_restarted_host_is_seen_alive_again(tmp_path: Path) -> None:
+    """Guards against links that go on writing to the connection of a dead process."""
+    async with process_fleet(tmp_path, hosts=2) as fleet:
+        second = fleet.hosts[1]
+        second.kill()
+        await second.wait()
+        fleet.processes.append(await fleet.start_host(1))
+        async with asyncio.timeout(2 * SAFETY_SECONDS):
+            while await statuses(fleet.operators[1]) != {"alive"}:
+                await asyncio.sleep(0.1)
+            while await statuses(fleet.operators[0]) != {"alive"}:
+                await asyncio.sleep(0.1)
+
+
+async def statuses(operators: Address) -> set[str]:
+    """Return what a host knows of all hosts, or nothing if it does not answer."""
+    try:
+        answer = await async_fetch(operators, "/v1/hosts", 5.0)
+    except FetchError:
+        return set()
+    report = orjson.loads(answer.body)
+    return {host["status"] for host in report["hosts"]}
