Keep the platform readable after the withdrawal in the schedules

Change: that fault does not begin within 3 s of the withdrawal.

A stopped peer server closes a connection only when it cancels its stream, so that a refusal still reaches the link.

--- a/bench/invariants.py
+++ b/bench/invariants.py
@@ -35,6 +35,10 @@
 RATE_PER_HOST = 3.0
 WITHDRAWN = "workspace-3"
 WITHDRAWAL_AT = SETTLE_SECONDS + LOAD_SECONDS / 2
+READABLE_SECONDS = 3.0
+"""Time after the withdrawal in which the platform stays: a watch of the virtual
+readers returns each 2 s."""
+
 KEY_BOUND_SECONDS = 8.0
 """Seconds in which a withdrawn key must stop on a host that is cut off: the isolation
 limit of 5 s, the 2 s of a watch, and 1 s for a pause to be noticed."""
@@ -262,6 +266,11 @@
         self._later(1.0, 10.0, self._fleet.channel.heal_all)
 
     def _platform_away(self) -> None:
+        since = self._fleet.channel.now - WITHDRAWAL_AT
+        if 0.0 <= since < READABLE_SECONDS:
+            # A withdrawal that no host could read yet is known to nobody, and the
+            # fleet rightly goes on while the service is away for all.
+            return
         self._fleet.platform.is_down = True
         self._later(1.0, 10.0, self._platform_back)
 
--- a/src/catkinspan/transport/peers/server.py
+++ b/src/catkinspan/transport/peers/server.py
@@ -1,5 +1,6 @@
 """The peers' listener: streams of frames from other hosts."""
 
+import asyncio
 import ssl
 from collections.abc import Callable
 
@@ -31,10 +32,11 @@
         try:
             async for frame in stream:
                 self._on_frame(frame, certified)
-        finally:
-            # A link has one stream. grpclib leaves the connection of a stopped server
-            # open, and the link would go on writing to it.
+        except asyncio.CancelledError:
+            # grpclib leaves the connection of a stopped server open, and the link
+            # would go on writing to it.
             stream._stream.connection.close()
+            raise
 
     def __mapping__(self) -> dict[str, Handler]:
         handler = Handler(self._async_link, Cardinality.STREAM_STREAM, bytes, bytes)
