--- a/src/catkinspan/protocol/settings/node.py
+++ b/src/catkinspan/protocol/settings/node.py
@@ -10,7 +10,8 @@
 from catkinspan.coordination.configuration.errors import SettingsFault
 from catkinspan.protocol.settings.reader import FaultList, ObjectReader, decode_json
 from catkinspan.state.ids import DataCentre, HostId
-from catkinspan.state.node import HttpLimits, NodeSettings, TlsFiles, node_json_name
+from catkinspan.state.metadata import json_name
+from catkinspan.state.node import HttpLimits, NodeSettings, TlsFiles
 from catkinspan.state.tree import Address
 
 DEFAULT_OPERATORS = Address("127.0.0.1", 9900)
@@ -57,7 +58,7 @@
 def _read_http(reader: ObjectReader) -> HttpLimits:
     values: dict[str, Any] = {}
     for attribute in fields(HttpLimits):
-        name = node_json_name(attribute)
+        name = json_name(attribute)
         if isinstance(attribute.default, timedelta):
             values[attribute.name] = reader.duration_ms(name, attribute.default)
         else:
--- a/src/catkinspan/protocol/settings/tables.py
+++ b/src/catkinspan/protocol/settings/tables.py
@@ -9,8 +9,9 @@
 
 from catkinspan.protocol.settings.policy import format_setting
 from catkinspan.state.hosts import ListedHost
+from catkinspan.state.metadata import json_name
 from catkinspan.state.node import HttpLimits, NodeSettings, TlsFiles
-from catkinspan.state.policy import Policy, json_name
+from catkinspan.state.policy import Policy
 from catkinspan.state.tree import (
     FleetSettings,
     KeyEntry,
--- a/src/catkinspan/state/hosts.py
+++ b/src/catkinspan/state/hosts.py
@@ -6,7 +6,7 @@
 from attrs import NOTHING, Factory, frozen
 
 from catkinspan.state.ids import NO_REVISION, DataCentre, HostId, Revision
-from catkinspan.state.policy import setting
+from catkinspan.state.metadata import setting
 from catkinspan.state.tree import Address
 
 
--- a/src/catkinspan/state/policy.py
+++ b/src/catkinspan/state/policy.py
@@ -5,7 +5,9 @@
 from enum import StrEnum
 from typing import Any
 
-from attrs import Attribute, field, fields, frozen
+from attrs import Attribute, fields, frozen
+
+from catkinspan.state.metadata import json_name, setting
 
 SAFE_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
 
@@ -18,26 +20,6 @@
     FAST = "fast"
 
 
-def setting(
-    default: object,
-    unit: str,
-    description: str,
-    json: str = "",
-    shown_default: str = "",
-) -> Any:
-    """Declare one published setting with its unit and its name in JSON.
-
-    `shown_default` tells of a default that the reader of the document fills in.
-    """
-    metadata = {
-        "unit": unit,
-        "description": description,
-        "json": json,
-        "shown_default": shown_default,
-    }
-    return field(default=default, metadata=metadata)
-
-
 @frozen
 class Policy:
     """Effective settings of a service or route, after inheritance."""
@@ -92,11 +74,6 @@
     )
 
 
-def json_name(attribute: "Attribute[Any]") -> str:
-    """Return the name of a setting in JSON documents."""
-    return attribute.metadata["json"] or attribute.name
-
-
 POLICY_FIELDS: Mapping[str, "Attribute[Any]"] = {
     json_name(attribute): attribute for attribute in fields(Policy)
 }
--- a/src/catkinspan/state/tree.py
+++ b/src/catkinspan/state/tree.py
@@ -15,7 +15,8 @@
     ServiceId,
     WorkspaceId,
 )
-from catkinspan.state.policy import Policy, setting
+from catkinspan.state.metadata import setting
+from catkinspan.state.policy import Policy
 
 
 @frozen
