Build attempt outcomes in one place, and remove dead names

The upstream attempt and the caller's exchange each spelled out the same ten fields from their assignment; Assigned.outcome builds them now. Removed without a user: LinkEnded, JUDGED_SIGNALS, a second RequestMessage and SocketPort.peer_name.

--- a/src/catkinspan/coordination/health/pool.py
+++ b/src/catkinspan/coordination/health/pool.py
@@ -18,9 +18,6 @@
 from catkinspan.coordination.health.profiles import WEIGHTS
 from catkinspan.state.ids import DataCentre, HostId, ServerId
 
-JUDGED_SIGNALS = (Signal.FAILURE, Signal.ERROR, Signal.STALL, Signal.SLOW)
-"""Signals whose scores add up; shedding is judged alone, probes only assist."""
-
 PROBE_SHARE = 0.5
 """Largest part of the threshold that failing health endpoints may make up."""
 
--- a/src/catkinspan/coordination/requests/models.py
+++ b/src/catkinspan/coordination/requests/models.py
@@ -5,7 +5,7 @@
 
 from attrs import Factory, field, frozen
 
-from catkinspan.coordination.outcomes import AttemptOutcome
+from catkinspan.coordination.outcomes import AttemptOutcome, OutcomeKind
 from catkinspan.coordination.requests.errors import Refusal
 from catkinspan.state.ids import RequestId, RouteId, ServerId, ServiceId, WorkspaceId
 from catkinspan.state.tree import Address
@@ -103,6 +103,27 @@
 
     key_query_parameter: str | None = None
 
+    def outcome(
+        self,
+        kind: OutcomeKind,
+        latency: float,
+        bytes_written: bool,
+        server_draining: bool = False,
+    ) -> AttemptOutcome:
+        """Return the outcome of this attempt; `latency` is in seconds."""
+        return AttemptOutcome(
+            request_id=self.request_id,
+            attempt=self.attempt,
+            service=self.service,
+            server=self.server,
+            workspace=self.workspace,
+            kind=kind,
+            latency=latency,
+            bytes_written=bytes_written,
+            server_draining=server_draining,
+            request_class=self.route,
+        )
+
 
 @frozen
 class Deliver(RequestDirective):
--- a/src/catkinspan/transport/callers/messages.py
+++ b/src/catkinspan/transport/callers/messages.py
@@ -12,8 +12,6 @@
 )
 from catkinspan.transport.mailbox import Mailbox
 
-RequestMessage = RequestArrived | BodyReceived | AttemptFinished | RequestAbandoned
-
 
 @frozen
 class Submit:
--- a/src/catkinspan/transport/callers/response.py
+++ b/src/catkinspan/transport/callers/response.py
@@ -57,15 +57,4 @@
 
     def cancelled_outcome(self) -> AttemptOutcome:
         """Return the outcome of an attempt that the exchange gave up."""
-        assigned = self.assigned
-        return AttemptOutcome(
-            request_id=assigned.request_id,
-            attempt=assigned.attempt,
-            service=assigned.service,
-            server=assigned.server,
-            workspace=assigned.workspace,
-            kind=OutcomeKind.CANCELLED,
-            latency=0.0,
-            bytes_written=True,
-            request_class=assigned.route,
-        )
+        return self.assigned.outcome(OutcomeKind.CANCELLED, 0.0, bytes_written=True)
--- a/src/catkinspan/transport/peers/link.py
+++ b/src/catkinspan/transport/peers/link.py
@@ -5,7 +5,6 @@
 from collections.abc import Callable, Collection
 from random import Random
 
-from attrs import frozen
 from grpclib.client import Channel, StreamStreamMethod
 from grpclib.config import Configuration
 from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
@@ -52,13 +51,6 @@
         )
 
 
-@frozen
-class LinkEnded:
-    """A link had no messages for a while, or its peer cannot be reached."""
-
-    peer: HostId
-
-
 CERTIFICATE_ERRORS = (ssl.SSLError, UnicodeError, WrongPeerError)
 
 
--- a/src/catkinspan/transport/socket_port.py
+++ b/src/catkinspan/transport/socket_port.py
@@ -64,14 +64,6 @@
         """Return the received bytes that the owner has not acknowledged."""
         return self._unread
 
-    @property
-    def peer_name(self) -> str:
-        """Return the address of the other side for logs."""
-        if self._transport is None:
-            return "?"
-        name = self._transport.get_extra_info("peername")
-        return f"{name[0]}:{name[1]}" if name else "?"
-
     @property
     def peer_certificate(self) -> Mapping[str, Any] | None:
         """Return the verified certificate of the other side; None without one."""
--- a/src/catkinspan/transport/upstreams/attempt.py
+++ b/src/catkinspan/transport/upstreams/attempt.py
@@ -328,21 +328,11 @@
         return OutcomeKind.TRUNCATED
 
     def _outcome(self, kind: OutcomeKind) -> AttemptOutcome:
-        assigned = self._spec.assigned
         latency = self._head_latency
         if latency is None:
             latency = self._clock.monotonic() - self._started
-        return AttemptOutcome(
-            request_id=assigned.request_id,
-            attempt=assigned.attempt,
-            service=assigned.service,
-            server=assigned.server,
-            workspace=assigned.workspace,
-            kind=kind,
-            latency=latency,
-            bytes_written=self._bytes_written,
-            server_draining=self._draining,
-            request_class=assigned.route,
+        return self._spec.assigned.outcome(
+            kind, latency, self._bytes_written, self._draining
         )
 
     def _close(self) -> None:
