--- a/src/catkinspan/coordination/requests/coordinator.py
+++ b/src/catkinspan/coordination/requests/coordinator.py
@@ -1,4 +1,4 @@
-"""The stages of each request: route, key, quarantine, rate, claim and slot."""
+"""The stages of each request: route, key, quarantine, rate and server."""
 
 from enum import Enum, auto
 from random import Random
@@ -7,15 +7,11 @@
 from attrs import define, evolve, field, frozen
 from result import Err, Ok, Result
 
-from catkinspan.coordination.claims.coordinator import (
-    ClaimCoordinator,
-    may_run_unclaimed,
-)
-from catkinspan.coordination.claims.models import (
-    ClaimDecision,
-    ClaimVerdict,
-    Ran,
-    claim_key,
+from catkinspan.coordination.balancing.balancer import Balancer
+from catkinspan.coordination.balancing.models import (
+    ServerChoice,
+    ServerRefused,
+    ServerRequest,
 )
 from catkinspan.coordination.health.coordinator import HealthCoordinator
 from catkinspan.coordination.keys.coordinator import KeyCoordinator
@@ -28,9 +24,14 @@
 from catkinspan.coordination.quarantine.coordinator import QuarantineCoordinator
 from catkinspan.coordination.quarantine.models import Fingerprint, fingerprint
 from catkinspan.coordination.rates.coordinator import RateCoordinator
-from catkinspan.coordination.rates.models import RateVerdict
 from catkinspan.coordination.requests import refusals
-from catkinspan.coordination.requests.errors import Refusal
+from catkinspan.coordination.requests.const import (
+    HEDGE_AFTER_USUAL,
+    LEAST_HEDGE_SECONDS,
+    TRIAL_BUDGET,
+    TRIAL_HEDGE_AFTER_USUAL,
+)
+from catkinspan.coordination.requests.errors import Ran, Refusal
 from catkinspan.coordination.requests.models import (
     NO_BODY_DIGEST,
     Assigned,
@@ -45,24 +46,20 @@
 )
 from catkinspan.coordination.retries.coordinator import RetryCoordinator, backoff
 from catkinspan.coordination.routing.coordinator import RoutingCoordinator
-from catkinspan.coordination.slots.coordinator import SlotCoordinator
-from catkinspan.coordination.slots.models import (
-    SlotLease,
-    SlotRequest,
-    SlotStatus,
-    SlotVerdict,
-)
 from catkinspan.state.ids import (
     OPEN_WORKSPACE,
     RequestId,
     Revision,
     ServerId,
+    ServiceId,
     WorkspaceId,
 )
 from catkinspan.state.tree import Route, SettingsTree, Workspace
 
 CRASH_KINDS = frozenset({OutcomeKind.RESET, OutcomeKind.TRUNCATED})
-DID_NOT_RUN_KINDS = frozenset({OutcomeKind.SHED, OutcomeKind.DRAINING})
+DID_NOT_RUN_KINDS = frozenset(
+    {OutcomeKind.SHED, OutcomeKind.DRAINING, OutcomeKind.MISDIRECTED}
+)
 """Outcomes by which the upstream itself said that the request did not run."""
 
 
@@ -85,8 +82,7 @@
     keys: KeyCoordinator
     quarantine: QuarantineCoordinator
     rates: RateCoordinator
-    claims: ClaimCoordinator
-    slots: SlotCoordinator
+    balancer: Balancer
     retries: RetryCoordinator
     health: HealthCoordinator
 
@@ -95,9 +91,6 @@
     """What a request waits for."""
 
     BODY = auto()
-    RATE = auto()
-    CLAIM = auto()
-    SLOT = auto()
     BACKOFF = auto()
     RUNNING = auto()
     ENDED = auto()
@@ -110,6 +103,7 @@
 
     arrived: RequestArrived
     route: Route
+    service: ServiceId
     workspace: WorkspaceId
     key: str | None = field(repr=False)
     deadline: float
@@ -119,7 +113,6 @@
     stage: Stage = Stage.BODY
     fingerprint: Fingerprint | None = None
     body_digest: bytes = NO_BODY_DIGEST
-    claimed: bool = False
     attempts_made: int = 0
     running: dict[int, ServerId] = field(factory=dict)
     tried: set[ServerId] = field(factory=set)
@@ -127,8 +120,6 @@
     last_failure: OutcomeKind | None = None
     backoff_until: float = 0.0
     hedge_at: float | None = None
-    waiting_attempt: int | None = None
-    """Attempt that waits for a slot."""
 
     @property
     def id(self) -> RequestId:
@@ -138,7 +129,25 @@
     @property
     def is_idempotent(self) -> bool:
         """Return whether the request may run more than once."""
-        return self.arrived.method in self.route.policy.idempotent_methods
+        policy = self.route.policy
+        if policy.idempotent is not None:
+            return policy.idempotent
+        return self.arrived.method in policy.idempotent_methods
+
+    @property
+    def due(self) -> float:
+        """Return when the request needs a decision, in monotonic seconds."""
+        if self.stage is Stage.BODY:
+            return self.deadline
+        if self.stage is Stage.BACKOFF:
+            return self.backoff_until
+        return float("inf") if self.hedge_at is None else self.hedge_at
+
+    @property
+    def target(self) -> float | None:
+        """Return the latency in seconds up to which an answer is of full use."""
+        target = self.route.policy.target_latency
+        return None if target is None else target.total_seconds()
 
 
 class RequestsCoordinator:
@@ -210,13 +219,11 @@
         if request is None or outcome.attempt not in request.running:
             return
         del request.running[outcome.attempt]
-        shed = outcome.kind is OutcomeKind.SHED
-        self._stages.slots.release(request.id, outcome.attempt, now, shed=shed)
         self._record(request, outcome, now)
         if request.stage is Stage.ENDED:
             self._forget_if_idle(request)
         elif outcome.kind is OutcomeKind.OK:
-            self._end(request, Ran.YES, now)
+            self._end(request)
         elif outcome.kind is not OutcomeKind.CANCELLED:
             self._after_failure(request, finished, now)
 
@@ -225,16 +232,13 @@
         request = self._requests.get(abandoned.request_id)
         if request is None:
             return
-        # An attempt that runs may have written the request already.
-        ran = Ran.MAYBE if request.running else request.ran
         for attempt in request.running:
-            self._stages.slots.release(request.id, attempt, now)
             self._stages.health.record(_cancelled(request, attempt), now)
         request.running.clear()
-        self._end(request, ran, now)
+        self._end(request)
 
     def forget(self, request_id: RequestId) -> None:
-        """Drop a request whose processing failed; its slots expire as leases do."""
+        """Drop a request whose processing failed."""
         request = self._requests.get(request_id)
         if request is None:
             return
@@ -244,16 +248,20 @@
         self._forget_if_idle(request)
 
     def tick(self, now: float) -> None:
-        """Go on with requests whose stage has settled or whose time has come."""
-        for rate in self._stages.rates.take_settled():
-            self._on_rate(rate.request_id, rate.admitted, now)
-        for claim in self._stages.claims.take_settled():
-            self._on_claim(claim.request_id, claim.verdict, now)
-        for slot in self._stages.slots.take_settled():
-            self._on_slot(slot.request_id, slot.attempt, slot.verdict, now)
+        """Go on with requests whose time has come."""
         for request_id in list(self._timed):
             self._on_time(self._requests.get(request_id), request_id, now)
 
+    def next_due(self) -> float:
+        """Return the next moment at which `tick` has something to do."""
+        requests = (self._requests.get(name) for name in self._timed)
+        return min((r.due for r in requests if r is not None), default=float("inf"))
+
+    def resume(self, gap: float) -> None:
+        """Shorten the time left by that of a pause, in which callers waited on."""
+        for request in self._requests.values():
+            request.deadline -= gap
+
     # Admission
 
     def _admit(self, arrived: RequestArrived, now: float) -> Result[_Request, Refusal]:
@@ -278,6 +286,7 @@
             _Request(
                 arrived=arrived,
                 route=route,
+                service=self._service_of(route),
                 workspace=workspace.ok_value,
                 key=key,
                 deadline=now + allowed.total_seconds(),
@@ -285,6 +294,13 @@
             )
         )
 
+    def _service_of(self, route: Route) -> ServiceId:
+        """Return the service of a request, by the weights of a split route."""
+        if not route.split:
+            return route.service
+        weights = [part.weight for part in route.split]
+        return self._rng.choices(route.split, weights)[0].service
+
     def _authenticate(
         self, route: Route, key: str | None, now: float
     ) -> Result[WorkspaceId, Refusal]:
@@ -312,184 +328,134 @@
         )
         checked = self._stages.quarantine.check(request.fingerprint, now)
         if isinstance(checked, Err):
-            self._refuse(request, refusals.quarantine_refusal(checked.err_value), now)
+            self._refuse(request, refusals.quarantine_refusal(checked.err_value))
             return
         self._take_rate(request, now)
 
     def _take_rate(self, request: _Request, now: float) -> None:
-        if request.workspace == OPEN_WORKSPACE:
-            self._begin_claim(request, now)
-            return
-        request.stage = Stage.RATE
-        verdict = self._stages.rates.take(request.id, request.workspace, now)
-        if verdict is not RateVerdict.PENDING:
-            self._on_rate(request.id, verdict is RateVerdict.ADMITTED, now)
-
-    def _on_rate(self, request_id: RequestId, admitted: bool, now: float) -> None:
-        request = self._requests.get(request_id)
-        if request is None or request.stage is not Stage.RATE:
-            return
-        if admitted:
-            self._begin_claim(request, now)
-            return
-        workspace = self._tree.workspaces.get(request.workspace)
-        workspace = workspace or Workspace(request.workspace, (), 0.0, 1.0)
-        self._refuse(request, refusals.rate_refusal(workspace), now)
-
-    def _begin_claim(self, request: _Request, now: float) -> None:
-        arrived = request.arrived
-        if request.is_idempotent or arrived.idempotency_key is None:
-            self._first_attempt(request, now)
-            return
-        request.stage = Stage.CLAIM
-        request.claimed = True
-        claim = claim_key(
-            request.workspace,
-            request.route.id,
-            arrived.idempotency_key,
-            arrived.method,
-            arrived.path,
-            request.body_digest,
-        )
-        verdict = self._stages.claims.begin(request.id, claim, request.deadline, now)
-        self._on_claim(request.id, verdict, now)
-
-    def _on_claim(
-        self, request_id: RequestId, verdict: ClaimVerdict, now: float
-    ) -> None:
-        request = self._requests.get(request_id)
-        if request is None or request.stage is not Stage.CLAIM:
-            return
-        if verdict.decision is ClaimDecision.GRANTED:
-            self._first_attempt(request, now)
-        elif verdict.refusal is None:
+        if request.workspace != OPEN_WORKSPACE:
+            rates = self._stages.rates
+            if not rates.take(request.workspace, now):
+                workspace = self._tree.workspaces.get(request.workspace)
+                workspace = workspace or Workspace(request.workspace, (), 0.0, 1.0)
+                wait = rates.retry_after(request.workspace)
+                self._refuse(request, refusals.rate_refusal(workspace, wait))
+                return
+        self._stages.retries.record_first_try(request.service, now)
+        self._seek_server(request, now)
+
+    # Servers and attempts
+
+    def _seek_server(self, request: _Request, now: float) -> None:
+        """Send the request to the best server, or end it if there is none."""
+        refusal = self._late_refusal(request, now)
+        if refusal is not None:
+            if not request.running:
+                self._refuse(request, refusal)
             return
-        elif may_run_unclaimed(verdict.refusal, request.route.policy):
-            request.claimed = False
-            self._first_attempt(request, now)
-        else:
-            self._refuse(request, refusals.claim_refusal(verdict.refusal), now)
-
-    # Slots and attempts
-
-    def _first_attempt(self, request: _Request, now: float) -> None:
-        self._stages.retries.record_first_try(request.route.service, now)
-        self._seek_slot(request, now)
-
-    def _seek_slot(self, request: _Request, now: float) -> None:
-        if not request.running:
-            request.stage = Stage.SLOT
-        request.attempts_made += 1
-        attempt = request.attempts_made
-        request.waiting_attempt = attempt
-        workspace = self._tree.workspaces.get(request.workspace)
-        queue_timeout = request.route.policy.queue_timeout.total_seconds()
-        wanted = SlotRequest(
-            request_id=request.id,
-            attempt=attempt,
-            service=request.route.service,
-            workspace=request.workspace,
-            weight=workspace.weight if workspace else 1.0,
+        wanted = self._server_request(request, now)
+        chosen = self._stages.balancer.choose(wanted, now)
+        if isinstance(chosen, Ok):
+            self._assign(request, chosen.ok_value, wanted.usual, now)
+        elif not request.running:
+            self._refuse(request, self._server_refusal(request, chosen.err_value))
+
+    def _server_request(self, request: _Request, now: float) -> ServerRequest:
+        usual = self._stages.health.usual_latency(request.route.id, request.target)
+        first = not request.attempts_made
+        can_hedge = self._can_hedge(request)
+        budget = self._stages.retries.left(request.service, now) if first else 0.0
+        return ServerRequest(
+            service=request.service,
             idempotent=request.is_idempotent,
-            deadline=request.deadline,
-            queue_until=now + queue_timeout,
-            exclude=self._excluded(request, now),
+            tried=frozenset(request.tried),
+            usual=usual,
+            seconds_left=request.deadline - now,
+            may_try=first and can_hedge and budget > TRIAL_BUDGET,
         )
-        verdict = self._stages.slots.acquire(wanted, now)
-        self._on_slot(request.id, attempt, verdict, now)
-
-    def _excluded(self, request: _Request, now: float) -> frozenset[ServerId]:
-        """Leave out the servers that were tried, as long as there are others."""
-        if not request.tried:
-            return frozenset()
-        candidates = self._stages.health.available(request.route.service, now)
-        if all(candidate.upstream.id in request.tried for candidate in candidates):
-            return frozenset()
-        return frozenset(request.tried)
-
-    def _on_slot(
-        self, request_id: RequestId, attempt: int, verdict: SlotVerdict, now: float
-    ) -> None:
-        request = self._requests.get(request_id)
-        if request is None or request.waiting_attempt != attempt:
-            if verdict.status is SlotStatus.GRANTED:
-                self._stages.slots.release(request_id, attempt, now)
-            return
-        if verdict.status is SlotStatus.QUEUED:
-            return
-        request.waiting_attempt = None
-        if verdict.lease is not None:
-            self._assign(request, attempt, verdict.lease, now)
-        elif not request.running:
-            self._refuse(request, self._slot_refusal(request, verdict), now)
 
-    def _slot_refusal(self, request: _Request, verdict: SlotVerdict) -> Refusal:
+    def _server_refusal(self, request: _Request, refused: ServerRefused) -> Refusal:
         if request.last_failure is None:
-            return refusals.slot_refusal(verdict.reason)
+            return refusals.server_refusal(refused)
         return refusals.outcome_refusal(request.last_failure, request.ran)
 
     def _assign(
-        self, request: _Request, attempt: int, lease: SlotLease, now: float
+        self, request: _Request, choice: ServerChoice, usual: float, now: float
     ) -> None:
-        refusal = self._late_refusal(request, now)
-        if refusal is not None:
-            self._stages.slots.release(request.id, attempt, now)
-            if not request.running:
-                self._refuse(request, refusal, now)
-            return
+        request.attempts_made += 1
+        attempt = request.attempts_made
+        server = choice.upstream.id
         request.stage = Stage.RUNNING
-        request.running[attempt] = lease.server
-        request.tried.add(lease.server)
-        self._stages.health.record_start(
-            AttemptStarted(
-                request.id,
-                attempt,
-                request.route.service,
-                lease.server,
-                request.route.id,
-            ),
-            now,
+        request.running[attempt] = server
+        request.tried.add(server)
+        started = AttemptStarted(
+            request.id, attempt, request.service, server, request.route.id
         )
-        self._plan_hedge(request, now)
-        self._outbox.direct(self._assigned(request, attempt, lease))
+        self._stages.health.record_start(started, request.target, now)
+        self._plan_hedge(request, choice, usual, now)
+        self._outbox.direct(self._assigned(request, attempt, choice, usual))
 
     def _late_refusal(self, request: _Request, now: float) -> Refusal | None:
         """Check what may have changed while the request waited."""
-        if request.claimed and not self._stages.claims.holds(request.id, now):
-            return refusals.CLAIM_EXPIRED
+        if now >= request.deadline:
+            if request.last_failure is not None:
+                return refusals.outcome_refusal(request.last_failure, request.ran)
+            return refusals.DEADLINE_PASSED
         if request.key_revision == self._tree.revision:
             return None
         request.key_revision = self._tree.revision
         checked = self._authenticate(request.route, request.key, now)
         return checked.err_value if isinstance(checked, Err) else None
 
-    def _assigned(self, request: _Request, attempt: int, lease: SlotLease) -> Assigned:
+    def _assigned(
+        self, request: _Request, attempt: int, choice: ServerChoice, usual: float
+    ) -> Assigned:
         policy = request.route.policy
+        upstream = choice.upstream
         return Assigned(
             request_id=request.id,
             attempt=attempt,
-            service=request.route.service,
+            service=request.service,
             route=request.route.id,
             workspace=request.workspace,
-            server=lease.server,
-            address=lease.upstream.address,
+            server=upstream.id,
+            address=upstream.address,
             deadline=request.deadline,
             attempt_timeout=policy.attempt_timeout.total_seconds(),
+            usual=usual,
             hold_bytes=policy.hold_bytes,
             idempotent=request.is_idempotent,
             max_body_bytes=policy.max_body_bytes,
-            connection_limit=self._stages.slots.connection_limit(lease.server),
+            connection_limit=upstream.max_connections,
             key_query_parameter=policy.key_query_parameter,
+            risk=round(choice.risk, 3),
+            in_flight=choice.in_flight,
+            is_trial=choice.is_trial,
+            revision=self._tree.revision,
         )
 
-    def _plan_hedge(self, request: _Request, now: float) -> None:
-        after = request.route.policy.hedge_after
-        if after is None or not request.is_idempotent or request.attempts_made > 1:
-            return
-        if request.arrived.content_length != 0:
-            # A body that streams to one server cannot go to a second one as well.
+    def _can_hedge(self, request: _Request) -> bool:
+        """Return whether a second server may get the request beside the first.
+
+        A body that streams to one server cannot go to a second one as well.
+        """
+        policy = request.route.policy
+        return (
+            policy.hedges
+            and policy.max_attempts > 1
+            and request.is_idempotent
+            and request.arrived.content_length == 0
+        )
+
+    def _plan_hedge(
+        self, request: _Request, choice: ServerChoice, usual: float, now: float
+    ) -> None:
+        if request.attempts_made > 1 or not self._can_hedge(request):
             return
-        request.hedge_at = now + after.total_seconds()
+        multiple = TRIAL_HEDGE_AFTER_USUAL if choice.is_trial else HEDGE_AFTER_USUAL
+        rounds = 1 + choice.in_flight // max(1, choice.upstream.slots)
+        wait = multiple * usual * rounds
+        request.hedge_at = now + max(LEAST_HEDGE_SECONDS, wait)
         self._timed.add(request.id)
 
     def _on_time(
@@ -499,27 +465,27 @@
             self._timed.discard(request_id)
         elif request.stage is Stage.BODY:
             if now >= request.deadline:
-                self._refuse(request, refusals.BODY_TOO_SLOW, now)
+                self._refuse(request, refusals.BODY_TOO_SLOW)
         elif request.stage is Stage.BACKOFF and now >= request.backoff_until:
             self._timed.discard(request_id)
-            self._seek_slot(request, now)
+            self._seek_server(request, now)
         elif request.hedge_at is not None and now >= request.hedge_at:
             self._timed.discard(request_id)
             request.hedge_at = None
             self._hedge(request, now)
 
     def _hedge(self, request: _Request, now: float) -> None:
-        if request.stage is not Stage.RUNNING or request.waiting_attempt is not None:
+        if request.stage is not Stage.RUNNING:
             return
         policy = request.route.policy
         if self._stages.retries.may_hedge(
-            request.route.service,
+            request.service,
             request.attempts_made,
             policy.max_attempts,
             request.deadline,
             now,
         ):
-            self._seek_slot(request, now)
+            self._seek_server(request, now)
 
     # Outcomes
 
@@ -541,7 +507,7 @@
     ) -> None:
         outcome = finished.outcome
         request.last_failure = outcome.kind
-        if request.running or request.waiting_attempt is not None:
+        if request.running:
             # A hedge is still under way.
             if outcome.kind is OutcomeKind.SERVER_ERROR:
                 self._outbox.direct(Discard(request.id, outcome.attempt))
@@ -552,10 +518,10 @@
             self._back_off(request, now)
         elif outcome.kind is OutcomeKind.SERVER_ERROR:
             self._outbox.direct(Deliver(request.id, outcome.attempt))
-            self._end(request, Ran.MAYBE, now)
+            self._end(request)
         else:
             refusal = refusals.outcome_refusal(outcome.kind, request.ran)
-            self._refuse(request, refusal, now)
+            self._refuse(request, refusal)
 
     def _may_send_again(
         self, request: _Request, finished: AttemptFinished, now: float
@@ -572,12 +538,11 @@
             in_time = now < request.deadline
             return in_time and request.attempts_made < policy.max_attempts
         return self._stages.retries.may_retry(
-            request.route.service,
+            request.service,
             request.attempts_made,
             policy.max_attempts,
             request.deadline,
             now,
-            ran=finished.outcome.kind not in DID_NOT_RUN_KINDS,
         )
 
     def _is_quarantined(self, request: _Request, now: float) -> bool:
@@ -588,7 +553,7 @@
     def _back_off(self, request: _Request, now: float) -> None:
         if request.last_failure is OutcomeKind.CONNECT_ERROR:
             # Another server is tried at once; only load needs time to fall.
-            self._seek_slot(request, now)
+            self._seek_server(request, now)
             return
         request.stage = Stage.BACKOFF
         request.backoff_until = now + backoff(request.attempts_made, self._rng)
@@ -596,24 +561,14 @@
 
     # Ends
 
-    def _refuse(self, request: _Request, refusal: Refusal, now: float) -> None:
+    def _refuse(self, request: _Request, refusal: Refusal) -> None:
         if request.ran is not Ran.NO:
-            refusal = evolve(refusal, ran=request.ran)
-        service = request.route.service
-        self._outbox.direct(Refused(request.id, refusal, service, request.workspace))
-        self._end(request, request.ran, now)
+            refusal = evolve(refusal, ran=request.ran, retry_after=None)
+        directive = Refused(request.id, refusal, request.service, request.workspace)
+        self._outbox.direct(directive)
+        self._end(request)
 
-    def _end(self, request: _Request, ran: Ran, now: float) -> None:
-        if request.stage is Stage.ENDED:
-            self._forget_if_idle(request)
-            return
-        if request.stage is Stage.RATE:
-            self._stages.rates.cancel(request.id, now)
-        if request.waiting_attempt is not None:
-            self._stages.slots.cancel(request.id, request.waiting_attempt, now)
-            request.waiting_attempt = None
-        if request.claimed:
-            self._stages.claims.finish(request.id, ran, now)
+    def _end(self, request: _Request) -> None:
         request.stage = Stage.ENDED
         self._timed.discard(request.id)
         self._forget_if_idle(request)
@@ -640,7 +595,7 @@
     return AttemptOutcome(
         request_id=request.id,
         attempt=attempt,
-        service=request.route.service,
+        service=request.service,
         server=request.running[attempt],
         workspace=request.workspace,
         kind=OutcomeKind.CANCELLED,
--- a/src/catkinspan/coordination/requests/errors.py
+++ b/src/catkinspan/coordination/requests/errors.py
@@ -4,7 +4,12 @@
 
 from attrs import frozen
 
-from catkinspan.coordination.claims.models import Ran
+
+class Ran(StrEnum):
+    """Whether a request ran."""
+
+    NO = "no"
+    MAYBE = "maybe"
 
 
 class RefusalKind(StrEnum):
@@ -24,10 +29,6 @@
     OVERLOADED = "overloaded"
     RATE_EXCEEDED = "rate_exceeded"
     QUARANTINED = "quarantined"
-    DUPLICATE_RUNNING = "duplicate_running"
-    DUPLICATE_RAN = "duplicate_ran"
-    IDEMPOTENCY_KEY_REUSED = "idempotency_key_reused"
-    CLAIM_UNDECIDED = "claim_undecided"
     NO_CAPACITY = "no_capacity"
     UPSTREAM_UNREACHABLE = "upstream_unreachable"
     UPSTREAM_SHED = "upstream_shed"
@@ -36,6 +37,9 @@
     UPSTREAM_TRUNCATED = "upstream_truncated"
     UPSTREAM_ERROR = "upstream_error"
     UPSTREAM_CROSSED = "upstream_crossed"
+    UPSTREAM_MISDIRECTED = "upstream_misdirected"
+    UPSTREAM_INVALID = "upstream_invalid"
+    DEADLINE_PASSED = "deadline_passed"
     INTERNAL_ERROR = "internal_error"
 
 
@@ -56,6 +60,3 @@
     def __str__(self) -> str:
         """Return the refusal on one line."""
         return f"{self.kind}: {self.message}; {self.remedy} (ran: {self.ran})"
-
-
-__all__ = ["Ran", "Refusal", "RefusalKind"]
--- a/src/catkinspan/coordination/requests/models.py
+++ b/src/catkinspan/coordination/requests/models.py
@@ -7,7 +7,15 @@
 
 from catkinspan.coordination.outcomes import AttemptOutcome, OutcomeKind
 from catkinspan.coordination.requests.errors import Refusal
-from catkinspan.state.ids import RequestId, RouteId, ServerId, ServiceId, WorkspaceId
+from catkinspan.state.ids import (
+    NO_REVISION,
+    RequestId,
+    Revision,
+    RouteId,
+    ServerId,
+    ServiceId,
+    WorkspaceId,
+)
 from catkinspan.state.tree import Address
 
 NO_BODY_DIGEST = b""
@@ -27,7 +35,6 @@
     presented_key: str | None = field(default=None, repr=False)
     """Key from a header; a key in the query is found by the route's setting."""
 
-    idempotency_key: str | None = None
     deadline: timedelta | None = None
     """Time that the caller allows; None for the route's own limit."""
 
@@ -93,6 +100,9 @@
     attempt_timeout: float
     """Seconds to wait for the response head."""
 
+    usual: float
+    """Usual latency of such a request, in seconds."""
+
     hold_bytes: int
     """Responses up to this size are held until whole."""
 
@@ -102,6 +112,17 @@
     """Connections that this host may have to the server."""
 
     key_query_parameter: str | None = None
+    risk: float = 0.0
+    """Probability that the server fails the request, when it was chosen."""
+
+    in_flight: int = 0
+    """Requests of the fleet at the server, when it was chosen."""
+
+    is_trial: bool = False
+    """Whether the request also tries a doubtful server."""
+
+    revision: Revision = NO_REVISION
+    """Revision of the settings that decided."""
 
     def outcome(
         self,
--- a/src/catkinspan/coordination/requests/refusals.py
+++ b/src/catkinspan/coordination/requests/refusals.py
@@ -2,26 +2,21 @@
 
 from collections.abc import Mapping
 
-from catkinspan.coordination.claims.errors import (
-    AlreadyRan,
-    AlreadyRunning,
-    ClaimRefusal,
-    KeyMisused,
-)
-from catkinspan.coordination.claims.models import Ran
+from catkinspan.coordination.balancing.models import NoServer, ServerRefused
 from catkinspan.coordination.keys.errors import KeyRefusal, KeyRefusalKind
 from catkinspan.coordination.outcomes import OutcomeKind
 from catkinspan.coordination.quarantine.errors import Quarantined
-from catkinspan.coordination.requests.errors import Refusal, RefusalKind
+from catkinspan.coordination.requests.errors import Ran, Refusal, RefusalKind
 from catkinspan.coordination.routing.errors import (
     AmbiguousPath,
     MethodNotAllowed,
     RouteRefusal,
 )
-from catkinspan.coordination.slots.models import SlotRefusal
 from catkinspan.state.tree import Workspace
 
 _RETRY_SOON_SECONDS = 1.0
+_LEAST_RETRY_SECONDS = 0.1
+"""Shortest time after which a caller may come back: two reports of the load."""
 
 NOT_READY = Refusal(
     RefusalKind.NOT_READY,
@@ -58,10 +53,11 @@
     "the request body did not arrive before the deadline",
     "send the body faster, or ask for a route with a longer deadline",
 )
-CLAIM_EXPIRED = Refusal(
-    RefusalKind.CLAIM_UNDECIDED,
-    "the claim of the Idempotency-Key expired before the request started",
-    "send the request again with the same Idempotency-Key",
+DEADLINE_PASSED = Refusal(
+    RefusalKind.DEADLINE_PASSED,
+    "the deadline passed before the request was sent to a server",
+    "send the request again, with more time",
+    retry_after=0.0,
 )
 
 _KEY_KINDS: Mapping[KeyRefusalKind, RefusalKind] = {
@@ -103,14 +99,21 @@
         RefusalKind.UPSTREAM_CROSSED,
         "the upstream answered another request",
     ),
+    OutcomeKind.MISDIRECTED: (
+        RefusalKind.UPSTREAM_MISDIRECTED,
+        "another server has the address of the upstream server",
+    ),
+    OutcomeKind.INVALID: (
+        RefusalKind.UPSTREAM_INVALID,
+        "the upstream's answer lacks the signs of a whole answer",
+    ),
 }
 _RESEND = "send the request again"
 _CHECK_FIRST = "find out whether the request ran before sending it again"
 
-_SLOT_MESSAGES: Mapping[SlotRefusal, str] = {
-    SlotRefusal.QUEUE_FULL: "the queue for upstream slots is full",
-    SlotRefusal.NO_CAPACITY_BEFORE_DEADLINE: "no upstream slot became free in time",
-    SlotRefusal.NO_SERVER: "no upstream server may get the request",
+_SERVER_MESSAGES: Mapping[NoServer, str] = {
+    NoServer.NONE_PUBLISHED: "no upstream server takes new work",
+    NoServer.FULL: "no upstream server would be free in time",
 }
 
 
@@ -144,41 +147,23 @@
     )
 
 
-def rate_refusal(workspace: Workspace) -> Refusal:
+def rate_refusal(workspace: Workspace, retry_after: float) -> Refusal:
     """Return the refusal of a request over its workspace's rate."""
     return Refusal(
         RefusalKind.RATE_EXCEEDED,
         f"the workspace is over its rate of {workspace.rate:g} requests a second",
         "send fewer requests a second",
-        retry_after=1.0 / workspace.rate if workspace.rate > 0 else None,
-    )
-
-
-def claim_refusal(error: ClaimRefusal) -> Refusal:
-    """Return the refusal of a resend; the resend itself did not run.
-
-    An earlier request with the same key may have run, and the caller asks about
-    both, so the answer says "may have run" unless no earlier one is known.
-    """
-    kind = RefusalKind.CLAIM_UNDECIDED
-    if isinstance(error, AlreadyRunning):
-        kind = RefusalKind.DUPLICATE_RUNNING
-    elif isinstance(error, AlreadyRan):
-        kind = RefusalKind.DUPLICATE_RAN
-    elif isinstance(error, KeyMisused):
-        kind = RefusalKind.IDEMPOTENCY_KEY_REUSED
-    same = error.earlier_may_have_run and not isinstance(error, KeyMisused)
-    ran = Ran.MAYBE if same else Ran.NO
-    return Refusal(
-        kind, str(error), error.remedy, ran=ran, retry_after=error.retry_after
+        retry_after=retry_after,
     )
 
 
-def slot_refusal(reason: SlotRefusal | None) -> Refusal:
-    """Return the refusal of a request that got no slot."""
-    message = _SLOT_MESSAGES[reason or SlotRefusal.NO_SERVER]
+def server_refusal(refused: ServerRefused) -> Refusal:
+    """Return the refusal of a request for which there is no server."""
     return Refusal(
-        RefusalKind.NO_CAPACITY, message, _RESEND, retry_after=_RETRY_SOON_SECONDS
+        RefusalKind.NO_CAPACITY,
+        _SERVER_MESSAGES[refused.reason],
+        _RESEND,
+        retry_after=max(_LEAST_RETRY_SECONDS, refused.wait),
     )
 
 
@@ -186,4 +171,5 @@
     """Return the refusal after the last attempt failed."""
     refusal_kind, message = _OUTCOME_KINDS[kind]
     remedy = _RESEND if ran is Ran.NO else _CHECK_FIRST
-    return Refusal(refusal_kind, message, remedy, ran=ran)
+    retry_after = _LEAST_RETRY_SECONDS if ran is Ran.NO else None
+    return Refusal(refusal_kind, message, remedy, ran=ran, retry_after=retry_after)
--- a/src/catkinspan/coordination/retries/coordinator.py
+++ b/src/catkinspan/coordination/retries/coordinator.py
@@ -1,9 +1,10 @@
 """The coordinator of retry budgets."""
 
+from collections import deque
 from random import Random
 from typing import ClassVar
 
-from attrs import define
+from attrs import define, field
 
 from catkinspan.coordination.concern import BaseConcern
 from catkinspan.coordination.models import PeerMessage
@@ -13,38 +14,67 @@
     HEDGE_FLOOR,
     LEAST_ATTEMPT_SECONDS,
     MAX_BACKOFF_SECONDS,
-    MAX_SAVED_RETRIES,
-    NOT_RUN_COST,
     RESERVE_RETRIES,
+    WINDOW_SECONDS,
 )
-from catkinspan.coordination.retries.models import RetriesSnapshot, RetryBudget
+from catkinspan.coordination.retries.models import RetryBudget
 from catkinspan.state.ids import ServiceId
 from catkinspan.state.policy import Policy
 from catkinspan.state.tree import SettingsTree
 
 
+class _Window:
+    """Counts of the last `WINDOW_SECONDS`, by second."""
+
+    def __init__(self) -> None:
+        self._counts: deque[tuple[int, int]] = deque()
+        self._total = 0
+
+    def add(self, now: float) -> None:
+        """Count one event."""
+        second = int(now)
+        if self._counts and self._counts[-1][0] == second:
+            self._counts[-1] = (second, self._counts[-1][1] + 1)
+        else:
+            self._counts.append((second, 1))
+        self._total += 1
+
+    def total(self, now: float) -> int:
+        """Return the events within the window."""
+        while self._counts and self._counts[0][0] <= int(now) - WINDOW_SECONDS:
+            self._total -= self._counts.popleft()[1]
+        return self._total
+
+
 @define
 class _Budget:
-    """A token bucket that first tries fill."""
+    """Retries allowed by the first tries of the window."""
 
     ratio: float
-    left: float = RESERVE_RETRIES
+    reserve: float = RESERVE_RETRIES
+    tries: _Window = field(factory=_Window)
+    retries: _Window = field(factory=_Window)
     first_tries: int = 0
     spent: int = 0
     refused: int = 0
 
-    def earn(self) -> None:
-        """Add the part of a retry that one first try allows."""
+    def earn(self, now: float) -> None:
+        """Count a first try."""
         self.first_tries += 1
-        self.left = min(MAX_SAVED_RETRIES, self.left + self.ratio)
+        self.tries.add(now)
+
+    def left(self, now: float) -> float:
+        """Return the retries that are allowed now."""
+        allowed = self.ratio * self.tries.total(now) + self.reserve
+        return allowed - self.retries.total(now)
 
-    def spend(self, cost: float, floor: float) -> bool:
-        """Take the cost of a retry if at least `floor` remain."""
+    def spend(self, floor: float, now: float) -> bool:
+        """Count a retry if at least `floor` remain after it."""
         # Adding 0.1 ten times gives a little less than 1.
-        if self.left - cost < floor - 1e-9:
+        if self.left(now) - 1.0 < floor - 1e-9:
             self.refused += 1
             return False
-        self.left -= cost
+        self.retries.add(now)
         self.spent += 1
         return True
 
@@ -52,8 +82,8 @@
 class RetryCoordinator(BaseConcern):
     """Bounds retries and hedges to a ratio of the first tries of each service.
 
-    Each host bounds its own, so the bound holds over the fleet without messages:
-    `ratio * first tries`, and one retry for each host at its start.
+    Each host bounds its own, so that the bound holds over the fleet without messages:
+    in each window `ratio * first tries`, and one retry for each host.
     """
 
     handles: ClassVar[tuple[type[PeerMessage], ...]] = ()
@@ -74,7 +104,7 @@
 
     def record_first_try(self, service: ServiceId, now: float) -> None:
         """Count the first attempt of a request."""
-        self._budget(service).earn()
+        self._budget(service).earn(now)
 
     def may_retry(
         self,
@@ -83,17 +113,14 @@
         max_attempts: int,
         deadline: float,
         now: float,
-        *,
-        ran: bool = True,
     ) -> bool:
         """Return whether another attempt may start, and charge the budget if so.
 
-        With `ran=False` the last attempt provably did not run, for example because the
-        server shed it; this charges `NOT_RUN_COST` only.
+        A resend after a shed is charged like any other, since it loads a server.
         """
         if not _has_room(attempts_made, max_attempts, deadline, now):
             return False
-        return self._budget(service).spend(1.0 if ran else NOT_RUN_COST, floor=0.0)
+        return self._budget(service).spend(0.0, now)
 
     def may_hedge(
         self,
@@ -109,16 +136,16 @@
         """
         if not _has_room(attempts_made, max_attempts, deadline, now):
             return False
-        return self._budget(service).spend(1.0, floor=HEDGE_FLOOR)
+        return self._budget(service).spend(HEDGE_FLOOR, now)
 
-    def snapshot(self) -> RetriesSnapshot:
-        """Return the budgets for operators."""
-        return RetriesSnapshot({n: _shown(b) for n, b in self._budgets.items()})
+    def left(self, service: ServiceId, now: float) -> float:
+        """Return the retries that a service's budget allows now."""
+        return self._budget(service).left(now)
 
-    def service_snapshot(self, service: ServiceId) -> RetryBudget | None:
+    def snapshot(self, service: ServiceId, now: float) -> RetryBudget | None:
         """Return the budget of one service, None before its first request."""
         budget = self._budgets.get(service)
-        return None if budget is None else _shown(budget)
+        return None if budget is None else _shown(budget, now)
 
     def _budget(self, service: ServiceId) -> _Budget:
         budget = self._budgets.get(service)
@@ -138,9 +165,13 @@
     return rng.uniform(0.0, longest)
 
 
-def _shown(budget: _Budget) -> RetryBudget:
+def _shown(budget: _Budget, now: float) -> RetryBudget:
     return RetryBudget(
-        budget.ratio, budget.first_tries, budget.spent, budget.refused, budget.left
+        budget.ratio,
+        budget.first_tries,
+        budget.spent,
+        budget.refused,
+        round(budget.left(now), 3),
     )
 
 
--- a/src/catkinspan/coordination/retries/models.py
+++ b/src/catkinspan/coordination/retries/models.py
@@ -1,10 +1,6 @@
 """State of the retry budgets for operators."""
 
-from collections.abc import Mapping
-
-from attrs import Factory, frozen
-
-from catkinspan.state.ids import ServiceId
+from attrs import frozen
 
 
 @frozen
@@ -21,10 +17,3 @@
 
     left: float
     """Retries and hedges that the budget allows now."""
-
-
-@frozen
-class RetriesSnapshot:
-    """The retry budgets of all services that a host uses."""
-
-    services: Mapping[ServiceId, RetryBudget] = Factory(dict)
--- a/src/catkinspan/coordination/slots/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Slots of the upstream servers: leases, dispatchers, fair queues and fallback."""
--- a/src/catkinspan/daemon/cli/__init__.py
+++ b/src/catkinspan/daemon/cli/__init__.py
@@ -3,32 +3,24 @@
 import argparse
 import sys
 from collections.abc import Sequence
+from importlib import import_module
 from typing import NoReturn
 
-from catkinspan.daemon.cli import (
-    check,
-    demo,
-    explain,
-    key,
-    metrics,
-    reports,
-    serve,
-    standin,
-    status,
-)
 from catkinspan.daemon.cli.const import EXIT_BAD_ARGUMENTS
 
-_COMMANDS = (
-    serve,
-    demo,
-    check,
-    status,
-    reports,
-    explain,
-    metrics,
-    key,
-    standin,
-)
+_COMMANDS = {
+    "serve": ("serve",),
+    "demo": ("demo",),
+    "check": ("check",),
+    "status": ("status",),
+    "reports": ("hosts", "workspaces", "config", "audit"),
+    "explain": ("explain",),
+    "metrics": ("metrics",),
+    "key": ("key",),
+    "standin": ("standin",),
+}
+"""Modules with the commands that they add. Only the module of the command that was
+asked for is loaded, so that a host does not hold the rest in memory."""
 
 
 class CommandParser(argparse.ArgumentParser):
@@ -40,22 +32,24 @@
         self.exit(EXIT_BAD_ARGUMENTS, f"{self.prog}: {message}\n")
 
 
-def build_parser() -> argparse.ArgumentParser:
-    """Return the parser of the whole command line."""
+def build_parser(command: str | None = None) -> argparse.ArgumentParser:
+    """Return the parser of one command, or of the whole command line."""
     parser = CommandParser(
         prog="catkinspan",
         description="A proxy fleet for upstreams with gray failures.",
     )
     subparsers = parser.add_subparsers(dest="command", metavar="COMMAND")
-    for command in _COMMANDS:
-        command.add_parser(subparsers)
+    wanted = [name for name, commands in _COMMANDS.items() if command in commands]
+    for name in wanted or _COMMANDS:
+        import_module(f"catkinspan.daemon.cli.{name}").add_parser(subparsers)
     return parser
 
 
 def main(arguments: Sequence[str] | None = None) -> int:
     """Run a command and return its exit status."""
-    parser = build_parser()
-    args = parser.parse_args(arguments)
+    given = sys.argv[1:] if arguments is None else arguments
+    parser = build_parser(given[0] if given else None)
+    args = parser.parse_args(given)
     if args.command is None:
         parser.print_help(sys.stderr)
         return EXIT_BAD_ARGUMENTS
--- a/src/catkinspan/daemon/cli/common.py
+++ b/src/catkinspan/daemon/cli/common.py
@@ -11,7 +11,7 @@
 from result import Err, Ok, Result
 
 from catkinspan.coordination.configuration.errors import SettingsFault
-from catkinspan.daemon.logs import set_up_logs
+from catkinspan.daemon.logs import LineWriter, set_up_logs
 from catkinspan.protocol.settings.reader import parse_address
 from catkinspan.state.tree import Address
 
@@ -20,7 +20,9 @@
 LOG_LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
 
 
-def add_log_options(parser: argparse.ArgumentParser, level: str) -> None:
+def add_log_options(
+    parser: argparse.ArgumentParser, level: str, as_json: bool = False
+) -> None:
     """Add the options of the logs."""
     parser.add_argument(
         "--log-level",
@@ -29,13 +31,17 @@
         help="lowest level to log (default: %(default)s)",
     )
     parser.add_argument(
-        "--log-json", action="store_true", help="log one JSON object a line"
+        "--log-json",
+        action=argparse.BooleanOptionalAction,
+        default=as_json,
+        help="log one JSON object a line to standard output, instead of text to "
+        "standard error (default: %(default)s)",
     )
 
 
-def start_logs(args: argparse.Namespace) -> None:
-    """Set the logs up as the options say."""
-    set_up_logs(args.log_level, args.log_json)
+def start_logs(args: argparse.Namespace) -> LineWriter | None:
+    """Set the logs up as the options say; close the writer at the end."""
+    return set_up_logs(args.log_level, args.log_json)
 
 
 def read_file(path: Path) -> Result[str, SettingsFault]:
@@ -47,7 +53,7 @@
         return Err(SettingsFault(str(path), f"cannot be read: {error}", remedy))
 
 
-def print_faults(faults: Iterable[SettingsFault]) -> None:
+def print_faults(faults: Iterable[object]) -> None:
     """Print each fault on a line of standard error."""
     for fault in faults:
         print(f"fault: {fault}", file=sys.stderr)
--- a/src/catkinspan/daemon/cli/serve.py
+++ b/src/catkinspan/daemon/cli/serve.py
@@ -2,10 +2,13 @@
 
 import argparse
 import asyncio
+import gc
 import signal
 import sys
 from pathlib import Path
 
+import uvloop
+from loguru import logger
 from result import Err
 
 from catkinspan.daemon.cli.common import (
@@ -19,9 +22,10 @@
 from catkinspan.daemon.cli.const import EXIT_FAILED, EXIT_OK, EXIT_USAGE
 from catkinspan.daemon.clock import SystemClock
 from catkinspan.daemon.node import HostNode
+from catkinspan.daemon.settings_watcher import SettingsWatcher
 from catkinspan.protocol.settings.node import parse_node_settings
 from catkinspan.state.node import NodeSettings
-from catkinspan.transport.tls import TlsSettingsError
+from catkinspan.transport.tls import SettingsError
 
 
 def add_parser(subparsers: Subparsers) -> None:
@@ -31,7 +35,7 @@
         help="run one entry host",
         description="Run one entry host. SIGTERM drains it: the balancer's check "
         "fails, running requests finish, then the process ends. SIGHUP reads the TLS "
-        "files again.",
+        "files and the settings again; changed settings are noticed without it too.",
     )
     parser.add_argument(
         "--settings",
@@ -39,13 +43,21 @@
         required=True,
         help="JSON file with the host's settings",
     )
-    add_log_options(parser, "INFO")
+    add_log_options(parser, "INFO", as_json=True)
     parser.set_defaults(run=run)
 
 
 def run(args: argparse.Namespace) -> int:
     """Serve until a signal comes."""
-    start_logs(args)
+    writer = start_logs(args)
+    try:
+        return _serve(args)
+    finally:
+        if writer is not None:
+            writer.close()
+
+
+def _serve(args: argparse.Namespace) -> int:
     text = read_file(args.settings)
     if isinstance(text, Err):
         print_faults([text.err_value])
@@ -54,18 +66,19 @@
     if isinstance(settings, Err):
         print_faults(settings.err_value)
         return EXIT_USAGE
-    return asyncio.run(_async_serve(settings.ok_value))
+    logger.configure(extra={"host": settings.ok_value.host_id, "request_id": "-"})
+    return uvloop.run(_async_serve(settings.ok_value, args.settings))
 
 
-async def _async_serve(settings: NodeSettings) -> int:
+async def _async_serve(settings: NodeSettings, path: Path) -> int:
     try:
         node = HostNode(settings, SystemClock())
-    except TlsSettingsError as error:
-        for fault in error.faults:
-            print(f"fault: {fault}", file=sys.stderr)
+    except SettingsError as error:
+        print_faults(error.faults)
         return EXIT_USAGE
     loop = asyncio.get_running_loop()
-    loop.add_signal_handler(signal.SIGHUP, node.reload_tls)
+    watcher = SettingsWatcher(path, node)
+    loop.add_signal_handler(signal.SIGHUP, watcher.reload)
     try:
         await node.async_start()
     except OSError as error:
@@ -73,7 +86,13 @@
         print(f"cannot listen: {error}; {remedy}", file=sys.stderr)
         await node.async_stop()
         return EXIT_FAILED
-    if not await async_wait_for_signal(node.failed):
+    watching = asyncio.create_task(watcher.async_run())
+    # What start-up made stays; a full collection of it would take tens of ms.
+    gc.collect()
+    gc.freeze()
+    stopped = await async_wait_for_signal(node.failed)
+    watching.cancel()
+    if not stopped:
         await node.async_stop()
         return EXIT_FAILED
     finished = await node.async_drain()
--- a/src/catkinspan/daemon/cli/text/fleet.py
+++ b/src/catkinspan/daemon/cli/text/fleet.py
@@ -17,12 +17,12 @@
     unknown_lines,
 )
 
-_HOST_HEADER = ("host", "data centre", "status", "heard", "revision", "since")
+_HOST_HEADER = ("host", "data centre", "status", "heard")
 _WORKSPACE_HEADER = (
     "workspace",
     "rate",
     "burst",
-    "weight",
+    "tokens left",
     "served",
     "over rate",
     "no capacity",
@@ -35,33 +35,28 @@
     """Return the hosts with the revision in force at each."""
     lines = [
         head_line(report.head),
-        f"{report.usable} usable, at most {report.max_hosts}; "
-        f"{report.connectivity:.0%} of the peers answer this host"
-        + (", which is ISOLATED" if report.isolated else "")
-        + (", which is SUPERSEDED" if report.superseded else ""),
+        f"{report.usable} usable; {report.heard_share:.0%} of the known hosts are "
+        "heard of" + (", this host is ISOLATED" if report.isolated else ""),
+        f"this host is hub candidate {report.rank} of its data centre and a hub for "
+        f"{report.followers} hosts",
         *table(_HOST_HEADER, [_host_row(h, report) for h in report.hosts]),
-        "since: when the revision came into force here, or was first seen at a peer",
     ]
     return "\n".join([*lines, *unknown_lines(report.unknown)])
 
 
 def _host_row(host: HostLine, report: HostsReport) -> tuple[object, ...]:
-    status = host.status if host.listed else f"{host.status}, not listed"
-    if host.one_way:
-        status += ", does not hear this host"
+    status = f"{host.status}, hub of this host" if host.hub else host.status
     heard = "-" if host.heard_seconds is None else f"{span(host.heard_seconds)} ago"
     if host.host == report.head.host:
         heard = "this host"
-    revision = host.revision or "?"
-    when = instant(host.revision_since)
-    return host.host, host.data_centre, status, heard, revision, when
+    return host.host, host.data_centre, status, heard
 
 
 def workspaces_text(report: WorkspacesReport) -> str:
     """Return the workspaces, those that are held back first."""
     lines = [head_line(report.head)]
-    if not report.minting:
-        lines.append(f"this host mints no tokens: {report.not_minting_because}")
+    if report.hub is None:
+        lines.append("without a hub, this host admits its own share of each rate")
     lines += table(_WORKSPACE_HEADER, [_workspace_row(w) for w in report.workspaces])
     if report.left_out:
         lines.append(f"  and {report.left_out} more workspaces that are not held back")
@@ -74,9 +69,9 @@
     requests = line.requests
     return (
         line.workspace,
-        f"{line.rate:g}/s",
+        f"{line.rate:g}/s" if line.is_limited else "no limit",
         f"{line.burst:g}",
-        f"{line.weight:g}",
+        "-" if line.level is None else f"{line.level:.0f}",
         f"{requests.served}/{requests.asked}",
         requests.over_rate,
         requests.no_capacity,
@@ -95,8 +90,8 @@
         + ("" if report.ready else "; the host is NOT READY"),
         _platform_line(report),
         f"{report.services} services, {report.servers} servers, {report.routes} "
-        f"routes, {report.workspaces} workspaces, {report.listed_hosts} hosts listed "
-        f"of at most {report.max_hosts}",
+        f"routes, {report.workspaces} workspaces; store revision "
+        f"{report.store_revision}",
         "keyed requests are refused after "
         + ("never" if isolation is None else f"{isolation:g} s")
         + " of isolation",
@@ -114,7 +109,7 @@
     role = "reads" if report.is_reader else "does not read"
     seconds = report.platform_seconds
     contact = "never" if seconds is None else f"{span(seconds)} ago"
-    return f"this host {role} the configuration service; last reached: {contact}"
+    return f"this host {role} the store; last reached by anyone: {contact}"
 
 
 def audit_text(report: AuditReport) -> str:
--- a/src/catkinspan/daemon/cli/text/status.py
+++ b/src/catkinspan/daemon/cli/text/status.py
@@ -2,7 +2,6 @@
 
 from datetime import datetime
 
-from catkinspan.coordination.naming import counted
 from catkinspan.coordination.reports.models import (
     ServerLine,
     ServiceLine,
@@ -11,11 +10,9 @@
     StatusReport,
     WorkspaceLine,
 )
-from catkinspan.coordination.reports.unknown import span
 from catkinspan.daemon.cli.text.common import (
     MAX_ROWS,
     head_line,
-    instant,
     since,
     unknown_lines,
 )
@@ -27,8 +24,8 @@
     lines = [f"{report.state.upper()}, {head_line(head)}"]
     lines += _host_lines(report.host_state, report.host_reasons)
     lines.append(
-        f"hosts: {report.hosts_usable} of {report.hosts_known} known are usable, "
-        f"at most {report.max_hosts}"
+        f"hosts: {report.hosts_usable} of {report.hosts_known} known are usable; "
+        f"hubs: {', '.join(report.hubs)}"
     )
     for service in report.services[:MAX_ROWS]:
         lines += _service_lines(service, head.at, whole=False)
@@ -56,15 +53,13 @@
 def _service_lines(service: ServiceLine, now: datetime, whole: bool) -> list[str]:
     lines = [
         f"{service.service}: {service.state} {since(service.since, now)}; "
-        f"{service.in_use} of {service.published} servers in use, floor "
-        f"{service.floor}, {service.above_floor} above it"
+        f"{service.in_use} of {service.published} servers in use"
     ]
     if service.reasons:
         lines.append(f"  because: {'; '.join(service.reasons)}")
     if whole or service.state is not State.UP:
         lines.append(f"  evidence: {'; '.join(service.evidence)}")
         lines.append(f"  {_requests(service)}")
-        lines.append(f"  {_roles(service)}")
     lines += [f"  {_server(server, now)}" for server in service.servers]
     return lines
 
@@ -74,31 +69,21 @@
     return (
         f"requests here in {counts.seconds} s: {counts.served} served, "
         f"{counts.failed} failed, {counts.no_capacity} without capacity, "
-        f"{counts.over_rate} over the rate; {service.waiting} waiting; "
-        f"retries since start: {service.retries}, {service.retries_refused} refused"
+        f"{counts.over_rate} over the rate; retries since start: {service.retries}, "
+        f"{service.retries_refused} refused, {service.retries_left:.1f} left now"
     )
 
 
-def _roles(service: ServiceLine) -> str:
-    heard = service.assessor_heard_seconds
-    age = "never heard" if heard is None else f"heard {span(heard)} ago"
-    dispatcher = service.dispatcher or "none yet"
-    mode = ", works without it" if service.fallback else ""
-    return f"assessor {service.assessor or 'none'} {age}; dispatcher {dispatcher}{mode}"
-
-
 def _server(server: ServerLine, now: datetime) -> str:
     text = f"{server.server}: {server.state}"
     if server.since is not None:
         text += f" {since(server.since, now)}"
-    if server.reason:
-        text += f": {server.reason}"
-    if server.hosts:
-        places = ", ".join(server.data_centres)
-        hosts = counted(len(server.hosts), "host")
-        text += f" (evidence of {hosts}" + (f" in {places})" if places else ")")
-    if server.hold_until is not None:
-        text += f", until at least {instant(server.hold_until)}"
+    text += f": risk {server.risk:.2f} (own {server.own_risk:.2f})"
+    text += f", {server.in_flight} in flight"
+    if server.overdue:
+        text += f", {server.overdue} of this host overdue"
+    if server.heard_seconds is None:
+        return f"{text}, no news of the fleet"
     return text
 
 
--- a/src/catkinspan/daemon/demo.py
+++ b/src/catkinspan/daemon/demo.py
@@ -19,8 +19,7 @@
 
 SECOND_KEY = "demo-key-of-workspace-archivio-02"
 DATA_CENTRES = ("tirano", "tirano", "tirano")
-"""Data centre of each host. With one host in each of three, a slow server would be
-seen by one host only, which counts as a bad path and ejects nothing."""
+"""Data centre of each host."""
 
 SERVICES = {"accettazione": 4, "laboratorio": 3}
 START_SECONDS = 10.0
@@ -83,21 +82,12 @@
     def settings_tree(self) -> dict[str, Any]:
         """Return the settings that the platform publishes at first."""
         return {
-            "fleet": {"max_hosts": len(DATA_CENTRES)},
             "defaults": {"deadline_ms": 5000},
             "services": {name: self._service(name) for name in SERVICES},
             "workspaces": {
                 "museo": _workspace(DEMO_KEY, rate=200, burst=400),
                 "archivio": _workspace(SECOND_KEY, rate=5, burst=10),
             },
-            "hosts": [
-                {
-                    "id": host.settings.host_id,
-                    "data_centre": host.settings.data_centre,
-                    "peer_address": str(host.settings.peer_address),
-                }
-                for host in self._hosts
-            ],
         }
 
     def guide(self) -> str:
@@ -118,18 +108,16 @@
             f"http://{callers[0]}/repairs/17",
             "Send a non-idempotent request:",
             f"  curl -i -X POST -H 'Authorization: Bearer {DEMO_KEY}' "
-            f"-H 'Idempotency-Key: d-1' -d amount=20 http://{callers[1]}/deposits",
+            f"-d amount=20 http://{callers[1]}/deposits",
             "See a refusal:",
             f"  curl -i http://{callers[2]}/repairs/17",
-            "Make a server answer every second request with an error, send load (from "
-            "about",
-            "30 s after the start, when a new fleet begins to eject), and read the "
-            "cause:",
+            "Make a server answer every second request with an error, send load, and "
+            "read the cause:",
             f"  curl -d '{{\"error_share\": 0.5}}' http://{upstream}/operators/fault",
             "  seq 400 | xargs -P 12 -I{} curl -s -o /dev/null "
             f"-H 'Authorization: Bearer {DEMO_KEY}' http://{callers[0]}/repairs/{{}}",
             f"  catkinspan status accettazione --operators {operators}",
-            "Take the configuration service away, and give it back:",
+            "Take the store away, and give it back:",
             f"  curl -X POST 'http://{platform}/operators/mode?name=down'",
             f"  curl -X POST 'http://{platform}/operators/mode?name=ok'",
             "",
@@ -164,6 +152,7 @@
             peers=self._address(PEERS_PORT + index),
             peer_address=self._address(PEERS_PORT + index),
             platform=self._address(PLATFORM_PORT),
+            seeds=(self._address(PEERS_PORT), self._address(PEERS_PORT + 1)),
             drain_notice=timedelta(milliseconds=200),
         )
         return HostNode(settings, SystemClock())
--- a/src/catkinspan/daemon/host_task.py
+++ b/src/catkinspan/daemon/host_task.py
@@ -2,25 +2,24 @@
 
 import asyncio
 from collections.abc import Callable
-from random import Random
 from typing import Any
 
 from loguru import logger
 
 from catkinspan.coordination.audit.coordinator import AuditTrail
 from catkinspan.coordination.clock import Clock
+from catkinspan.coordination.configuration.models import StoreChanges, StoreCopy
 from catkinspan.coordination.const import TICK_SECONDS
 from catkinspan.coordination.host.coordinator import (
     HostCoordinator,
     ReaderRole,
-    ReadOnce,
-    TreeInForce,
 )
 from catkinspan.coordination.keys.models import CloseKeyConnections
 from catkinspan.coordination.metrics.models import FinishedRequest
 from catkinspan.coordination.models import Envelope, Event, Origin, PeerMessage
 from catkinspan.coordination.reports.audit import audit_line
 from catkinspan.coordination.requests.models import (
+    Assigned,
     AttemptFinished,
     BodyReceived,
     KeysWithdrawn,
@@ -35,12 +34,13 @@
     ConnectionEnded,
     ConnectionOpened,
     PeerFrame,
-    ProbeResult,
     Query,
+    SeedsChanged,
 )
+from catkinspan.daemon.request_log import RequestLog
 from catkinspan.protocol.peers.codec import PeerCodec
 from catkinspan.state.ids import HostId, RequestId, ServiceId, WorkspaceId
-from catkinspan.state.tree import SettingsTree
+from catkinspan.state.tree import Address
 from catkinspan.transport.callers.messages import (
     Drain,
     HealthQuery,
@@ -51,20 +51,23 @@
 )
 from catkinspan.transport.mailbox import Mailbox
 from catkinspan.transport.peers.link import PeerLink
-from catkinspan.transport.platform.reader import (
-    PlatformReached,
-    PlatformUpdate,
+from catkinspan.transport.store.reader import (
     ReaderMessage,
-    ReadingOnce,
     StartReading,
     StopReading,
+    StoreReached,
 )
 
 HOST_INBOX = 10_000
+MAX_SHOWN_AGE = 3600.0
 MESSAGES_BETWEEN_TICKS = 500
 """Messages after which a due tick runs even if more are waiting."""
 
-LinkFactory = Callable[[HostId, Any, Callable[[list[PeerMessage]], bytes]], PeerLink]
+SUSPENSION_SECONDS = 0.3
+"""Growth of the time that the machine stood still from which beliefs are dropped."""
+
+Peer = HostId | Address
+LinkFactory = Callable[[Peer, Address, Callable[[list[PeerMessage]], bytes]], PeerLink]
 
 
 class HostTask:
@@ -72,31 +75,26 @@
 
     def __init__(
         self,
-        new_coordinator: Callable[[int], HostCoordinator],
+        coordinator: HostCoordinator,
         origin: Origin,
         codec: PeerCodec,
         clock: Clock,
-        rng: Random,
         new_link: LinkFactory,
         reader: Mailbox[ReaderMessage],
-        on_tree: Callable[[SettingsTree], None],
-        on_record: Callable[[RequestRecord], None],
     ) -> None:
-        self._new_coordinator = new_coordinator
-        self._coordinator = new_coordinator(origin.incarnation)
+        self._coordinator = coordinator
         self._origin = origin
         self._codec = codec
         self._clock = clock
-        self._rng = rng
         self._new_link = new_link
         self._reader = reader
-        self._on_tree = on_tree
-        self._on_record = on_record
+        self._log = RequestLog()
+        self._suspended = clock.suspended()
         self._inbox: Mailbox[Any] = Mailbox(HOST_INBOX)
         self._audit = AuditTrail(origin.host)
         self._replies: dict[RequestId, Mailbox[Any]] = {}
         self._connections: set[Mailbox[Any]] = set()
-        self._links: dict[HostId, tuple[PeerLink, asyncio.Task[None]]] = {}
+        self._links: dict[Peer, tuple[PeerLink, asyncio.Task[None]]] = {}
         self._draining = False
         self._leaving = False
 
@@ -121,7 +119,9 @@
         served = 0
         try:
             while True:
-                message = await self._inbox.async_get_until(next_tick)
+                due = min(next_tick, self._coordinator.next_due())
+                message = await self._inbox.async_get_until(due)
+                self._notice_suspension()
                 if message is not None:
                     self._handle_safely(message)
                     served += 1
@@ -130,27 +130,22 @@
                     self._coordinator.tick(now)
                     next_tick = now + TICK_SECONDS
                     served = 0
+                elif now >= due:
+                    self._coordinator.wake(now)
                 self._drain_outbox()
-                self._adopt_incarnation()
         finally:
             for _, task in self._links.values():
                 task.cancel()
 
-    def _adopt_incarnation(self) -> None:
-        """Start over with a higher incarnation that membership took at the start.
+    def _notice_suspension(self) -> None:
+        """Drop old beliefs after the machine stood still.
 
-        Peers of a host whose clock is behind its predecessor's know a higher number.
-        Leases and claims name the incarnation, so all concerns start over with it.
+        The steady clock leaves that time out, so that nothing else would show it.
         """
-        incarnation = self._coordinator.membership.incarnation
-        if incarnation == self._origin.incarnation:
-            return
-        logger.info("starting over with incarnation {}", incarnation)
-        for request_id, reply in self._replies.items():
-            reply.force(Refused(request_id, INTERNAL_ERROR))
-        self._replies.clear()
-        self._origin = Origin(self._origin.host, incarnation)
-        self._coordinator = self._new_coordinator(incarnation)
+        suspended = self._clock.suspended()
+        gap, self._suspended = suspended - self._suspended, suspended
+        if gap > SUSPENSION_SECONDS:
+            self._coordinator.resume(gap, self._clock.monotonic())
 
     def _handle_safely(self, message: Any) -> None:
         """Keep a fault in one message from ending the host.
@@ -186,22 +181,26 @@
                 self._replies[arrived.request_id] = reply
                 self._coordinator.take_request(arrived, now)
             case Progress(inner):
+                if isinstance(inner, AttemptFinished):
+                    self._log.outcome(inner.outcome, now)
                 self._coordinator.take_request(inner, now)
                 if isinstance(inner, RequestAbandoned):
                     self._replies.pop(inner.request_id, None)
             case RequestRecord():
                 self._replies.pop(RequestId(message.request_id), None)
                 self._coordinator.metrics.record(_finished(message), now)
-                self._on_record(message)
+                self._log.ended(message, now)
             case PeerFrame(frame):
                 for peer_message in frame.messages:
                     self._coordinator.handle(peer_message, frame.origin, now)
-            case PlatformUpdate(snapshot):
-                self._coordinator.take_snapshot(snapshot, now)
-            case PlatformReached(revision):
-                self._coordinator.platform_reached(revision, now)
-            case ProbeResult(_, server, ok, latency):
-                self._coordinator.health.record_probe(server, ok, latency, now)
+            case StoreCopy():
+                self._coordinator.take_copy(message, now)
+            case StoreChanges():
+                self._coordinator.take_changes(message, now)
+            case StoreReached():
+                self._coordinator.reached_store(now)
+            case SeedsChanged(seeds):
+                self._coordinator.use_seeds(seeds)
             case ConnectionOpened(mailbox):
                 self._open_connection(mailbox)
             case ConnectionEnded(mailbox):
@@ -211,9 +210,9 @@
             case HealthQuery(reply_to):
                 reply_to.force(self._health_status(now))
             case AnnounceDrain():
-                self._leaving = True
+                self._announce_drain(now)
             case BeginDrain(done):
-                self._begin_drain(now)
+                self._begin_drain()
                 done.set_result(None)
 
     def _health_status(self, now: float) -> HealthStatus:
@@ -227,8 +226,8 @@
 
     def _open_connection(self, mailbox: Mailbox[Any]) -> None:
         self._connections.add(mailbox)
-        if self._draining:
-            mailbox.force(Drain())
+        if self._leaving:
+            mailbox.force(Drain(close_idle=False))
 
     def _answer(
         self,
@@ -243,11 +242,16 @@
         except Exception as error:  # noqa: BLE001 - the asking task reports it
             reply.set_exception(error)
 
-    def _begin_drain(self, now: float) -> None:
-        self._draining = True
+    def _announce_drain(self, now: float) -> None:
+        self._leaving = True
         self._coordinator.drain(now)
         for mailbox in self._connections:
-            mailbox.force(Drain())
+            mailbox.force(Drain(close_idle=False))
+
+    def _begin_drain(self) -> None:
+        self._draining = True
+        for mailbox in self._connections:
+            mailbox.force(Drain(close_idle=True))
 
     # Output
 
@@ -263,6 +267,7 @@
     def _carry_out(self, directive: object) -> None:
         match directive:
             case RequestDirective(request_id):
+                self._log_directive(directive)
                 reply = self._replies.get(request_id)
                 if reply is not None:
                     reply.force(directive)
@@ -273,37 +278,48 @@
                     mailbox.force(KeysWithdrawn(digests))
             case ReaderRole(active):
                 self._reader.force(StartReading() if active else StopReading())
-            case ReadOnce():
-                self._reader.force(ReadingOnce())
-            case TreeInForce(tree):
-                self._on_tree(tree)
+
+    def _log_directive(self, directive: RequestDirective) -> None:
+        now = self._clock.monotonic()
+        match directive:
+            case Assigned():
+                age = self._coordinator.configuration.contact_age(now)
+                self._log.assigned(directive, min(age, MAX_SHOWN_AGE), now)
+            case Refused():
+                self._log.refused(directive, now)
 
     def _record(self, event: Event) -> None:
         entry = self._audit.record(event, self._clock.now())
         self._coordinator.metrics.count_event(event, self._clock.monotonic())
         line = audit_line(entry)
-        logger.info("audit: {} {}", line.kind, "; ".join((line.text, *line.details)))
+        logger.bind(event=line.kind).info("{}", "; ".join((line.text, *line.details)))
 
     def _send(self, envelope: Envelope) -> None:
         link = self._link(envelope.to)
         if link is not None:
             link.post(envelope.message)
 
-    def _link(self, peer: HostId) -> PeerLink | None:
-        record = self._coordinator.view.hosts.get(peer)
-        if record is None:
+    def _link(self, peer: Peer) -> PeerLink | None:
+        address = self._address_of(peer)
+        if address is None:
             return None
         known = self._links.get(peer)
         if known is not None:
             link, task = known
-            if not task.done() and link.address == record.peer_address:
+            if not task.done() and link.address == address:
                 return link
             task.cancel()
-        link = self._new_link(peer, record.peer_address, self._encode)
+        link = self._new_link(peer, address, self._encode)
         task = asyncio.create_task(link.async_run())
         self._links[peer] = (link, task)
         return link
 
+    def _address_of(self, peer: Peer) -> Address | None:
+        if isinstance(peer, Address):
+            return peer
+        record = self._coordinator.view.hosts.get(peer)
+        return None if record is None else record.peer_address
+
     def _encode(self, messages: list[PeerMessage]) -> bytes:
         return self._codec.encode(self._origin, messages)
 
--- a/src/catkinspan/daemon/messages.py
+++ b/src/catkinspan/daemon/messages.py
@@ -8,7 +8,7 @@
 
 from catkinspan.coordination.host.coordinator import HostCoordinator
 from catkinspan.protocol.peers.codec import Frame
-from catkinspan.state.ids import ServerId, ServiceId
+from catkinspan.state.tree import Address
 from catkinspan.transport.mailbox import Mailbox
 
 
@@ -34,14 +34,10 @@
 
 
 @frozen
-class ProbeResult:
-    """Answer of an upstream's health endpoint."""
+class SeedsChanged:
+    """The settings file names other seeds."""
 
-    service: ServiceId
-    server: ServerId
-    ok: bool
-    latency: float
-    """Seconds until the answer or the failure."""
+    seeds: tuple[Address, ...]
 
 
 @frozen
@@ -57,11 +53,12 @@
 
 @frozen
 class AnnounceDrain:
-    """Fail the balancer's check from now on; requests are served as before."""
+    """Fail the balancer's check from now on, tell the peers, and answer
+    `Connection: close`; requests are served as before."""
 
 
 @frozen
 class BeginDrain:
-    """A graceful shutdown begins."""
+    """Close the idle connections as well."""
 
     done: "asyncio.Future[None]"
--- a/src/catkinspan/daemon/node.py
+++ b/src/catkinspan/daemon/node.py
@@ -4,58 +4,58 @@
 import secrets
 from collections.abc import Callable
 from random import Random
-from typing import Any, TypeVar
+from typing import TYPE_CHECKING, Any, TypeVar
 
+from attrs import evolve
 from loguru import logger
-from result import Err, Result
+from result import Err
 
 from catkinspan.coordination.clock import Clock
-from catkinspan.coordination.host.coordinator import (
-    PEER_MESSAGES,
-    HostCoordinator,
-    HostIdentity,
-)
+from catkinspan.coordination.host.coordinator import PEER_MESSAGES, HostCoordinator
 from catkinspan.coordination.models import Origin, PeerMessage
 from catkinspan.coordination.outbox import Outbox
-from catkinspan.daemon.host_task import HostTask
+from catkinspan.daemon.host_task import HostTask, Peer
+from catkinspan.daemon.interfaces import INTERFACES
 from catkinspan.daemon.messages import (
     AnnounceDrain,
     BeginDrain,
     ConnectionEnded,
     ConnectionOpened,
     PeerFrame,
-    ProbeResult,
     Query,
+    SeedsChanged,
 )
+from catkinspan.platform.store import PlatformStore
 from catkinspan.protocol.peers.codec import PeerCodec
-from catkinspan.protocol.settings.tree import TreeParser
-from catkinspan.state.hosts import ListedHost
-from catkinspan.state.ids import HostId, RequestId
+from catkinspan.state.hosts import HostRecord
+from catkinspan.state.ids import RequestId
 from catkinspan.state.node import NodeSettings
-from catkinspan.state.tree import Address, SettingsTree
+from catkinspan.state.tree import Address
 from catkinspan.transport.callers.connection import CallerConnection
 from catkinspan.transport.callers.listener import CallerListener
-from catkinspan.transport.callers.messages import (
-    HealthQuery,
-    HealthStatus,
-    RequestRecord,
-)
+from catkinspan.transport.callers.messages import HealthQuery, HealthStatus
+from catkinspan.transport.callers.ready import ReadyListener
 from catkinspan.transport.mailbox import InboxFullError, Mailbox
 from catkinspan.transport.operators.listener import OperatorsListener
 from catkinspan.transport.operators.messages import AuditExcerpt
 from catkinspan.transport.peers.link import PeerLink
 from catkinspan.transport.peers.server import PeerServer
-from catkinspan.transport.platform.reader import PlatformReader
 from catkinspan.transport.socket_port import SocketPort
-from catkinspan.transport.tls import TlsContexts, TlsSettingsError, load_tls
-from catkinspan.transport.tls_files import TlsFault
+from catkinspan.transport.store.reader import StoreReader
+from catkinspan.transport.tls import TlsContexts
 from catkinspan.transport.upstreams.pool import PoolTask
-from catkinspan.transport.upstreams.prober import ProberTask
+
+if TYPE_CHECKING:
+    from catkinspan.transport.tls_files import TlsFault
 
 T = TypeVar("T")
 
 QUERY_SECONDS = 2.0
 REQUEST_ID_BYTES = 12
+MAX_INCARNATION = 1 << 48
+
+DRAIN_MARGIN_SECONDS = 0.4
+"""Time before the end of a drain at which the process begins to stop by itself."""
 
 
 class HostNode:
@@ -80,29 +80,27 @@
         self._new_request_id = new_request_id or _random_request_id
         self._clock = clock
         self._rng = Random(settings.seed)
-        self._tls = self._load_tls().unwrap_or_raise(TlsSettingsError)
-        # A later process life has a higher number, as the wall clock moves on.
-        incarnation = int(clock.now().timestamp() * 1000)
+        self._tls = self._first_tls()
+        # The time of day may jump, so that a number from it could look old.
+        incarnation = 1 + secrets.randbelow(MAX_INCARNATION)
+        self._interface = INTERFACES[settings.interface]
         self._origin = Origin(settings.host_id, incarnation)
         self._codec = PeerCodec(PEER_MESSAGES)
         self._pool = PoolTask(clock)
         self._reader_inbox: Mailbox[Any] = Mailbox(64)
         self._host = HostTask(
-            self._new_coordinator,
+            self._new_coordinator(incarnation),
             self._origin,
             self._codec,
             clock,
-            self._rng,
             self._new_link,
             self._reader_inbox,
-            self._on_tree,
-            self._on_record,
         )
-        self._reader = PlatformReader(
-            settings.platform, self._host.inbox, self._reader_inbox, self._rng
+        store = PlatformStore(settings.platform, self._interface.prefixes)
+        self._reader = StoreReader(
+            store, self._host.inbox, self._reader_inbox, self._rng
         )
-        self._prober = self._new_prober()
-        self._peers = PeerServer(self._on_frame, self._tls.peers_server)
+        self._peers = PeerServer(self._on_frame, self._tls.peers_server, clock)
         self._listener = CallerListener(
             self._new_connection,
             lambda mailbox: self._host.inbox.force(ConnectionOpened(mailbox)),
@@ -112,6 +110,7 @@
             settings.http.header_timeout.total_seconds(),
         )
         self._operators = OperatorsListener(self, clock)
+        self._ready = ReadyListener(self.async_health)
         self._operators_address = settings.operators
         self._tasks: list[asyncio.Task[None]] = []
         self._callers_address = settings.callers
@@ -162,52 +161,80 @@
             self._pool.async_run,
             self._reader.async_run,
         ]
-        if self._prober is not None:
-            runs.append(self._prober.async_run)
         self._tasks = [asyncio.create_task(self._async_guard(run)) for run in runs]
         self._operators_address = await self._operators.async_start(
             self._settings.operators
         )
+        if self._settings.ready is not None:
+            await self._ready.async_start(self._settings.ready)
         address = await self._listener.async_start(self._settings.callers)
         self._callers_address = address
-        logger.info("host {} serves callers on {}", self._settings.host_id, address)
+        logger.bind(
+            event="start",
+            incarnation=self._origin.incarnation,
+            data_centre=self._settings.data_centre,
+            interface=self._settings.interface,
+        ).info("host {} serves callers on {}", self._settings.host_id, address)
 
     async def async_drain(self) -> bool:
         """Shut down gracefully; return whether all requests have ended.
 
         The balancer's check fails first, and connections are accepted until it has
-        had time to notice. Then running requests finish.
+        had time to notice. Then idle connections are closed and requests finish.
         """
         self._draining = True
-        logger.info("draining host {}", self._settings.host_id)
+        logger.bind(event="drain").info("draining host {}", self._settings.host_id)
         self._host.inbox.force(AnnounceDrain())
-        await asyncio.sleep(self._settings.drain_notice.total_seconds())
-        self._listener.stop_accepting()
+        notice = self._settings.drain_notice.total_seconds()
+        await asyncio.sleep(notice)
         done: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         self._host.inbox.force(BeginDrain(done))
         await done
-        timeout = self._settings.drain.total_seconds()
-        idle = await self._listener.async_wait_idle(timeout)
+        # A balancer without any other host goes on sending; refuse nobody before
+        # the requests have ended.
+        left = self._settings.drain.total_seconds() - notice - DRAIN_MARGIN_SECONDS
+        idle = await self._listener.async_wait_idle(max(0.0, left))
+        self._listener.stop_accepting()
         if not idle:
-            logger.warning("requests still run after {} s; closing them", timeout)
+            logger.warning("requests still run at the end of the drain")
+        logger.bind(event="stop").info("host {} stops", self._settings.host_id)
         return idle
 
     async def async_stop(self) -> None:
         """End all tasks and close all sockets at once."""
         self._listener.stop_accepting()
         self._listener.abort()
+        await self._ready.async_stop()
         await self._operators.async_stop()
         for task in self._tasks:
             task.cancel()
         await asyncio.gather(*self._tasks, return_exceptions=True)
         await self._peers.async_stop()
 
-    def reload_tls(self) -> tuple[TlsFault, ...]:
+    def reload(self, settings: NodeSettings) -> None:
+        """Take over changed settings; listeners and names stay as they are."""
+        if settings == self._settings:
+            return
+        fixed = {
+            name: getattr(self._settings, name)
+            for name in ("host_id", "data_centre", "callers", "operators", "peers")
+        }
+        self._settings = evolve(settings, **fixed)
+        self._host.inbox.force(SeedsChanged(settings.seeds))
+        logger.bind(event="reload", seeds=[str(s) for s in settings.seeds]).info(
+            "changed settings are in force"
+        )
+
+    def reload_tls(self) -> "tuple[TlsFault, ...]":
         """Read the TLS files again for new connections; open ones go on.
 
         Returns the faults found; with any, the files in use stay in force.
         """
-        loaded = self._load_tls()
+        if not self._settings.uses_tls:
+            return ()
+        from catkinspan.transport.tls_loading import load_tls
+
+        loaded = load_tls(self._settings, self._clock.now())
         if isinstance(loaded, Err):
             for fault in loaded.err_value:
                 logger.error("TLS files in use stay in force: {}", fault)
@@ -252,16 +279,18 @@
 
     def _new_coordinator(self, incarnation: int) -> HostCoordinator:
         settings = self._settings
-        listing = ListedHost(
-            settings.host_id, settings.data_centre, settings.peer_address
+        record = HostRecord(
+            settings.host_id, settings.data_centre, settings.peer_address, incarnation
         )
         return HostCoordinator(
-            HostIdentity(listing, incarnation),
-            TreeParser(),
+            record,
+            settings.seeds,
+            self._interface.new_parser(),
             Outbox(),
             self._rng,
             settings.http.max_requests,
             self._clock.monotonic(),
+            settings.rate_window,
         )
 
     async def _async_guard(self, run: Callable[[], Any]) -> None:
@@ -286,30 +315,19 @@
             self._settings.http,
             self._clock,
             self._new_request_id,
+            self._interface.http,
             self._tls.upstreams,
         )
 
     def _new_link(
         self,
-        peer: HostId,
+        peer: Peer,
         address: Address,
         encode: Callable[[list[PeerMessage]], bytes],
     ) -> PeerLink:
         tls = self._tls.peers_client
         return PeerLink(peer, address, encode, self._clock, self._rng, tls)
 
-    def _new_prober(self) -> ProberTask | None:
-        interval = self._settings.probe_interval
-        if interval is None:
-            return None
-        return ProberTask(
-            interval.total_seconds(),
-            lambda *result: self._host.inbox.force(ProbeResult(*result)),
-            self._clock,
-            self._rng,
-            self._tls.upstreams,
-        )
-
     def _on_frame(self, data: bytes, certified: frozenset[str] | None) -> None:
         decoded = self._codec.decode(data)
         if isinstance(decoded, Err):
@@ -336,25 +354,15 @@
         if self._dropped_frames.bit_count() == 1:
             logger.warning("{} peer frames dropped: {}", self._dropped_frames, reason)
 
-    def _on_tree(self, tree: SettingsTree) -> None:
-        if self._prober is not None:
-            self._prober.apply_tree(tree)
-
-    def _on_record(self, record: RequestRecord) -> None:
-        logger.info(
-            "request {} service={} workspace={} status={} kind={} ms={:.1f} "
-            "attempts={}",
-            record.request_id,
-            record.service,
-            record.workspace,
-            record.status,
-            record.kind,
-            record.seconds * 1000,
-            record.attempts,
-        )
+    def _first_tls(self) -> TlsContexts:
+        """Load the TLS files; raises TlsSettingsError if one cannot be used."""
+        if not self._settings.uses_tls:
+            return TlsContexts()
+        # The certificate library takes 10 MB that a host without TLS does not need.
+        from catkinspan.transport.tls_loading import TlsSettingsError, load_tls
 
-    def _load_tls(self) -> Result[TlsContexts, tuple[TlsFault, ...]]:
-        return load_tls(self._settings, self._clock.now())
+        loaded = load_tls(self._settings, self._clock.now())
+        return loaded.unwrap_or_raise(TlsSettingsError)
 
 
 def _random_request_id() -> RequestId:
--- /dev/null
+++ b/src/catkinspan/platform/configuration.py
@@ -0,0 +1,240 @@
+"""The operator's configuration and the servers' entries as a settings tree."""
+
+from collections.abc import Iterator, Mapping
+from datetime import timedelta
+from hashlib import sha256
+from typing import Any
+
+from attrs import evolve, frozen
+
+from catkinspan.coordination.configuration.errors import (
+    RejectedConfiguration,
+    SettingsFault,
+)
+from catkinspan.coordination.configuration.models import Document, ParsedDocuments
+from catkinspan.platform import names
+from catkinspan.platform.servers import ServerEntry, read_server
+from catkinspan.protocol.settings.reader import FaultList, ObjectReader, decode_json
+from catkinspan.state.ids import (
+    NO_REVISION,
+    KeyId,
+    Revision,
+    RouteId,
+    ServiceId,
+    WorkspaceId,
+)
+from catkinspan.state.policy import POLICY_FIELDS, Policy
+from catkinspan.state.tree import (
+    FleetSettings,
+    KeyEntry,
+    Route,
+    RouteMatch,
+    Service,
+    SettingsTree,
+    Upstream,
+    WeightedService,
+    Workspace,
+)
+
+RETRY_RATIO = 0.2
+"""Retries for each request that the platform's terms allow."""
+
+DEFAULT_CONNECTIONS = 300
+MAX_NUMBER = 1e9
+MAX_BODY_BYTES = 1 << 40
+PREFIXES = (names.CONFIGURATION_PREFIX, names.SERVERS_PREFIX)
+"""Beginnings of the keys that the fleet needs."""
+
+_ORIGIN = "platform"
+
+
+@frozen
+class _Settings:
+    """The last accepted configuration, without servers."""
+
+    document: Revision
+    """Revision of the store at which it was written."""
+
+    tree: SettingsTree
+    connections: Mapping[ServiceId, int]
+
+
+class PlatformDocuments:
+    """Builds the tree from ``op/config`` and the servers' entries."""
+
+    def __init__(self) -> None:
+        self._settings = _Settings(NO_REVISION, SettingsTree(), {})
+        self._rejected: RejectedConfiguration | None = None
+        self._seen = NO_REVISION
+        self._entries: dict[str, tuple[Revision, ServerEntry | SettingsFault]] = {}
+
+    def is_server(self, name: str) -> bool:
+        """Return whether a document is the entry of a server."""
+        return name.startswith(names.SERVERS_PREFIX)
+
+    def parse(self, documents: Mapping[str, Document]) -> ParsedDocuments:
+        """Return the accepted configuration with the servers of now."""
+        document = documents.get(names.CONFIGURATION_KEY)
+        if document is not None and document.revision != self._seen:
+            self._seen = document.revision
+            self._read_configuration(document)
+        ignored = self._read_entries(documents)
+        tree, connections = self._settings.tree, self._settings.connections
+        upstreams: dict[ServiceId, list[Upstream]] = {name: [] for name in connections}
+        for _, entry in self._entries.values():
+            if isinstance(entry, ServerEntry) and entry.service in upstreams:
+                upstream = evolve(
+                    entry.upstream, max_connections=connections[entry.service]
+                )
+                upstreams[entry.service].append(upstream)
+        services = {
+            name: evolve(service, upstreams=tuple(upstreams[name]))
+            for name, service in tree.services.items()
+        }
+        return ParsedDocuments(evolve(tree, services=services), self._rejected, ignored)
+
+    def _read_entries(
+        self, documents: Mapping[str, Document]
+    ) -> tuple[SettingsFault, ...]:
+        """Read new and changed entries; return the faults of unusable ones."""
+        entries: dict[str, tuple[Revision, ServerEntry | SettingsFault]] = {}
+        for name, document in documents.items():
+            if not self.is_server(name):
+                continue
+            known = self._entries.get(name)
+            if known is None or known[0] != document.revision:
+                known = (document.revision, read_server(name, document.text or ""))
+            entries[name] = known
+        self._entries = entries
+        return tuple(e for _, e in entries.values() if isinstance(e, SettingsFault))
+
+    def _read_configuration(self, document: Document) -> None:
+        faults = FaultList()
+        decoded = decode_json(document.text or "", document.name)
+        if decoded.is_err():
+            faults.faults.append(decoded.unwrap_err())
+            self._rejected = RejectedConfiguration(NO_REVISION, tuple(faults.faults))
+            return
+        reader = ObjectReader(decoded.unwrap(), document.name, faults)
+        revision = reader.convert(
+            names.VERSION, NO_REVISION, _version, "write hexadecimal digits"
+        )
+        if revision == NO_REVISION:
+            reader.fault(names.VERSION, "missing version", "write one above 0")
+        settings = _read_settings(reader, document.revision, revision)
+        if faults.faults:
+            self._rejected = RejectedConfiguration(revision, tuple(faults.faults))
+            return
+        self._rejected = None
+        if revision > self._settings.tree.revision:
+            self._settings = settings
+
+
+def _version(value: Any) -> Revision:
+    return Revision(int(value, 16))
+
+
+def _read_settings(
+    reader: ObjectReader, document: Revision, revision: Revision
+) -> _Settings:
+    limits = reader.child(names.LIMITS)
+    max_body = limits.integer(
+        names.MAX_BODY_BYTES, Policy().max_body_bytes, 0, MAX_BODY_BYTES
+    )
+    connections = {
+        ServiceId(cluster.string(names.NAME)): cluster.integer(
+            names.MAX_CONNS, DEFAULT_CONNECTIONS, 1, 1_000_000
+        )
+        for cluster in reader.items(names.CLUSTERS)
+    }
+    has_keys = reader.has(names.TENANTS)
+    workspaces = {w.id: w for w in map(_read_tenant, reader.items(names.TENANTS))}
+    base = Policy(max_body_bytes=max_body, retry_ratio=RETRY_RATIO, open=not has_keys)
+    routes = {route.id: route for route in _read_routes(reader, base, connections)}
+    services = {name: Service(name, (), base) for name in connections}
+    tree = SettingsTree(
+        revision=revision,
+        # The platform lets a host that is cut off go on with the keys it knows.
+        fleet=FleetSettings(isolation=None),
+        services=services,
+        routes=routes,
+        workspaces=workspaces,
+    )
+    return _Settings(document, tree, connections)
+
+
+def _read_tenant(reader: ObjectReader) -> Workspace:
+    """Read a tenant, the project's workspace; its keys are kept as digests only."""
+    keys = tuple(
+        KeyEntry(KeyId(f"key-{index + 1}"), sha256(key.encode()).digest())
+        for index, key in enumerate(reader.strings(names.API_KEYS))
+    )
+    rate = reader.number(names.RATE_PER_S, 0.0, 0.0, MAX_NUMBER)
+    burst = reader.number(names.BURST, 0.0, 0.0, MAX_NUMBER)
+    priority = reader.integer(names.PRIORITY, -1, -1, 1000)
+    return Workspace(
+        id=WorkspaceId(reader.string(names.NAME)),
+        keys=keys,
+        rate=rate,
+        burst=max(1.0, burst),
+        is_limited=rate > 0 or burst > 0,
+        priority=None if priority < 0 else priority,
+    )
+
+
+def _read_routes(
+    reader: ObjectReader, base: Policy, services: Mapping[ServiceId, int]
+) -> Iterator[Route]:
+    for listener in reader.items(names.LISTENERS):
+        host = listener.string(names.HOST).lower()
+        for rule in listener.items(names.RULES):
+            yield _read_rule(host, rule, base, services)
+
+
+def _read_rule(
+    host: str, rule: ObjectReader, base: Policy, services: Mapping[ServiceId, int]
+) -> Route:
+    action = rule.child(names.ACTION)
+    split = _read_split(action)
+    service = split[0].service if split else ServiceId(action.string(names.SERVICE))
+    for name in {service, *(part.service for part in split)} - services.keys():
+        action.fault(names.SERVICE, f"{name!r} is no cluster", "name a cluster")
+    kind = rule.string(names.KIND)
+    if kind not in (names.SAFE, names.UNSAFE):
+        rule.fault(names.KIND, f"unknown kind {kind!r:.40}", "write safe or unsafe")
+    timeout = action.duration_ms(names.TIMEOUT_MS, base.deadline)
+    policy = evolve(
+        base,
+        open=base.open or rule.boolean(names.PUBLIC, False),
+        idempotent=kind == names.SAFE,
+        deadline=timeout,
+        attempt_timeout=timeout,
+        max_attempts=action.integer(names.MAX_ATTEMPTS, 1, 1, 1000),
+        target_latency=_target(rule),
+        priority=rule.integer(names.PRIORITY, base.priority, 0, 1000),
+    )
+    prefix = rule.child(names.MATCH).string(names.PATH_PREFIX)
+    return Route(
+        id=RouteId(f"{host}/{rule.string(names.NAME)}"),
+        service=service,
+        match=RouteMatch(prefix, host=host),
+        policy=policy,
+        origins=dict.fromkeys(POLICY_FIELDS, _ORIGIN),
+        split=split,
+    )
+
+
+def _target(rule: ObjectReader) -> timedelta | None:
+    if not rule.has(names.TARGET_LATENCY_MS):
+        return None
+    return rule.duration_ms(names.TARGET_LATENCY_MS, timedelta(seconds=1))
+
+
+def _read_split(action: ObjectReader) -> tuple[WeightedService, ...]:
+    return tuple(
+        WeightedService(
+            ServiceId(part.string(names.SERVICE)),
+            part.number(names.WEIGHT, None, 0.0, MAX_NUMBER),
+        )
+        for part in action.items(names.TRAFFIC_SPLIT)
+    )
--- /dev/null
+++ b/src/catkinspan/platform/http.py
@@ -0,0 +1,13 @@
+"""Headers between clients, the fleet and servers on the platform."""
+
+from catkinspan.protocol.http.names import HttpNames
+
+HTTP_NAMES = HttpNames(
+    keeps_request_id=True,
+    expected_server=b"x-expect-instance",
+    workspace=b"x-tenant",
+    not_run=b"x-not-executed",
+    not_run_value=None,
+    stamp=b"x-server-stamp",
+    fractional_retry_after=True,
+)
--- a/src/catkinspan/protocol/http/const.py
+++ b/src/catkinspan/protocol/http/const.py
@@ -3,13 +3,9 @@
 from typing import Final
 
 REQUEST_ID: Final = b"x-request-id"
-REQUEST_RAN: Final = b"x-request-ran"
 DEADLINE_MS: Final = b"x-deadline-ms"
-ATTEMPT: Final = b"x-attempt"
-DRAINING: Final = b"x-draining"
 API_KEY: Final = b"x-api-key"
 AUTHORIZATION: Final = b"authorization"
-IDEMPOTENCY_KEY: Final = b"idempotency-key"
 
 HOP_BY_HOP: Final = frozenset(
     {
@@ -29,5 +25,5 @@
 BODY_PREFIX_BYTES: Final = 64 * 1024
 """Part of a request body that is read before admission and can be sent again."""
 
-MAX_IDEMPOTENCY_KEY_BYTES: Final = 256
+MAX_REQUEST_ID_BYTES: Final = 128
 MAX_HEADERS: Final = 200
--- a/src/catkinspan/protocol/http/heads.py
+++ b/src/catkinspan/protocol/http/heads.py
@@ -11,9 +11,9 @@
 from catkinspan.coordination.requests.errors import Refusal, RefusalKind
 from catkinspan.protocol.http.const import (
     DEADLINE_MS,
-    IDEMPOTENCY_KEY,
     MAX_HEADERS,
-    MAX_IDEMPOTENCY_KEY_BYTES,
+    MAX_REQUEST_ID_BYTES,
+    REQUEST_ID,
 )
 from catkinspan.protocol.http.keys import presented_keys
 
@@ -41,7 +41,9 @@
 
     expects_continue: bool
     presented_key: str | None = field(repr=False)
-    idempotency_key: str | None
+    request_id: str | None
+    """Id that the caller gave; None without a usable one."""
+
     deadline: timedelta | None
 
     @property
@@ -77,10 +79,6 @@
     if len(keys) > 1:
         remedy = "send the key once, in Authorization or in X-Api-Key"
         return Err(bad_request("two different keys in the headers", remedy))
-    idempotency_key = _single(headers, IDEMPOTENCY_KEY)
-    if len(idempotency_key or b"") > MAX_IDEMPOTENCY_KEY_BYTES:
-        remedy = f"send at most {MAX_IDEMPOTENCY_KEY_BYTES} bytes"
-        return Err(bad_request("Idempotency-Key is too long", remedy))
     deadline = _deadline(headers)
     if isinstance(deadline, Err):
         return deadline
@@ -95,7 +93,7 @@
             content_length=length.ok_value,
             expects_continue=_expects_continue(headers, request.http_version),
             presented_key=next(iter(keys), None),
-            idempotency_key=_decode_optional(idempotency_key),
+            request_id=_request_id(headers),
             deadline=deadline.ok_value,
         )
     )
@@ -160,5 +158,8 @@
     return next((value for key, value in headers if key == name), None)
 
 
-def _decode_optional(value: bytes | None) -> str | None:
-    return None if value is None else value.decode("latin-1")
+def _request_id(headers: Headers) -> str | None:
+    value = _single(headers, REQUEST_ID)
+    if not value or len(value) > MAX_REQUEST_ID_BYTES or not value.isascii():
+        return None
+    return value.decode("ascii")
--- a/src/catkinspan/protocol/http/responses.py
+++ b/src/catkinspan/protocol/http/responses.py
@@ -7,8 +7,9 @@
 import orjson
 
 from catkinspan.coordination.requests.errors import Ran, Refusal, RefusalKind
-from catkinspan.protocol.http.const import DRAINING, HOP_BY_HOP, REQUEST_ID, REQUEST_RAN
+from catkinspan.protocol.http.const import HOP_BY_HOP, REQUEST_ID
 from catkinspan.protocol.http.heads import Headers
+from catkinspan.protocol.http.names import HttpNames
 from catkinspan.protocol.http.upstream import connection_options
 
 STATUS: Mapping[RefusalKind, int] = {
@@ -26,10 +27,6 @@
     RefusalKind.OVERLOADED: 503,
     RefusalKind.RATE_EXCEEDED: 429,
     RefusalKind.QUARANTINED: 503,
-    RefusalKind.DUPLICATE_RUNNING: 409,
-    RefusalKind.DUPLICATE_RAN: 409,
-    RefusalKind.IDEMPOTENCY_KEY_REUSED: 422,
-    RefusalKind.CLAIM_UNDECIDED: 503,
     RefusalKind.NO_CAPACITY: 503,
     RefusalKind.UPSTREAM_UNREACHABLE: 502,
     RefusalKind.UPSTREAM_SHED: 503,
@@ -38,15 +35,29 @@
     RefusalKind.UPSTREAM_TRUNCATED: 502,
     RefusalKind.UPSTREAM_ERROR: 502,
     RefusalKind.UPSTREAM_CROSSED: 502,
+    RefusalKind.UPSTREAM_MISDIRECTED: 503,
+    RefusalKind.UPSTREAM_INVALID: 502,
+    RefusalKind.DEADLINE_PASSED: 503,
     RefusalKind.INTERNAL_ERROR: 500,
 }
 """HTTP status of each refusal."""
 
-_NOT_PASSED_ON = frozenset({REQUEST_ID, REQUEST_RAN, DRAINING})
+_PROMISES_NOT_RUN = frozenset({408, 421, 429, 503})
+"""Statuses by which callers send a request again, whatever it is."""
+
+_PROMISES_NOTHING = frozenset({502, 504})
+
+
+def status_of(refusal: Refusal) -> int:
+    """Return the status of a refusal, true to whether the request ran."""
+    status = STATUS[refusal.kind]
+    if refusal.ran is Ran.NO:
+        return 503 if status in _PROMISES_NOTHING else status
+    return 502 if status in _PROMISES_NOT_RUN else status
 
 
 def refusal_response(
-    refusal: Refusal, request_id: str, close: bool
+    refusal: Refusal, request_id: str, close: bool, names: HttpNames
 ) -> tuple[h11.Response, bytes]:
     """Return head and body of a refusal."""
     body = orjson.dumps(
@@ -62,23 +73,34 @@
         (b"content-type", b"application/json"),
         (b"content-length", b"%d" % len(body)),
         (REQUEST_ID, request_id.encode()),
-        (REQUEST_RAN, ran.encode()),
     ]
-    status = STATUS[refusal.kind]
+    if names.request_ran is not None:
+        headers.append((names.request_ran, ran.encode()))
+    status = status_of(refusal)
     if status == 401:
         headers.append((b"www-authenticate", b"Bearer"))
     if refusal.allowed_methods:
         headers.append((b"allow", ", ".join(refusal.allowed_methods).encode()))
     if refusal.retry_after is not None:
-        headers.append((b"retry-after", b"%d" % max(1, round(refusal.retry_after))))
+        headers.append((b"retry-after", _retry_after(refusal.retry_after, names)))
     if close:
         headers.append((b"connection", b"close"))
     reason = HTTPStatus(status).phrase.encode()
     return h11.Response(status_code=status, headers=headers, reason=reason), body
 
 
+def _retry_after(seconds: float, names: HttpNames) -> bytes:
+    if names.fractional_retry_after:
+        return b"%.2f" % max(0.0, seconds)
+    return b"%d" % max(1, round(seconds))
+
+
 def passed_response(
-    response: h11.Response, request_id: str, length: int | None, close: bool
+    response: h11.Response,
+    request_id: str,
+    length: int | None,
+    close: bool,
+    names: HttpNames,
 ) -> h11.Response:
     """Return an upstream's response head as the caller gets it.
 
@@ -87,10 +109,11 @@
     """
     headers: Headers = list(response.headers)
     listed = connection_options(headers)
+    not_passed = {REQUEST_ID, names.request_ran, names.draining}
     passed = [
         (name, value)
         for name, value in headers
-        if name not in HOP_BY_HOP and name not in _NOT_PASSED_ON and name not in listed
+        if name not in HOP_BY_HOP and name not in not_passed and name not in listed
     ]
     if length is not None and all(name != b"content-length" for name, _ in passed):
         passed.append((b"content-length", b"%d" % length))
--- a/src/catkinspan/protocol/http/upstream.py
+++ b/src/catkinspan/protocol/http/upstream.py
@@ -1,52 +1,71 @@
 """Requests to upstreams, and the reading of their responses."""
 
 import h11
-from attrs import frozen
-
-from catkinspan.protocol.http.const import (
-    ATTEMPT,
-    DEADLINE_MS,
-    DRAINING,
-    HOP_BY_HOP,
-    REQUEST_ID,
-    REQUEST_RAN,
-)
+from attrs import field, frozen
+
+from catkinspan.protocol.http.const import DEADLINE_MS, HOP_BY_HOP, REQUEST_ID
 from catkinspan.protocol.http.heads import CallerHead, Headers
 from catkinspan.protocol.http.keys import query_without_key, without_key_headers
+from catkinspan.protocol.http.names import HttpNames
+from catkinspan.state.ids import ServerId, WorkspaceId
 
 _REPLACED = frozenset(
-    {b"content-length", b"expect", b"x-forwarded-for", REQUEST_ID, DEADLINE_MS, ATTEMPT}
+    {b"content-length", b"expect", b"x-forwarded-for", REQUEST_ID, DEADLINE_MS}
 )
+_KEEP_ALIVE_TIMEOUT = b"timeout="
 
 
 @frozen
 class UpstreamRequest:
     """A request head for an upstream, without the caller's key."""
 
+    request_id: str
+    """Id on the wire."""
+
     method: bytes
     target: bytes
-    headers: Headers
-
-    def event(self, attempt: int, remaining_ms: int) -> h11.Request:
-        """Return the head of one attempt."""
-        own = [
-            (ATTEMPT, b"%d" % attempt),
-            (DEADLINE_MS, b"%d" % max(1, remaining_ms)),
-        ]
+    headers: Headers = field(repr=False)
+    names: HttpNames
+
+    def event(
+        self,
+        attempt: int,
+        remaining_ms: int,
+        server: ServerId,
+        workspace: WorkspaceId,
+    ) -> h11.Request:
+        """Return the head of one attempt at a server."""
+        own = [(DEADLINE_MS, b"%d" % max(1, remaining_ms))]
+        names = self.names
+        if names.attempt is not None:
+            own.append((names.attempt, b"%d" % attempt))
+        if names.expected_server is not None:
+            own.append((names.expected_server, server.encode("latin-1")))
+        if names.workspace is not None and workspace:
+            own.append((names.workspace, workspace.encode()))
         return h11.Request(
             method=self.method, target=self.target, headers=self.headers + own
         )
 
 
 def upstream_request(
-    head: CallerHead, request_id: str, key: str | None, key_parameter: str | None
+    head: CallerHead,
+    request_id: str,
+    key: str | None,
+    key_parameter: str | None,
+    names: HttpNames,
 ) -> UpstreamRequest:
     """Build the upstream's request head from the caller's one."""
     listed = connection_options(head.headers)
+    # What the fleet says of a request is never taken from its caller.
+    set_here = {names.attempt, names.expected_server, names.workspace}
     headers = [
         (name, value)
         for name, value in without_key_headers(head.headers, key)
-        if name not in HOP_BY_HOP and name not in _REPLACED and name not in listed
+        if name not in HOP_BY_HOP
+        and name not in _REPLACED
+        and name not in set_here
+        and name not in listed
     ]
     if all(name != b"host" for name, _ in headers):
         headers.insert(0, (b"host", head.host.encode() or b"upstream"))
@@ -57,7 +76,9 @@
         headers.append((b"content-length", b"%d" % head.content_length))
     query = query_without_key(head.raw_query, key_parameter, key)
     target = f"{head.path}?{query}" if query else head.path
-    return UpstreamRequest(head.method.encode(), target.encode("ascii"), headers)
+    return UpstreamRequest(
+        request_id, head.method.encode(), target.encode("ascii"), headers, names
+    )
 
 
 def connection_options(headers: Headers) -> frozenset[bytes]:
@@ -78,16 +99,39 @@
     draining: bool
     did_not_run: bool
     closes: bool
+    stamped: bool
+    """Whether it bears the sign of a server's own answer, where there is one."""
+
+    encoded: bool
+    """Whether the body has a coding, which is not the server's own body."""
+
+    idle_seconds: float | None
+    """How long the server keeps the idle connection; None if it does not say."""
 
     @classmethod
-    def of(cls, headers: Headers) -> "ResponseSigns":
+    def of(cls, headers: Headers, names: HttpNames) -> "ResponseSigns":
         """Read the signs from the headers."""
         values = dict(headers)
         echoed = values.get(REQUEST_ID)
         options = connection_options(headers)
+        not_run = values.get(names.not_run)
+        if names.not_run_value is not None and not_run is not None:
+            not_run = not_run if not_run.lower() == names.not_run_value else None
         return cls(
             echoed_id=None if echoed is None else echoed.decode("latin-1"),
-            draining=values.get(DRAINING) == b"1",
-            did_not_run=values.get(REQUEST_RAN, b"").lower() == b"no",
+            draining=names.draining is not None and values.get(names.draining) == b"1",
+            did_not_run=not_run is not None,
             closes=b"close" in options,
+            stamped=names.stamp is None or names.stamp in values,
+            encoded=b"content-encoding" in values,
+            idle_seconds=_idle_seconds(values.get(b"keep-alive", b"")),
         )
+
+
+def _idle_seconds(value: bytes) -> float | None:
+    for part in value.split(b","):
+        name = part.strip().lower()
+        if name.startswith(_KEEP_ALIVE_TIMEOUT):
+            digits = name.removeprefix(_KEEP_ALIVE_TIMEOUT)
+            return float(digits) if digits.isdigit() else None
+    return None
--- a/src/catkinspan/protocol/operators/prometheus.py
+++ b/src/catkinspan/protocol/operators/prometheus.py
@@ -120,10 +120,10 @@
     yield _counter("retries", "Attempts beyond the first.", "service", snapshot.retries)
     yield _counter("events", "Audit events of this host.", "kind", snapshot.events)
     yield _counter(
-        "ejections", "Servers that became ejected.", "service", snapshot.ejections
+        "ejections", "Servers that became avoided.", "service", snapshot.ejections
     )
     yield _counter(
-        "returns", "Servers back after an ejection.", "service", snapshot.returns
+        "returns", "Servers back in normal use.", "service", snapshot.returns
     )
 
 
@@ -142,8 +142,8 @@
 def _detection(snapshot: MetricsSnapshot) -> Iterator[Metric]:
     family = SummaryMetricFamily(
         "catkinspan_detection_seconds",
-        "Time from the first failed attempt of this host to the ejection, where it "
-        "saw one.",
+        "Time from the first failed attempt of this host until the server was "
+        "avoided, where it saw one.",
         labels=["service"],
     )
     highest = GaugeMetricFamily(
@@ -175,10 +175,8 @@
     gauges = (
         ("state", "0 up, 1 degraded, 2 down.", lambda s: _STATE_VALUES[s.state]),
         ("servers_published", "Published servers.", lambda s: s.published),
-        ("servers_unavailable", "Servers out of use.", lambda s: s.unavailable),
-        ("servers_above_floor", "Distance to the floor.", lambda s: s.above_floor),
-        ("waiting", "Requests that wait for a slot here.", lambda s: s.waiting),
-        ("fallback", "1 without the dispatcher.", lambda s: int(s.fallback)),
+        ("servers_in_use", "Servers in normal use.", lambda s: s.in_use),
+        ("retries_left", "Retries that the budget allows.", lambda s: s.retries_left),
     )
     for name, text, value in gauges:
         family = GaugeMetricFamily(
@@ -194,10 +192,15 @@
     yield GaugeMetricFamily(
         "catkinspan_revision", "Revision in force.", value=config.head.revision
     )
+    yield GaugeMetricFamily(
+        "catkinspan_store_revision",
+        "Revision of the store up to which all changes are known.",
+        value=config.store_revision,
+    )
     if config.platform_seconds is not None:
         yield GaugeMetricFamily(
             "catkinspan_platform_contact_age_seconds",
-            "Time since the configuration service was reached from this host.",
+            "Time since anyone known reached the store.",
             value=config.platform_seconds,
         )
     yield GaugeMetricFamily(
--- a/src/catkinspan/protocol/peers/codec.py
+++ b/src/catkinspan/protocol/peers/codec.py
@@ -5,6 +5,7 @@
 near 60 bytes; those at the end that have their default are left out.
 """
 
+from collections import OrderedDict
 from collections.abc import Callable, Iterable, Sequence
 from enum import Enum, IntEnum, StrEnum
 from typing import Any
@@ -27,6 +28,9 @@
 MAX_FRAME_BYTES = 4 * 1024 * 1024
 """A snapshot chunk carries one document of up to 1 MB; JSON escapes may double it."""
 
+CACHED_MESSAGES = 32
+"""Messages whose encoding is kept: a hub sends the same one to each follower."""
+
 MAX_FRAME_MESSAGES = 1024
 """Links put up to 64 messages into a frame. The host task handles a frame in one go,
 so a frame of very many small messages would delay its tick."""
@@ -63,6 +67,10 @@
             tag: _plain_defaults(cls, self._converter)
             for tag, cls in self._classes.items()
         }
+        self._encoded: OrderedDict[int, tuple[PeerMessage, orjson.Fragment]] = (
+            OrderedDict()
+        )
+        """Latest messages by identity; holding them keeps the identity theirs."""
 
     @property
     def tags(self) -> frozenset[str]:
@@ -71,8 +79,20 @@
 
     def encode(self, origin: Origin, messages: Sequence[PeerMessage]) -> bytes:
         """Return the bytes of a frame."""
-        tagged = [[type(m).__name__, self._fields(m)] for m in messages]
-        return orjson.dumps([origin.host, origin.incarnation, tagged])
+        encoded = [self._encode_message(message) for message in messages]
+        return orjson.dumps([origin.host, origin.incarnation, encoded])
+
+    def _encode_message(self, message: PeerMessage) -> orjson.Fragment:
+        """Encode a message once, also if it goes to many peers."""
+        known = self._encoded.get(id(message))
+        if known is not None and known[0] is message:
+            return known[1]
+        tagged = [type(message).__name__, self._fields(message)]
+        fragment = orjson.Fragment(orjson.dumps(tagged))
+        self._encoded[id(message)] = (message, fragment)
+        if len(self._encoded) > CACHED_MESSAGES:
+            self._encoded.popitem(last=False)
+        return fragment
 
     def _fields(self, message: PeerMessage) -> Sequence[Any]:
         """Return the fields without those at the end that have their default."""
--- a/src/catkinspan/protocol/platform/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""Answers of the platform's configuration service."""
--- a/src/catkinspan/protocol/settings/node.py
+++ b/src/catkinspan/protocol/settings/node.py
@@ -8,10 +8,21 @@
 from result import Err, Ok, Result
 
 from catkinspan.coordination.configuration.errors import SettingsFault
-from catkinspan.protocol.settings.reader import FaultList, ObjectReader, decode_json
+from catkinspan.protocol.settings.reader import (
+    FaultList,
+    ObjectReader,
+    decode_json,
+    parse_address,
+)
 from catkinspan.state.ids import DataCentre, HostId
 from catkinspan.state.metadata import json_name
-from catkinspan.state.node import HttpLimits, NodeSettings, TlsFiles
+from catkinspan.state.node import (
+    HttpLimits,
+    Interface,
+    NodeSettings,
+    RateWindow,
+    TlsFiles,
+)
 from catkinspan.state.tree import Address
 
 DEFAULT_OPERATORS = Address("127.0.0.1", 9900)
@@ -44,13 +55,21 @@
         peers=peers,
         peer_address=reader.address("peer_address", peers),
         platform=reader.address("platform"),
+        interface=reader.convert(
+            "interface",
+            Interface.CATKINSPAN,
+            Interface,
+            f"write one of {', '.join(Interface)}",
+        ),
+        seeds=_read_seeds(reader),
+        ready=reader.address("ready") if reader.has("ready") else None,
         http=_read_http(reader.child("http")),
         drain=reader.duration_ms("drain_ms", timedelta(seconds=30)),
         drain_notice=reader.duration_ms("drain_notice_ms", timedelta(seconds=2)),
         callers_tls=_read_tls(reader, "callers_tls"),
         upstreams_tls=_read_tls(reader, "upstreams_tls"),
         peers_tls=_read_tls(reader, "peers_tls"),
-        probe_interval=_read_probe_interval(reader),
+        rate_window=_read_rate_window(reader),
         seed=_read_seed(reader),
     )
 
@@ -84,10 +103,28 @@
     return TlsFiles(**paths)
 
 
-def _read_probe_interval(reader: ObjectReader) -> timedelta | None:
-    if reader.has("probe_interval_ms") and reader.raw("probe_interval_ms") is None:
+def _read_seeds(reader: ObjectReader) -> tuple[Address, ...]:
+    seeds = []
+    for text in reader.strings("seeds"):
+        parsed = parse_address(text)
+        if isinstance(parsed, Err):
+            reader.fault("seeds", parsed.err_value, 'write ["IP:PORT", ...]')
+        else:
+            seeds.append(parsed.ok_value)
+    return tuple(seeds)
+
+
+def _read_rate_window(reader: ObjectReader) -> RateWindow | None:
+    if not reader.has("rate_window"):
         return None
-    return reader.duration_ms("probe_interval_ms", timedelta(seconds=5))
+    child, standard = reader.child("rate_window"), RateWindow()
+    window = RateWindow(
+        length=child.duration_ms("length_ms", standard.length),
+        overshoot=child.number("overshoot", standard.overshoot, 0.0, 10.0),
+        slack=child.number("slack", standard.slack, 0.0, 1e6),
+    )
+    child.close()
+    return window
 
 
 def _read_seed(reader: ObjectReader) -> int | None:
--- a/src/catkinspan/protocol/settings/policy.py
+++ b/src/catkinspan/protocol/settings/policy.py
@@ -7,17 +7,16 @@
 from attrs import Attribute, evolve, frozen
 
 from catkinspan.protocol.settings.reader import MAX_DURATION_MS, ObjectReader
-from catkinspan.state.policy import POLICY_FIELDS, HealthProfile, Policy
+from catkinspan.state.policy import POLICY_FIELDS, Policy
 
 _NUMBER_RANGES: Mapping[str, tuple[float, float]] = {
     "max_attempts": (1, 10),
     "max_body_bytes": (0, 1 << 40),
     "hold_bytes": (0, 64 << 20),
-    "healthy_floor": (0.0, 1.0),
+    "priority": (0, 100),
     "retry_ratio": (0.0, 1.0),
-    "max_queue": (0, 100_000),
 }
-_NULLABLE = frozenset({"hedge_after_ms", "key_query_parameter"})
+_NULLABLE = frozenset({"target_latency_ms", "key_query_parameter", "idempotent"})
 _DURATION_REMEDY = f"write milliseconds from 1 to {MAX_DURATION_MS}"
 DEFAULT_ORIGIN = "default"
 
@@ -61,13 +60,10 @@
         return reader.convert(name, inherited, _duration, _DURATION_REMEDY)
     if name == "idempotent_methods":
         return frozenset(method.upper() for method in reader.strings(name))
-    if name == "health_profile":
-        remedy = f"write one of {', '.join(HealthProfile)}"
-        return reader.convert(name, inherited, HealthProfile, remedy)
     if name == "key_query_parameter":
         return reader.string(name)
-    if isinstance(attribute.default, bool):
-        return reader.boolean(name, inherited)
+    if name == "idempotent" or isinstance(attribute.default, bool):
+        return reader.boolean(name, bool(inherited))
     low, high = _NUMBER_RANGES[name]
     if isinstance(attribute.default, int):
         return reader.integer(name, inherited, int(low), int(high))
--- a/src/catkinspan/protocol/settings/reader.py
+++ b/src/catkinspan/protocol/settings/reader.py
@@ -174,9 +174,8 @@
 
     def duration_ms(self, name: str, default: timedelta) -> timedelta:
         """Return a duration that is given in milliseconds."""
-        value = self.integer(
-            name, round(default.total_seconds() * 1000), 1, MAX_DURATION_MS
-        )
+        standard = default.total_seconds() * 1000
+        value = self.number(name, standard, 1, MAX_DURATION_MS)
         return timedelta(milliseconds=value)
 
     def address(self, name: str, default: Address | None = None) -> Address:
--- a/src/catkinspan/protocol/settings/tables.py
+++ b/src/catkinspan/protocol/settings/tables.py
@@ -8,9 +8,8 @@
 import orjson
 
 from catkinspan.protocol.settings.policy import format_setting
-from catkinspan.state.hosts import ListedHost
 from catkinspan.state.metadata import json_name
-from catkinspan.state.node import HttpLimits, NodeSettings, TlsFiles
+from catkinspan.state.node import HttpLimits, NodeSettings, RateWindow, TlsFiles
 from catkinspan.state.policy import Policy
 from catkinspan.state.tree import (
     FleetSettings,
@@ -24,13 +23,13 @@
     "host": NodeSettings,
     "host http": HttpLimits,
     "host tls": TlsFiles,
+    "host rate window": RateWindow,
     "inherited": Policy,
     "fleet": FleetSettings,
     "upstream": Upstream,
     "match": RouteMatch,
     "workspace": Workspace,
     "key": KeyEntry,
-    "listed host": ListedHost,
 }
 """Settings classes by the name of their table on the operations page."""
 
--- a/src/catkinspan/protocol/settings/tree.py
+++ b/src/catkinspan/protocol/settings/tree.py
@@ -5,12 +5,12 @@
 
 - ``root``: ``fleet`` limits and ``defaults``,
 - ``services/NAME``: settings, upstreams and routes of one service,
-- ``workspaces/SHARD``: workspaces with keys and limits,
-- ``hosts``: the entry hosts.
+- ``workspaces/SHARD``: workspaces with keys and limits.
 """
 
 from collections import Counter
 from collections.abc import Mapping
+from datetime import timedelta
 from typing import Any
 
 import orjson
@@ -22,13 +22,11 @@
     RejectedConfiguration,
     SettingsFault,
 )
-from catkinspan.coordination.configuration.models import Document, ParsedDocuments
+from catkinspan.coordination.configuration.models import Document
 from catkinspan.protocol.settings.policy import InheritedPolicy, read_policy
 from catkinspan.protocol.settings.reader import FaultList, ObjectReader, decode_json
-from catkinspan.state.hosts import HostList, ListedHost
 from catkinspan.state.ids import (
     DataCentre,
-    HostId,
     KeyId,
     Revision,
     RouteId,
@@ -44,11 +42,11 @@
     Service,
     SettingsTree,
     Upstream,
+    WeightedService,
     Workspace,
 )
 
 ROOT = "root"
-HOSTS = "hosts"
 SERVICES_PREFIX = "services/"
 WORKSPACES_PREFIX = "workspaces/"
 WORKSPACE_DOCUMENTS = 16
@@ -58,6 +56,7 @@
 DIGEST_BYTES = 32
 MAX_RATE = 1e9
 MAX_SLOTS = 10_000
+MAX_WARMUP_MS = 3_600_000
 
 
 @frozen
@@ -89,9 +88,7 @@
     elif isolation is not None:
         isolation = reader.duration_ms("isolation_ms", isolation)
     fleet = FleetSettings(
-        max_hosts=reader.integer("max_hosts", standard.max_hosts, 1, 100_000),
         isolation=isolation,
-        rate_shards=reader.integer("rate_shards", standard.rate_shards, 1, 4096),
     )
     reader.close()
     return fleet
@@ -123,6 +120,8 @@
         slots=reader.integer("slots", None, 1, MAX_SLOTS),
         max_connections=reader.integer("max_connections", 350, 1, 1_000_000),
         leaving=reader.boolean("leaving", False),
+        warmup=timedelta(milliseconds=reader.integer("warmup_ms", 0, 0, MAX_WARMUP_MS)),
+        process=reader.integer("process", 0, 0, 1 << 53),
     )
     reader.close()
     return upstream
@@ -135,8 +134,23 @@
     route_id = RouteId(f"{service}/{name}")
     match = _read_match(reader.child("match"))
     inherited = read_policy(reader.child("settings"), parent, f"route {route_id}")
+    split = _read_split(reader)
     reader.close()
-    return Route(route_id, service, match, inherited.policy, inherited.origins)
+    return Route(route_id, service, match, inherited.policy, inherited.origins, split)
+
+
+def _read_split(reader: ObjectReader) -> tuple[WeightedService, ...]:
+    """Read the services that share a route, by weight."""
+    parts = reader.child("split")
+    split = tuple(
+        WeightedService(ServiceId(name), parts.number(name, None, 0.0, MAX_RATE))
+        for name in parts.names()
+    )
+    parts.close()
+    if split and not any(part.weight for part in split):
+        reader.fault("split", "no service has a weight", "write a weight above 0")
+        return ()
+    return split
 
 
 def _read_match(reader: ObjectReader) -> RouteMatch:
@@ -168,8 +182,11 @@
         keys=keys,
         rate=reader.number("rate", None, 0.0, MAX_RATE),
         burst=reader.number("burst", None, 1.0, MAX_RATE),
-        weight=reader.number("weight", 1.0, 0.001, 1e6),
         max_in_flight=reader.integer("max_in_flight", 1000, 1, 1_000_000),
+        is_limited=reader.boolean("limited", True),
+        priority=reader.integer("priority", 0, 0, 100)
+        if reader.has("priority")
+        else None,
     )
     reader.close()
     return workspace
@@ -192,26 +209,6 @@
     return digest
 
 
-def read_hosts(value: object, revision: Revision, faults: FaultList) -> HostList:
-    """Read the ``hosts`` document."""
-    reader = ObjectReader(value, HOSTS, faults)
-    hosts = [_read_host(item) for item in reader.items("hosts")]
-    _check_unique(reader, "hosts", [host.id for host in hosts])
-    reader.close()
-    return HostList(revision, {host.id: host for host in hosts})
-
-
-def _read_host(reader: ObjectReader) -> ListedHost:
-    host = ListedHost(
-        id=HostId(reader.string("id")),
-        data_centre=DataCentre(reader.string("data_centre")),
-        peer_address=reader.address("peer_address"),
-        leaving=reader.boolean("leaving", False),
-    )
-    reader.close()
-    return host
-
-
 def _check_name(name: str, reader: ObjectReader) -> None:
     """Refuse names by which two routes would share an id, `SERVICE/ROUTE`."""
     if not name or "/" in name:
@@ -230,11 +227,10 @@
         self._root: tuple[Revision, _Root] | None = None
         self._services: dict[str, tuple[Revision, _ServiceContent]] = {}
         self._workspaces: dict[str, tuple[Revision, dict[WorkspaceId, Workspace]]] = {}
-        self._hosts: tuple[Revision, HostList] | None = None
 
     def parse(
         self, documents: Mapping[str, Document], revision: Revision
-    ) -> Result[ParsedDocuments, RejectedConfiguration]:
+    ) -> Result[SettingsTree, RejectedConfiguration]:
         """Return the whole checked configuration, or every fault found.
 
         A rejected configuration leaves the remembered documents as they were.
@@ -244,13 +240,13 @@
         parsed = draft._build(documents, revision, faults)
         if faults.faults:
             return Err(RejectedConfiguration(revision, tuple(faults.faults)))
-        self._root, self._hosts = draft._root, draft._hosts
+        self._root = draft._root
         self._services, self._workspaces = draft._services, draft._workspaces
         return Ok(parsed)
 
     def _copy(self) -> "TreeParser":
         copy = TreeParser()
-        copy._root, copy._hosts = self._root, self._hosts
+        copy._root = self._root
         copy._services = dict(self._services)
         copy._workspaces = dict(self._workspaces)
         return copy
@@ -260,13 +256,13 @@
         documents: Mapping[str, Document],
         revision: Revision,
         faults: FaultList,
-    ) -> ParsedDocuments:
+    ) -> SettingsTree:
         self._read_root_document(documents.get(ROOT), faults)
         for name, document in documents.items():
             self._read_document(name, document, faults)
         self._services = {n: c for n, c in self._services.items() if n in documents}
         self._workspaces = {n: c for n, c in self._workspaces.items() if n in documents}
-        return ParsedDocuments(self._assemble(revision, faults), self._host_list())
+        return self._assemble(revision, faults)
 
     def _read_root_document(self, document: Document | None, faults: FaultList) -> None:
         if document is None:
@@ -301,16 +297,9 @@
                     revision,
                     read_workspaces(name, value, faults),
                 )
-        elif name == HOSTS:
-            if self._hosts is None or self._hosts[0] != revision:
-                value = _decode(document, faults)
-                self._hosts = (revision, read_hosts(value, revision, faults))
         elif name != ROOT:
             faults.add(name, "unknown document", "remove it or correct its name")
 
-    def _host_list(self) -> HostList:
-        return HostList() if self._hosts is None else self._hosts[1]
-
     def _assemble(self, revision: Revision, faults: FaultList) -> SettingsTree:
         assert self._root is not None
         contents = [content for _, content in self._services.values()]
@@ -321,6 +310,7 @@
                 faults.add(name, message, "remove one of the two")
             workspaces.update(shard)
         _check_keys(workspaces, faults)
+        _check_splits([r for c in contents for r in c.routes], self._services, faults)
         return SettingsTree(
             revision=revision,
             fleet=self._root[1].fleet,
@@ -331,7 +321,7 @@
 
 
 def _decode(document: Document, faults: FaultList) -> object:
-    decoded = decode_json(document.text, document.name)
+    decoded = decode_json(document.text or "", document.name)
     if isinstance(decoded, Ok):
         return decoded.ok_value
     faults.faults.append(decoded.err_value)
@@ -350,6 +340,18 @@
                 faults.add(f"workspaces/{workspace.id}/keys", message, remedy)
 
 
+def _check_splits(
+    routes: list[Route], services: Mapping[str, object], faults: FaultList
+) -> None:
+    """Refuse a split to a service that nobody published."""
+    for route in routes:
+        for part in route.split:
+            if SERVICES_PREFIX + part.service not in services:
+                path = f"{SERVICES_PREFIX}{route.service}/routes/{route.id}/split"
+                message = f"service {part.service!r} is not published"
+                faults.add(path, message, "name a service of the tree")
+
+
 def _or_empty(value: object, empty: object) -> object:
     return empty if value is None else value
 
@@ -363,7 +365,6 @@
             "fleet": _or_empty(reader.raw("fleet"), {}),
             "defaults": _or_empty(reader.raw("defaults"), {}),
         },
-        HOSTS: {"hosts": _or_empty(reader.raw("hosts"), [])},
     }
     services = reader.child("services")
     for name in services.names():
@@ -382,7 +383,7 @@
     return Ok({name: orjson.dumps(value).decode() for name, value in documents.items()})
 
 
-def check_tree(text: str | bytes) -> Result[ParsedDocuments, tuple[SettingsFault, ...]]:
+def check_tree(text: str | bytes) -> Result[SettingsTree, tuple[SettingsFault, ...]]:
     """Check an operators' settings file, as `catkinspan check` does."""
     decoded = decode_json(text, "(document)")
     if isinstance(decoded, Err):
--- a/src/catkinspan/state/hosts.py
+++ b/src/catkinspan/state/hosts.py
@@ -1,57 +1,35 @@
-"""The platform's list of entry hosts and a host's view of the fleet."""
+"""Entry hosts, and one host's view of the fleet."""
 
 from collections.abc import Mapping
 from enum import StrEnum
 
-from attrs import NOTHING, Factory, frozen
+from attrs import Factory, frozen
 
-from catkinspan.state.ids import NO_REVISION, DataCentre, HostId, Revision
-from catkinspan.state.metadata import setting
+from catkinspan.state.ids import DataCentre, HostId
 from catkinspan.state.tree import Address
 
 
-@frozen
-class ListedHost:
-    """An entry host in the platform's list."""
-
-    id: HostId = setting(NOTHING, "", "Name of the host.")
-    data_centre: DataCentre = setting(NOTHING, "", "Data centre of the host.")
-    peer_address: Address = setting(
-        NOTHING, "IP:PORT", "Where other hosts reach its peers' listener."
-    )
-    leaving: bool = setting(False, "", "Whether it gets no roles any more.")
-
-
-@frozen
-class HostList:
-    """The platform's lagging list of entry hosts."""
-
-    revision: Revision = NO_REVISION
-    hosts: Mapping[HostId, ListedHost] = Factory(dict)
-
-
 class HostStatus(StrEnum):
     """What a host knows of a peer."""
 
     ALIVE = "alive"
-    SUSPECT = "suspect"
-    DEAD = "dead"
+    SILENT = "silent"
+    """Not heard by anyone for `SILENT_SECONDS`."""
+
     LEAVING = "leaving"
 
 
 @frozen
 class HostRecord:
-    """A peer in the fleet view."""
+    """An entry host as it announces itself."""
 
     id: HostId
     data_centre: DataCentre
     peer_address: Address
-    status: HostStatus = HostStatus.ALIVE
     incarnation: int = 0
-    """Number of the peer's process life; a higher one supersedes a lower one."""
+    """Random number of the process life; another one is another process."""
 
-    listed: bool = True
-    """Whether the platform's list holds the host."""
+    leaving: bool = False
 
 
 @frozen
@@ -61,15 +39,38 @@
     self_id: HostId
     self_data_centre: DataCentre
     hosts: Mapping[HostId, HostRecord] = Factory(dict)
+    """Known hosts, the own one included."""
+
     usable: tuple[HostId, ...] = ()
-    """Sorted ids of hosts that may hold a role: listed, not leaving, not dead. The
-    own id is included while the host itself may hold a role."""
+    """Sorted ids of hosts that are heard of and not leaving, the own one included."""
+
+    hubs: tuple[HostId, ...] = ()
+    """Hubs of the own data centre in the order of preference; may hold the own id."""
+
+    followers: tuple[HostId, ...] = ()
+    """Other hosts that use the own host as a hub."""
+
+    led: tuple[HostId, ...] = ()
+    """Followers of which the own host is the first hub."""
+
+    remote_hubs: tuple[HostId, ...] = ()
+    """Hubs of the other data centres, if the own host is a hub."""
+
+    rank: int = 0
+    """Place of the own host among the hub candidates of its data centre."""
+
+    known: int = 1
+    """Hosts of the whole fleet that have not announced that they leave."""
+
+    heard: int = 1
+    """Hosts of the whole fleet of which there was news lately."""
 
-    max_hosts: int = 40
-    listed: tuple[HostId, ...] = ()
-    """Sorted ids of all hosts in the platform's list."""
+    @property
+    def is_hub(self) -> bool:
+        """Return whether the own host is a hub of its data centre."""
+        return self.self_id in self.hubs
 
-    def in_data_centre(self, data_centre: DataCentre) -> tuple[HostId, ...]:
-        """Return the usable hosts of a data centre, sorted by id."""
-        hosts = self.hosts
-        return tuple(h for h in self.usable if hosts[h].data_centre == data_centre)
+    @property
+    def heard_share(self) -> float:
+        """Return the share of the known hosts that are heard of."""
+        return self.heard / max(1, self.known)
--- a/src/catkinspan/state/node.py
+++ b/src/catkinspan/state/node.py
@@ -1,6 +1,7 @@
 """Settings of one host, read from its file at start."""
 
 from datetime import timedelta
+from enum import StrEnum
 from pathlib import Path
 
 from attrs import NOTHING, frozen
@@ -10,6 +11,16 @@
 from catkinspan.state.tree import Address
 
 
+class Interface(StrEnum):
+    """Names and formats on the wire."""
+
+    CATKINSPAN = "catkinspan"
+    """The product's own."""
+
+    OPERATOR = "operator"
+    """Those of the operator platform, see docs/platform.md."""
+
+
 @frozen
 class TlsFiles:
     """PEM files of one listener or one kind of outgoing connection."""
@@ -52,16 +63,23 @@
     max_requests: int = setting(2000, "requests", "Requests running or queued.")
 
 
+@frozen
+class RateWindow:
+    """Windowed bound of each workspace's admitted requests over the fleet."""
+
+    length: timedelta = setting(
+        timedelta(seconds=5), "ms", "Length of the window.", "length_ms"
+    )
+    overshoot: float = setting(0.25, "share", "Excess over rate and burst.")
+    slack: float = setting(0.0, "requests", "Further excess.")
+
+
 @frozen
 class NodeSettings:
     """What a host learns at start."""
 
-    host_id: HostId = setting(
-        NOTHING, "", "Name of the host, as in the platform's host list."
-    )
-    data_centre: DataCentre = setting(
-        NOTHING, "", "Data centre of the host, as in the host list."
-    )
+    host_id: HostId = setting(NOTHING, "", "Name of the host, unique in the fleet.")
+    data_centre: DataCentre = setting(NOTHING, "", "Data centre of the host.")
     callers: Address = setting(NOTHING, "IP:PORT", "Listener for callers.")
     operators: Address = setting(
         NOTHING,
@@ -76,8 +94,24 @@
         "Address under which other hosts reach the peers' listener.",
         shown_default="the value of `peers`",
     )
-    platform: Address = setting(
-        NOTHING, "IP:PORT", "The platform's configuration service."
+    platform: Address = setting(NOTHING, "IP:PORT", "The platform's store.")
+    interface: Interface = setting(
+        Interface.CATKINSPAN,
+        "",
+        "What callers, upstreams and the store's documents speak: `catkinspan` or "
+        "`operator`.",
+    )
+    seeds: tuple[Address, ...] = setting(
+        (),
+        "IP:PORT",
+        "Peers' listeners of some hosts, to find the others; they may be down.",
+        shown_default="none",
+    )
+    ready: Address | None = setting(
+        None,
+        "IP:PORT",
+        "Listener for the balancer's check alone; left out for the callers' one.",
+        shown_default="left out",
     )
     http: HttpLimits = setting(
         HttpLimits(), "", "Limits of the callers' listener, see below."
@@ -85,13 +119,13 @@
     drain: timedelta = setting(
         timedelta(seconds=30),
         "ms",
-        "Longest time for running requests to finish after SIGTERM.",
+        "Longest time from SIGTERM to the end of the process.",
         "drain_ms",
     )
     drain_notice: timedelta = setting(
         timedelta(seconds=2),
         "ms",
-        "Time between failing the balancer's check and refusing new connections.",
+        "Time after SIGTERM in which the balancer still sends new connections.",
         "drain_notice_ms",
     )
     callers_tls: TlsFiles | None = setting(
@@ -112,11 +146,11 @@
         "Files for traffic between hosts, see below; left out for plain TCP.",
         shown_default="left out",
     )
-    probe_interval: timedelta | None = setting(
-        timedelta(seconds=5),
-        "ms",
-        "Time between two requests to each upstream's health endpoint; null for none.",
-        "probe_interval_ms",
+    rate_window: RateWindow | None = setting(
+        None,
+        "",
+        "Windowed bound of the rates, see below; left out for exact rates.",
+        shown_default="left out",
     )
     seed: int | None = setting(
         None,
@@ -124,3 +158,8 @@
         "Seed of the host's random source; left out for a random one.",
         shown_default="left out",
     )
+
+    @property
+    def uses_tls(self) -> bool:
+        """Return whether any listener or connection has TLS files."""
+        return any((self.callers_tls, self.upstreams_tls, self.peers_tls))
--- a/src/catkinspan/state/tree.py
+++ b/src/catkinspan/state/tree.py
@@ -35,25 +35,13 @@
 class FleetSettings:
     """Limits that all hosts share."""
 
-    max_hosts: int = setting(
-        40,
-        "hosts",
-        "Largest number of hosts that may run at once; each mints 1/max_hosts of "
-        "every rate and burst.",
-    )
     isolation: timedelta | None = setting(
         timedelta(seconds=5),
         "ms",
-        "Time without the configuration service and a majority of peers before keyed "
-        "requests are refused; null lets an isolated host go on.",
+        "Time without news of the store and of most peers before keyed requests are "
+        "refused; null lets an isolated host go on.",
         "isolation_ms",
     )
-    rate_shards: int = setting(
-        64,
-        "shards",
-        "Shards of workspaces, each with one granting host; read once at the start of "
-        "a host.",
-    )
 
 
 @frozen
@@ -68,6 +56,23 @@
         350, "connections", "Connections over all hosts together."
     )
     leaving: bool = setting(False, "", "Whether it gets no new work.")
+    warmup: timedelta = setting(
+        timedelta(),
+        "ms",
+        "Time after its publication for which the server is slow.",
+        "warmup_ms",
+    )
+    process: int = setting(
+        0, "", "Number of the server's process life; another one is another process."
+    )
+
+
+@frozen
+class WeightedService:
+    """A service that gets a part of a route's requests."""
+
+    service: ServiceId
+    weight: float
 
 
 @frozen
@@ -92,11 +97,16 @@
 
     id: RouteId
     service: ServiceId
+    """Service of the route; the first one of a split."""
+
     match: RouteMatch
     policy: Policy
     origins: Mapping[str, str]
     """Level of the tree that set each value, by the setting's JSON name."""
 
+    split: tuple[WeightedService, ...] = ()
+    """Services that share the requests; empty if `service` gets them all."""
+
 
 @frozen
 class Service:
@@ -129,11 +139,16 @@
     burst: float = setting(
         NOTHING, "requests", "Requests above the rate, over the whole fleet."
     )
-    weight: float = setting(
-        1.0, "", "Share of slots relative to others when capacity is short."
-    )
     max_in_flight: int = setting(
-        1000, "requests", "Requests that one host runs or queues at once."
+        1000, "requests", "Requests that one host runs at once."
+    )
+    is_limited: bool = setting(True, "", "Whether the rate is enforced.", "limited")
+    priority: int | None = setting(
+        None,
+        "",
+        "Rank of its requests instead of the route's; 0 is the most urgent. Left out "
+        "for the route's.",
+        shown_default="left out",
     )
 
 
--- a/src/catkinspan/transport/callers/connection.py
+++ b/src/catkinspan/transport/callers/connection.py
@@ -13,10 +13,11 @@
 from catkinspan.coordination.requests.errors import Refusal, RefusalKind
 from catkinspan.coordination.requests.models import KeysWithdrawn
 from catkinspan.protocol.http.heads import CallerHead, bad_request, check_head
+from catkinspan.protocol.http.names import HttpNames
 from catkinspan.protocol.http.responses import refusal_response
 from catkinspan.state.ids import RequestId
 from catkinspan.state.node import HttpLimits
-from catkinspan.transport.callers.const import HEALTH_PATH
+from catkinspan.transport.callers.const import HEALTH_PATH, ID_SEPARATOR
 from catkinspan.transport.callers.exchange import Exchange
 from catkinspan.transport.callers.messages import (
     Drain,
@@ -46,6 +47,7 @@
         limits: HttpLimits,
         clock: Clock,
         new_request_id: Callable[[], RequestId],
+        names: HttpNames,
         tls: ssl.SSLContext | None = None,
     ) -> None:
         self._port = port
@@ -55,9 +57,13 @@
         self._limits = limits
         self._clock = clock
         self._new_request_id = new_request_id
+        self._names = names
         self._tls = tls
         self._stream = CallerStream(port, limits.header_bytes)
         self._draining = False
+        self._closing = False
+        """Whether to close without waiting for another request."""
+
         self._last_key_digest: bytes | None = None
 
     async def async_run(self) -> None:
@@ -82,15 +88,22 @@
             return False
         if request is None:
             return False
-        request_id = self._new_request_id()
         checked = check_head(request)
         if isinstance(checked, Err):
-            self._refuse(request_id, checked.err_value)
+            self._refuse(self._new_request_id(), checked.err_value)
             return False
-        if checked.ok_value.path == HEALTH_PATH:
-            await self._async_answer_health(checked.ok_value.method)
+        head = checked.ok_value
+        if head.path == HEALTH_PATH and not self._names.keeps_request_id:
+            await self._async_answer_health(head.method)
             return False
-        return await self._async_exchange(request_id, checked.ok_value)
+        return await self._async_exchange(self._request_id(head), head)
+
+    def _request_id(self, head: CallerHead) -> RequestId:
+        """Return the id for the fleet; a caller may use one twice, the fleet not."""
+        own = self._new_request_id()
+        if not self._names.keeps_request_id or head.request_id is None:
+            return own
+        return RequestId(f"{head.request_id}{ID_SEPARATOR}{own}")
 
     async def _async_read_head(self) -> h11.Request | None:
         idle_end = self._clock.monotonic() + self._limits.idle_timeout.total_seconds()
@@ -104,7 +117,7 @@
             if head_end is None and self._stream.has_begun:
                 timeout = self._limits.header_timeout.total_seconds()
                 head_end = self._clock.monotonic() + timeout
-            if self._draining and head_end is None:
+            if self._closing and head_end is None:
                 return None
             message = await self._mailbox.async_get_until(head_end or idle_end)
             if message is None:
@@ -118,8 +131,9 @@
                 self._stream.receive(message)
             case SocketClosed():
                 raise ConnectionClosedError
-            case Drain():
+            case Drain(close_idle):
                 self._draining = True
+                self._closing = self._closing or close_idle
             case KeysWithdrawn(digests):
                 if self._last_key_digest in digests:
                     raise ConnectionClosedError
@@ -137,6 +151,7 @@
             pool=self._pool,
             limits=self._limits,
             clock=self._clock,
+            names=self._names,
             tls=self._tls,
             draining=self._draining,
         )
@@ -188,7 +203,9 @@
         """Answer before the request reached the host task, and close."""
         if self._stream.http.our_state not in (h11.IDLE, h11.SEND_RESPONSE):
             return
-        response, body = refusal_response(refusal, request_id, close=True)
+        response, body = refusal_response(
+            refusal, request_id, close=True, names=self._names
+        )
         self._stream.send(response, h11.Data(data=body), h11.EndOfMessage())
         record = RequestRecord(
             request_id, "", "", response.status_code, refusal.kind, 0.0, 0
--- a/src/catkinspan/transport/callers/const.py
+++ b/src/catkinspan/transport/callers/const.py
@@ -8,3 +8,6 @@
 
 HOLD_SECONDS = 1.0
 """Time after which a held response is streamed, so that event streams flow."""
+
+ID_SEPARATOR = "."
+"""Between a caller's request id and the fleet's own addition, in logs and messages."""
--- a/src/catkinspan/transport/callers/exchange.py
+++ b/src/catkinspan/transport/callers/exchange.py
@@ -25,6 +25,7 @@
 )
 from catkinspan.protocol.http.heads import CallerHead, bad_request
 from catkinspan.protocol.http.keys import path_holds_key
+from catkinspan.protocol.http.names import HttpNames
 from catkinspan.protocol.http.responses import passed_response, refusal_response
 from catkinspan.protocol.http.upstream import upstream_request
 from catkinspan.state.ids import RequestId
@@ -68,10 +69,14 @@
         pool: Mailbox[PoolMessage],
         limits: HttpLimits,
         clock: Clock,
+        names: HttpNames,
         tls: ssl.SSLContext | None,
         draining: bool,
     ) -> None:
         self._request_id = request_id
+        self._wire_id = head.request_id or "" if names.keeps_request_id else ""
+        self._wire_id = self._wire_id or request_id
+        self._names = names
         self._head = head
         self._stream = stream
         self._mailbox = mailbox
@@ -146,7 +151,6 @@
             path=head.path,
             query=head.query,
             presented_key=self._key,
-            idempotency_key=head.idempotency_key,
             deadline=head.deadline,
             content_length=head.content_length,
         )
@@ -278,7 +282,11 @@
         if assigned.key_query_parameter and self._key is None:
             self._key = self._head.query.get(assigned.key_query_parameter)
         request = upstream_request(
-            self._head, self._request_id, self._key, assigned.key_query_parameter
+            self._head,
+            self._wire_id,
+            self._key,
+            assigned.key_query_parameter,
+            self._names,
         )
         spec = AttemptSpec(
             assigned,
@@ -382,7 +390,7 @@
 
     def _begin_response(self, response: h11.Response, length: int | None) -> None:
         close = self._draining or not self._body.is_complete
-        head = passed_response(response, self._request_id, length, close)
+        head = passed_response(response, self._wire_id, length, close, self._names)
         self._status = head.status_code
         self._stream.send(head)
 
@@ -425,7 +433,7 @@
             return
         self._stop_attempts()
         close = self._draining or not self._body.is_complete
-        response, body = refusal_response(refusal, self._request_id, close)
+        response, body = refusal_response(refusal, self._wire_id, close, self._names)
         self._stream.send(response, h11.Data(data=body), h11.EndOfMessage())
         logger.info("refused: {}", refusal)
         self._finish(response.status_code, refusal.kind)
--- a/src/catkinspan/transport/callers/messages.py
+++ b/src/catkinspan/transport/callers/messages.py
@@ -45,7 +45,10 @@
 
 @frozen
 class Drain:
-    """Finish the running request, answer `Connection: close`, then close."""
+    """Answer `Connection: close` from now on."""
+
+    close_idle: bool = True
+    """Whether to close an idle connection at once."""
 
 
 @frozen
--- a/src/catkinspan/transport/operators/listener.py
+++ b/src/catkinspan/transport/operators/listener.py
@@ -42,12 +42,6 @@
 from catkinspan.protocol.operators.codec import encode_report
 from catkinspan.protocol.operators.explain import explain_route
 from catkinspan.protocol.operators.histograms import histograms_report
-from catkinspan.protocol.operators.prometheus import (
-    CONTENT_TYPE,
-    MetricsAnswer,
-    encode_metrics,
-    quantiles_of,
-)
 from catkinspan.state.ids import RouteId, ServiceId
 from catkinspan.state.tree import Address
 from catkinspan.transport.operators.messages import HostReader
@@ -193,6 +187,14 @@
         return _report(HealthAnswer(health.serving, health.reason), status)
 
     async def _async_metrics(self, query: str) -> SimpleResponse:
+        # The library takes 6 MB, which a host that nobody asks need not hold.
+        from catkinspan.protocol.operators.prometheus import (
+            CONTENT_TYPE,
+            MetricsAnswer,
+            encode_metrics,
+            quantiles_of,
+        )
+
         facts = await self._host.async_query(gather_host)
         services = await self._async_services(facts)
         workspaces = await self._host.async_query(gather_workspaces)
--- a/src/catkinspan/transport/peers/link.py
+++ b/src/catkinspan/transport/peers/link.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Collection
 from random import Random
 
-from grpclib.client import Channel, StreamStreamMethod
+from grpclib.client import Channel, Stream, StreamStreamMethod
 from grpclib.config import Configuration
 from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
 from grpclib.protocol import Peer
@@ -17,6 +17,8 @@
 from catkinspan.state.tree import Address
 from catkinspan.transport.mailbox import InboxFullError, Mailbox
 from catkinspan.transport.peers.const import (
+    ACKNOWLEDGE_EACH_SECONDS,
+    ACKNOWLEDGE_SECONDS,
     BATCH_SECONDS,
     CONNECT_SECONDS,
     FRAME_MESSAGES,
@@ -44,26 +46,34 @@
 class WrongPeerError(ConnectionError):
     """The process at a peer's address is certified as another host."""
 
-    def __init__(self, peer: HostId, names: Collection[str]) -> None:
+    def __init__(self, peer: HostId | Address, names: Collection[str]) -> None:
         super().__init__(
             f"the certificate names {', '.join(sorted(names)) or 'no host'}, not "
             f"{peer}; correct `peer_address` in the host list, or the certificate"
         )
 
 
+class LinkClosedError(ConnectionError):
+    """The peer ended the stream."""
+
+    def __init__(self, peer: HostId | Address) -> None:
+        super().__init__(f"{peer} ended the link; it may be restarting")
+
+
 CERTIFICATE_ERRORS = (ssl.SSLError, UnicodeError, WrongPeerError)
 
 
 class PeerLink:
     """Sends the messages for one peer in frames, in their order.
 
-    Messages are lost while the peer cannot be reached; every peer protocol tolerates
-    that. The task ends after `LINK_IDLE_SECONDS` without messages.
+    The peer acknowledges each frame, so that a connection that went silent is found
+    and replaced. Messages are lost while the peer cannot be reached; every peer
+    protocol tolerates that. The task ends after `LINK_IDLE_SECONDS` without messages.
     """
 
     def __init__(
         self,
-        peer: HostId,
+        peer: HostId | Address,
         address: Address,
         encode: Encode,
         clock: Clock,
@@ -76,9 +86,12 @@
         self._clock = clock
         self._rng = rng
         self._tls = tls
-        self._config = Configuration(ssl_target_name_override=peer if tls else None)
+        # A seed is known by its address only, which its certificate must name.
+        name = peer if isinstance(peer, str) else None
+        self._config = Configuration(ssl_target_name_override=name if tls else None)
         self._inbox: Mailbox[PeerMessage] = Mailbox(LINK_INBOX)
         self._failures = 0
+        self._checked_at = float("-inf")
         self._retry_at = 0.0
         self._dropped = 0
         self._sent_bytes = 0
@@ -136,12 +149,14 @@
                 async with asyncio.timeout(CONNECT_SECONDS):
                     await stream.send_request()
                 self._check_peer(stream.peer)
+                self._checked_at = float("-inf")
                 message: PeerMessage | None = first
                 while message is not None:
                     await asyncio.sleep(BATCH_SECONDS)
                     frame = self._encode(self._batch(message))
-                    async with asyncio.timeout(CONNECT_SECONDS):
+                    async with asyncio.timeout(ACKNOWLEDGE_SECONDS):
                         await stream.send_message(frame)
+                        await self._async_check(stream)
                     self._failures = 0
                     self._sent_bytes += len(frame)
                     message = await self._inbox.async_get_until(self._idle_end())
@@ -149,9 +164,17 @@
         finally:
             channel.close()
 
+    async def _async_check(self, stream: Stream[bytes, bytes]) -> None:
+        """Wait for an acknowledgement if the last one is some time ago."""
+        if self._clock.monotonic() - self._checked_at < ACKNOWLEDGE_EACH_SECONDS:
+            return
+        if await stream.recv_message() is None:
+            raise LinkClosedError(self._peer)
+        self._checked_at = self._clock.monotonic()
+
     def _check_peer(self, peer: Peer | None) -> None:
         """Refuse a wildcard certificate, which the TLS library would accept."""
-        if self._tls is None:
+        if self._tls is None or isinstance(self._peer, Address):
             return
         names = dns_names(peer.cert() if peer is not None else None)
         if self._peer not in names:
--- a/src/catkinspan/transport/peers/server.py
+++ b/src/catkinspan/transport/peers/server.py
@@ -8,9 +8,14 @@
 from grpclib.exceptions import GRPCError
 from grpclib.server import Server, Stream
 
+from catkinspan.coordination.clock import Clock
 from catkinspan.protocol.peers.codec import MAX_FRAME_BYTES
 from catkinspan.state.tree import Address
-from catkinspan.transport.peers.const import LINK_METHOD
+from catkinspan.transport.peers.const import (
+    ACKNOWLEDGE_INTERVAL_SECONDS,
+    ACKNOWLEDGEMENT,
+    LINK_METHOD,
+)
 from catkinspan.transport.peers.raw_codec import RawCodec
 from catkinspan.transport.tls import dns_names
 
@@ -22,7 +27,8 @@
 class _LinkService:
     """Hands the frames of incoming streams over."""
 
-    def __init__(self, on_frame: OnFrame, secure: bool) -> None:
+    def __init__(self, on_frame: OnFrame, secure: bool, clock: Clock) -> None:
+        self._clock = clock
         self._on_frame = on_frame
         self._secure = secure
 
@@ -30,8 +36,13 @@
         certified = dns_names(stream.peer.cert()) if self._secure else None
         _bound_messages(stream)
         try:
+            acknowledged_at = float("-inf")
             async for frame in stream:
                 self._on_frame(frame, certified)
+                now = self._clock.monotonic()
+                if now - acknowledged_at >= ACKNOWLEDGE_INTERVAL_SECONDS:
+                    acknowledged_at = now
+                    await stream.send_message(ACKNOWLEDGEMENT)
         except asyncio.CancelledError:
             # grpclib leaves the connection of a stopped server open, and the link
             # would go on writing to it.
@@ -63,9 +74,11 @@
 class PeerServer:
     """Listens for the streams of other hosts."""
 
-    def __init__(self, on_frame: OnFrame, tls: ssl.SSLContext | None) -> None:
+    def __init__(
+        self, on_frame: OnFrame, tls: ssl.SSLContext | None, clock: Clock
+    ) -> None:
         self._tls = tls
-        service = _LinkService(on_frame, tls is not None)
+        service = _LinkService(on_frame, tls is not None, clock)
         self._server = Server([service], codec=RawCodec())
 
     async def async_start(self, address: Address) -> None:
--- a/src/catkinspan/transport/platform/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""The client of the platform's configuration service."""
--- /dev/null
+++ b/src/catkinspan/transport/store/__init__.py
@@ -0,0 +1,1 @@
+"""Reading and watching the platform's store."""
--- /dev/null
+++ b/src/catkinspan/transport/store/reader.py
@@ -0,0 +1,128 @@
+"""The task that reads and watches the store while the host is told to."""
+
+import asyncio
+from random import Random
+from typing import Any, Protocol
+
+from attrs import frozen
+from loguru import logger
+
+from catkinspan.coordination.configuration.models import StoreChanges, StoreCopy
+from catkinspan.state.ids import Revision
+from catkinspan.transport.mailbox import Mailbox
+
+RETRY_MIN_SECONDS = 0.15
+RETRY_MAX_SECONDS = 1.2
+"""Longest wait between two calls to a failing store. It has to be noticed within two
+seconds that the store is back."""
+
+BATCH_SECONDS = 0.1
+"""Wait after changes before the next watch; each call has a price, and changes often
+come in groups."""
+
+
+class StoreError(Exception):
+    """A call to the store got no usable answer; the message names the remedy."""
+
+
+class HistoryGoneError(StoreError):
+    """The store no longer holds the changes after the revision asked for."""
+
+
+class StoreClient(Protocol):
+    """Calls of the store; each raises StoreError without a usable answer."""
+
+    async def async_copy(self) -> StoreCopy:
+        """Read all documents."""
+
+    async def async_watch(self, after: Revision) -> StoreChanges:
+        """Wait for changes after a revision; empty if none came in time.
+
+        Raises HistoryGoneError if these changes are no longer held.
+        """
+
+
+@frozen
+class StartReading:
+    """Read and watch from now on."""
+
+
+@frozen
+class StopReading:
+    """Stop to read after the call that is under way."""
+
+
+@frozen
+class StoreReached:
+    """The store answered without news."""
+
+
+ReaderMessage = StartReading | StopReading
+
+
+class StoreReader:
+    """Reads all documents once, then waits for changes after changes."""
+
+    def __init__(
+        self,
+        client: StoreClient,
+        host: Mailbox[Any],
+        inbox: Mailbox[ReaderMessage],
+        rng: Random,
+    ) -> None:
+        self._client = client
+        self._host = host
+        self._inbox = inbox
+        self._rng = rng
+        self._active = False
+        self._revision: Revision | None = None
+        self._failures = 0
+
+    async def async_run(self) -> None:
+        """Read and watch until cancelled."""
+        while True:
+            if not self._active:
+                self._apply(await self._inbox.async_get())
+            while len(self._inbox):
+                self._apply(self._inbox.take())
+            if self._active:
+                await self._async_round()
+
+    def _apply(self, message: ReaderMessage) -> None:
+        self._active = isinstance(message, StartReading)
+        if not self._active:
+            self._revision = None
+
+    async def _async_round(self) -> None:
+        try:
+            changed = await self._async_step()
+        except HistoryGoneError as error:
+            logger.info("reading the store anew: {}", error)
+            self._revision = None
+            return
+        except StoreError as error:
+            await self._async_back_off(error)
+            return
+        if self._failures:
+            logger.info("the store answers again after {} failures", self._failures)
+        self._failures = 0
+        if changed:
+            await asyncio.sleep(BATCH_SECONDS)
+
+    async def _async_step(self) -> bool:
+        """Make one call; return whether it brought news."""
+        if self._revision is None:
+            copy = await self._client.async_copy()
+            self._revision = copy.revision
+            self._host.force(copy)
+            return False
+        changes = await self._client.async_watch(self._revision)
+        self._revision = changes.revision
+        self._host.force(changes if changes.documents else StoreReached())
+        return bool(changes.documents)
+
+    async def _async_back_off(self, error: StoreError) -> None:
+        self._failures += 1
+        logger.warning("store call {} failed: {}", self._failures, error)
+        delay = min(RETRY_MAX_SECONDS, RETRY_MIN_SECONDS * 2.0 ** (self._failures - 1))
+        await asyncio.sleep(delay * self._rng.uniform(0.6, 1.0))
--- a/src/catkinspan/transport/upstreams/attempt.py
+++ b/src/catkinspan/transport/upstreams/attempt.py
@@ -10,6 +10,7 @@
 from catkinspan.coordination.clock import Clock
 from catkinspan.coordination.outcomes import AttemptOutcome, OutcomeKind
 from catkinspan.coordination.requests.models import Assigned
+from catkinspan.protocol.http.names import HttpNames
 from catkinspan.protocol.http.upstream import ResponseSigns, UpstreamRequest
 from catkinspan.transport.mailbox import Mailbox
 from catkinspan.transport.socket_port import SocketClosed, SocketData
@@ -20,8 +21,9 @@
 from catkinspan.transport.upstreams.const import (
     ATTEMPT_INBOX,
     CONNECT_SECONDS,
-    FRESH_IDLE_SECONDS,
     IDLE_SECONDS,
+    MISDIRECTED_STATUS,
+    ONCE_IDLE_SECONDS,
 )
 from catkinspan.transport.upstreams.pool import (
     ConnectionGone,
@@ -134,6 +136,9 @@
         self._draining = False
         self._server_error = False
         self._closes = False
+        self._idle_seconds: float | None = None
+        self._is_stray = False
+        """Whether the response being read answers an earlier request."""
 
     @property
     def inbox(self) -> Mailbox[Any]:
@@ -163,7 +168,7 @@
     async def _async_connect(self) -> UpstreamConnection:
         assigned = self._spec.assigned
         reply: asyncio.Future[PoolReply] = asyncio.get_running_loop().create_future()
-        max_idle = IDLE_SECONDS if self._spec.idempotent else FRESH_IDLE_SECONDS
+        max_idle = IDLE_SECONDS if self._spec.idempotent else ONCE_IDLE_SECONDS
         self._pool.force(
             TakeConnection(
                 assigned.server,
@@ -221,6 +226,10 @@
                 continue
             if isinstance(event, h11.Response):
                 await self._async_report_head(event)
+            elif isinstance(event, h11.EndOfMessage) and self._is_stray:
+                self._read_next_response(connection)
+            elif self._is_stray and isinstance(event, h11.Data):
+                continue
             elif isinstance(event, h11.Data):
                 data = AttemptData(self._attempt, bytes(event.data))
                 await self._events.async_post(data)
@@ -237,8 +246,7 @@
             raise AttemptError(OutcomeKind.TIMEOUT)
         if connection.port.is_closed:
             raise AttemptError(OutcomeKind.CONNECT_ERROR)
-        head = self._spec.request.event(assigned.attempt, int(remaining * 1000))
-        parts = [connection.http.send(head)]
+        parts = [connection.http.send(self._request_head(remaining))]
         if self._spec.body_prefix:
             parts.append(connection.http.send(h11.Data(data=self._spec.body_prefix)))
         if self._spec.body_complete:
@@ -248,6 +256,15 @@
         self._bytes_written = True
         connection.port.write(b"".join(part for part in parts if part))
 
+    def _request_head(self, remaining: float) -> h11.Request:
+        assigned = self._spec.assigned
+        return self._spec.request.event(
+            assigned.attempt,
+            int(remaining * 1000),
+            assigned.server,
+            assigned.workspace,
+        )
+
     async def _async_receive(self, connection: UpstreamConnection) -> None:
         message = await self._inbox.async_get_until(self._wait_until())
         match message:
@@ -287,23 +304,38 @@
         self._events.force(BodyDemand(self._attempt))
 
     async def _async_report_head(self, response: h11.Response) -> None:
-        assigned = self._spec.assigned
+        request = self._spec.request
+        signs = ResponseSigns.of(list(response.headers), request.names)
+        if signs.echoed_id not in (None, request.request_id):
+            if not self._body_sent or signs.closes:
+                raise AttemptError(OutcomeKind.CROSSED)
+            self._is_stray = True
+            return
         self._head_latency = self._clock.monotonic() - self._started
-        signs = ResponseSigns.of(list(response.headers))
         self._draining = signs.draining
-        self._closes = signs.closes
-        if signs.echoed_id not in (None, assigned.request_id):
-            raise AttemptError(OutcomeKind.CROSSED)
-        if signs.did_not_run and response.status_code >= 400:
-            kind = OutcomeKind.DRAINING if signs.draining else OutcomeKind.SHED
+        self._closes = self._closes or signs.closes
+        self._idle_seconds = signs.idle_seconds
+        kind = _failure_of(response.status_code, signs, request.names)
+        if kind is not None:
             raise AttemptError(kind)
         self._server_error = response.status_code >= 500
         outcome = self._outcome(self._end_kind())
         await self._events.async_post(AttemptHead(self._attempt, response, outcome))
 
+    def _read_next_response(self, connection: UpstreamConnection) -> None:
+        """Go on with the own response behind one to an earlier request.
+
+        The connection is closed afterwards, since what follows on it is not sure.
+        """
+        self._is_stray = False
+        self._closes = True
+        rest, _ = connection.http.trailing_data
+        connection.expect_again(self._spec.request.method, rest)
+
     def _finish(self, connection: UpstreamConnection) -> None:
         reusable = self._body_sent and not self._draining and not self._closes
-        if reusable and connection.reset_cycle(self._clock.monotonic()):
+        now = self._clock.monotonic()
+        if reusable and connection.reset_cycle(now, self._idle_seconds):
             self._connection = None
             self._pool.force(GiveBack(connection))
         self._events.force(AttemptEnd(self._attempt, self._outcome(self._end_kind())))
@@ -341,3 +373,16 @@
             return
         connection.port.abort()
         self._pool.force(ConnectionGone(connection.server))
+
+
+def _failure_of(
+    status: int, signs: ResponseSigns, names: HttpNames
+) -> OutcomeKind | None:
+    """Return why a response cannot be passed on; None if it can."""
+    if status == MISDIRECTED_STATUS and names.expected_server is not None:
+        return OutcomeKind.MISDIRECTED
+    if signs.did_not_run and status >= 400:
+        return OutcomeKind.DRAINING if signs.draining else OutcomeKind.SHED
+    if status < 300 and names.stamp and (not signs.stamped or signs.encoded):
+        return OutcomeKind.INVALID
+    return None
--- a/src/catkinspan/transport/upstreams/connection.py
+++ b/src/catkinspan/transport/upstreams/connection.py
@@ -11,8 +11,10 @@
 from catkinspan.transport.mailbox import Mailbox
 from catkinspan.transport.socket_port import SocketPort
 from catkinspan.transport.tls import check_server
+from catkinspan.transport.upstreams.const import IDLE_MARGIN_SECONDS
 
 MAX_HEAD_BYTES = 64 * 1024
+_ANY_HOST = [(b"host", b"upstream")]
 
 
 class UpstreamConnection:
@@ -23,6 +25,7 @@
         self._port = port
         self._http = _client_state()
         self._idle_since = 0.0
+        self._idle_until = float("inf")
 
     @property
     def server(self) -> ServerId:
@@ -44,14 +47,33 @@
         """Return the monotonic seconds since which the connection is idle."""
         return self._idle_since
 
+    @property
+    def idle_until(self) -> float:
+        """Return when the server may close the idle connection, with a margin."""
+        return self._idle_until
+
     @property
     def is_clean(self) -> bool:
         """Return whether the connection is open and no byte of it is unread."""
         return not self._port.is_closed and self._port.unread == 0
 
-    def reset_cycle(self, now: float) -> bool:
+    def expect_again(self, method: bytes, received: bytes) -> None:
+        """Read another response to the request that was sent, from its first byte.
+
+        The HTTP state allows one response to a request, so that a new state is made
+        as if the request had been sent on it; nothing is written.
+        """
+        self._http = _client_state()
+        # Only the method bears on how a response is read.
+        self._http.send(h11.Request(method=method, target=b"/", headers=_ANY_HOST))
+        self._http.send(h11.EndOfMessage())
+        if received:
+            self._http.receive_data(received)
+
+    def reset_cycle(self, now: float, idle_seconds: float | None) -> bool:
         """Prepare for the next exchange; False if the connection must be closed.
 
+        `idle_seconds` is how long the server keeps the connection, if it says so.
         A byte after the end of the response makes the connection unusable, since it
         cannot be told to which request it belongs.
         """
@@ -61,6 +83,8 @@
             return False
         self._http.start_next_cycle()
         self._idle_since = now
+        if idle_seconds is not None:
+            self._idle_until = now + idle_seconds - IDLE_MARGIN_SECONDS
         return True
 
 
--- a/src/catkinspan/transport/upstreams/pool.py
+++ b/src/catkinspan/transport/upstreams/pool.py
@@ -120,7 +120,9 @@
         while idle:
             connection = idle.pop()
             del self._by_port[connection.port]
-            if connection.is_clean and connection.idle_since >= oldest:
+            now = self._clock.monotonic()
+            is_fresh = connection.idle_since >= oldest and now < connection.idle_until
+            if connection.is_clean and is_fresh:
                 connection.port.attach(wanted.mailbox)
                 return connection
             connection.port.close()
@@ -150,9 +152,10 @@
         self._count_closed(connection.server)
 
     def _sweep(self) -> None:
-        oldest = self._clock.monotonic() - IDLE_SECONDS
+        now = self._clock.monotonic()
         for connection in list(self._by_port.values()):
-            if connection.idle_since < oldest:
+            is_old = connection.idle_since < now - IDLE_SECONDS
+            if is_old or now >= connection.idle_until:
                 self._drop_old(connection)
 
     def _drop_old(self, connection: UpstreamConnection) -> None:
