--- a/src/catkinspan/coordination/rates/coordinator.py
+++ b/src/catkinspan/coordination/rates/coordinator.py
@@ -154,6 +154,23 @@
         level = 0.0 if own.scarce is None else own.scarce.level
         return max(1.0, 1.0 - level) / limit.rate
 
+    def evidence(self, workspace: WorkspaceId, now: float) -> str:
+        """Return what decides on a workspace's requests now, for the log."""
+        own = self._own.get(workspace)
+        if own is None:
+            return "unknown workspace"
+        age = now - self._told_at
+        if age > FRESH_SECONDS:
+            share = own.share
+            size = self._fleet_size()
+            return f"own share {share.level:.1f} of {share.cap:.1f} ({size} hosts)"
+        if own.scarce is None:
+            return f"plentiful, told {age:.2f} s ago"
+        return (
+            f"level {own.scarce.level:.1f}, part {own.part:.2f}, "
+            f"{own.admitted - own.scarce.counted} since, told {age:.2f} s ago"
+        )
+
     def snapshot(self, now: float) -> RatesSnapshot:
         """Return the state for operators."""
         lines = {}
--- a/src/catkinspan/coordination/requests/coordinator.py
+++ b/src/catkinspan/coordination/requests/coordinator.py
@@ -339,7 +339,8 @@
                 workspace = self._tree.workspaces.get(request.workspace)
                 workspace = workspace or Workspace(request.workspace, (), 0.0, 1.0)
                 wait = rates.retry_after(request.workspace)
-                self._refuse(request, refusals.rate_refusal(workspace, wait))
+                evidence = rates.evidence(request.workspace, now)
+                self._refuse(request, refusals.rate_refusal(workspace, wait, evidence))
                 return
         self._stages.retries.record_first_try(request.service, now)
         self._seek_server(request, now)
--- a/src/catkinspan/coordination/requests/errors.py
+++ b/src/catkinspan/coordination/requests/errors.py
@@ -54,6 +54,9 @@
     retry_after: float | None = None
     """Seconds after which a new try may succeed; None if unknown."""
 
+    evidence: str = ""
+    """What decided, with its age, for the log; callers do not get it."""
+
     allowed_methods: tuple[str, ...] = ()
     """Methods of the route, for `METHOD_NOT_ALLOWED`."""
 
--- a/src/catkinspan/coordination/requests/refusals.py
+++ b/src/catkinspan/coordination/requests/refusals.py
@@ -147,13 +147,14 @@
     )
 
 
-def rate_refusal(workspace: Workspace, retry_after: float) -> Refusal:
+def rate_refusal(workspace: Workspace, retry_after: float, evidence: str) -> Refusal:
     """Return the refusal of a request over its workspace's rate."""
     return Refusal(
         RefusalKind.RATE_EXCEEDED,
         f"the workspace is over its rate of {workspace.rate:g} requests a second",
         "send fewer requests a second",
         retry_after=retry_after,
+        evidence=evidence,
     )
 
 
@@ -164,6 +165,7 @@
         _SERVER_MESSAGES[refused.reason],
         _RESEND,
         retry_after=max(_LEAST_RETRY_SECONDS, refused.wait),
+        evidence=f"{refused.reason}, wait {refused.wait:.3f} s",
     )
 
 
--- a/src/catkinspan/daemon/request_log.py
+++ b/src/catkinspan/daemon/request_log.py
@@ -86,6 +86,7 @@
             kind=refusal.kind,
             ran=refusal.ran,
             retry_after=refusal.retry_after,
+            evidence=refusal.evidence,
         ).info("refused: {}", refusal)
 
     def ended(self, record: RequestRecord, now: float) -> None:
--- a/src/catkinspan/protocol/peers/codec.py
+++ b/src/catkinspan/protocol/peers/codec.py
@@ -166,15 +166,13 @@
     """
     converter = make_converter(unstruct_strat=UnstructureStrategy.AS_TUPLE)
     converter.register_structure_hook(int, _whole_hook(WHOLE))
-    converter.register_structure_hook(float, _structure_float)
+    converter.register_structure_hook(float, _number_hook(NUMBER))
     converter.register_structure_hook(str, _structure_str)
     converter.register_structure_hook(bool, _structure_bool)
     # The hooks of int and str would else serve their enums, and pass any value.
     converter.register_structure_hook(IntEnum, _structure_enum)
     converter.register_structure_hook(StrEnum, _structure_enum)
-    converter.register_structure_hook_factory(
-        _is_bounded, lambda kind: _whole_hook(kind.__metadata__[0])
-    )
+    converter.register_structure_hook_factory(_is_bounded, _bounded_hook)
     return converter
 
 
@@ -193,10 +191,19 @@
     return structure
 
 
-def _structure_float(value: Any, _: Any) -> float:
-    if type(value) not in (float, int) or not NUMBER.holds(value):
-        raise ValueError(f"not a number from {NUMBER.low} to {NUMBER.high}")
-    return float(value)
+def _number_hook(bounds: Between) -> Callable[[Any, Any], float]:
+    def structure(value: Any, _: Any) -> float:
+        if type(value) not in (float, int) or not bounds.holds(value):
+            raise ValueError(f"not a number from {bounds.low} to {bounds.high}")
+        return float(value)
+
+    return structure
+
+
+def _bounded_hook(kind: Any) -> Callable[[Any, Any], Any]:
+    """Return the hook of a number whose annotation names its bounds."""
+    bounds = kind.__metadata__[0]
+    return _number_hook(bounds) if kind.__origin__ is float else _whole_hook(bounds)
 
 
 def _structure_str(value: Any, _: Any) -> str:
--- a/src/catkinspan/testing/channel.py
+++ b/src/catkinspan/testing/channel.py
@@ -17,6 +17,7 @@
 from catkinspan.coordination.models import Origin, PeerMessage
 from catkinspan.coordination.outbox import Outbox
 from catkinspan.state.ids import HostId
+from catkinspan.state.tree import Address
 
 
 class ChannelNode(Protocol):
@@ -39,6 +40,7 @@
     node: ChannelNode
     outbox: Outbox
     incarnation: int = 1
+    address: Address | None = None
     paused_since: float | None = None
     clock_rate: float = 1.0
     """Seconds on the host's clock for each virtual second."""
@@ -115,12 +117,14 @@
         incarnation: int = 1,
         clock_rate: float = 1.0,
         clock_offset: float = 0.0,
+        address: Address | None = None,
     ) -> None:
         """Attach a host and start its ticks at a random phase."""
         member = Member(
             node,
             outbox,
             incarnation,
+            address,
             clock_rate=clock_rate,
             clock_offset=clock_offset,
         )
@@ -184,7 +188,16 @@
         """Put the messages in a host's outbox on their way."""
         member = self._members[host]
         for envelope in member.outbox.take_envelopes():
-            self._post(host, member.incarnation, envelope.to, envelope.message)
+            target = self._host_at(envelope.to)
+            if target is not None:
+                self._post(host, member.incarnation, target, envelope.message)
+
+    def _host_at(self, target: HostId | Address) -> HostId | None:
+        """Return the host that is meant; None if nobody has the address."""
+        if not isinstance(target, Address):
+            return target
+        found = (h for h, m in self._members.items() if m.address == target)
+        return next(found, None)
 
     def _post(
         self, source: HostId, incarnation: int, target: HostId, message: PeerMessage
--- a/src/catkinspan/testing/hosts.py
+++ b/src/catkinspan/testing/hosts.py
@@ -1,27 +1,23 @@
 """Whole hosts in virtual time: coordinators, a fake channel and fake upstreams.
 
 It joins `HostCoordinator` instances by a `FakeChannel`, plays the front end of each
-with fixed service times, and gives the readers what is published. It has no sockets
-and no processor time, and is meant for focused tests and for counting messages.
+with chosen outcomes, and gives the readers what is published. It has no sockets and no
+processor time, and is meant for focused tests and for counting messages.
 """
 
 from collections.abc import Callable, Mapping, Sequence
 from random import Random
 
-from attrs import define, field, frozen
+from attrs import define, evolve, field, frozen
 
 from catkinspan.coordination.configuration.models import (
     Document,
     DocumentParser,
-    Snapshot,
+    StoreChanges,
+    StoreCopy,
 )
-from catkinspan.coordination.host.coordinator import (
-    HostCoordinator,
-    HostIdentity,
-    ReaderRole,
-    ReadOnce,
-)
-from catkinspan.coordination.models import Origin, PeerMessage
+from catkinspan.coordination.host.coordinator import HostCoordinator, ReaderRole
+from catkinspan.coordination.models import Event, Origin, PeerMessage
 from catkinspan.coordination.outbox import Outbox
 from catkinspan.coordination.outcomes import AttemptOutcome, OutcomeKind
 from catkinspan.coordination.requests.errors import Refusal
@@ -34,13 +30,15 @@
     Refused,
     RequestArrived,
 )
-from catkinspan.state.hosts import ListedHost
-from catkinspan.state.ids import HostId, RequestId, Revision
+from catkinspan.state.hosts import HostRecord
+from catkinspan.state.ids import NO_REVISION, HostId, RequestId, Revision
+from catkinspan.state.node import RateWindow
 from catkinspan.testing.channel import FakeChannel
 
 READ_SECONDS = 0.005
 SERVICE_SECONDS = 0.01
-WATCH_SECONDS = 2.0
+WATCH_SECONDS = 1.0
+RETRY_SECONDS = 0.3
 PAUSED_RETRY_SECONDS = 0.02
 """Interval at which input for a paused host is offered again."""
 
@@ -64,28 +62,34 @@
 
 
 @define
-class VirtualPlatform:
-    """What the platform publishes, and how often it was called."""
+class VirtualStore:
+    """What is published, and how often it was read."""
 
     documents: dict[str, Document] = field(factory=dict)
-    revision: Revision = Revision(0)
+    changes: list[Document] = field(factory=list)
+    revision: Revision = NO_REVISION
+    down_for: set[HostId] = field(factory=set)
+    """Hosts that get no answer."""
+
     is_down: bool = False
+    """Whether nobody gets an answer."""
+
     calls: int = 0
 
-    def publish(self, texts: Mapping[str, str]) -> None:
-        """Publish the documents whose text changed."""
-        self.revision = Revision(self.revision + 1)
-        known = self.documents
-        self.documents = {
-            name: known[name]
-            if name in known and known[name].text == text
-            else Document(name, self.revision, text)
-            for name, text in texts.items()
-        }
+    def put(self, changes: Mapping[str, str | None]) -> None:
+        """Write documents, or remove those without a text."""
+        for name, text in changes.items():
+            self.revision = Revision(self.revision + 1)
+            document = Document(name, self.revision, text)
+            self.changes.append(document)
+            if text is None:
+                self.documents.pop(name, None)
+            else:
+                self.documents[name] = document
 
-    def snapshot(self) -> Snapshot:
-        """Return all documents."""
-        return Snapshot(self.revision, tuple(self.documents.values()))
+    def answers(self, host: HostId) -> bool:
+        """Return whether a host gets answers."""
+        return not self.is_down and host not in self.down_for
 
 
 class VirtualHost:
@@ -101,11 +105,12 @@
         self.coordinator = coordinator
         self.refusals: dict[RequestId, Refusal] = {}
         self.finished: set[RequestId] = set()
+        self.events: list[Event] = []
         self._fleet = fleet
         self._host = host
         self._rng = rng
         self._reading = False
-        self._watched = Revision(0)
+        self._watched: Revision | None = None
 
     def handle(self, message: PeerMessage, origin: Origin, now: float) -> None:
         """Process a message from a peer."""
@@ -129,10 +134,7 @@
         for directive in self.coordinator.outbox.take_directives():
             match directive:
                 case ReaderRole(active):
-                    self._reading = active
-                    self._read()
-                case ReadOnce():
-                    self._read()
+                    self._set_reading(active)
                 case BodyWanted(request_id):
                     received = BodyReceived(request_id, b"body")
                     self.coordinator.take_request(received, now)
@@ -143,7 +145,7 @@
                     self.refusals[request_id] = refusal
                 case Deliver(request_id):
                     self.finished.add(request_id)
-        self.coordinator.outbox.take_events()
+        self.events += self.coordinator.outbox.take_events()
 
     def _attempt(self, assigned: Assigned) -> None:
         attempt = VirtualAttempt(self._host, self._fleet.channel.now, assigned)
@@ -173,86 +175,119 @@
             bytes_written=kind is not OutcomeKind.CONNECT_ERROR,
             request_class=assigned.route,
         )
-        now = member.local_time(self._fleet.channel.now)
+        now = member.local_time(channel.now)
         if kind is OutcomeKind.OK:
             self.finished.add(assigned.request_id)
         self.coordinator.take_request(AttemptFinished(outcome), now)
         self._carry_out(now)
-        self._fleet.channel.flush(self._host)
+        channel.flush(self._host)
 
-    def _read(self) -> None:
+    def _set_reading(self, active: bool) -> None:
+        started = active and not self._reading
+        self._reading = active
+        if started:
+            self._watched = None
+            self._call_later(READ_SECONDS)
+
+    def _call_later(self, seconds: float) -> None:
         channel = self._fleet.channel
-        channel.at(channel.now + READ_SECONDS, self._finish_read)
+        channel.at(channel.now + seconds, self._read)
 
-    def _finish_read(self) -> None:
-        channel, platform = self._fleet.channel, self._fleet.platform
+    def _read(self) -> None:
+        channel, store = self._fleet.channel, self._fleet.store
         member = channel.members.get(self._host)
-        if member is None or member.node is not self:
+        if not self._reading or member is None or member.node is not self:
             return
         if member.paused_since is not None:
-            channel.at(channel.now + PAUSED_RETRY_SECONDS, self._finish_read)
+            self._call_later(PAUSED_RETRY_SECONDS)
+            return
+        store.calls += 1
+        if not store.answers(self._host):
+            self._call_later(RETRY_SECONDS)
             return
-        platform.calls += 1
         now = member.local_time(channel.now)
-        if not platform.is_down:
-            self.coordinator.platform_reached(platform.revision, now)
-            if platform.revision > self._watched:
-                self._watched = platform.revision
-                self.coordinator.take_snapshot(platform.snapshot(), now)
-                self._carry_out(now)
-            channel.flush(self._host)
-        if self._reading:
-            channel.at(channel.now + WATCH_SECONDS, self._finish_read)
+        if self._watched is None:
+            copy = StoreCopy(store.revision, tuple(store.documents.values()))
+            self.coordinator.take_copy(copy, now)
+        else:
+            after = self._watched
+            news = tuple(d for d in store.changes if d.revision > after)
+            changes = StoreChanges(after, store.revision, news)
+            self.coordinator.take_changes(changes, now)
+        self._watched = store.revision
+        self._carry_out(now)
+        channel.flush(self._host)
+        self._wait_for_change(channel.now + WATCH_SECONDS)
+
+    def _wait_for_change(self, until: float) -> None:
+        channel, store = self._fleet.channel, self._fleet.store
+        watched = self._watched
+
+        def look() -> None:
+            if store.revision != watched or channel.now >= until:
+                self._read()
+            else:
+                channel.at(min(until, channel.now + READ_SECONDS * 4), look)
+
+        channel.at(channel.now + READ_SECONDS, look)
 
 
 class VirtualFleet:
-    """Hosts, their channel and the platform, in virtual time.
+    """Hosts, their channel and the store, in virtual time.
 
     Example::
 
-        fleet = VirtualFleet(listings, texts, TreeParser, Random(1))
+        fleet = VirtualFleet(records, documents, TreeDocuments, Random(1))
         fleet.channel.run(5.0)
-        fleet.arrive(listings[0].id, arrived)
+        fleet.arrive(records[0].id, arrived)
     """
 
     def __init__(
         self,
-        listings: Sequence[ListedHost],
-        texts: Mapping[str, str],
+        records: Sequence[HostRecord],
+        documents: Mapping[str, str],
         new_parser: Callable[[], DocumentParser],
         rng: Random,
         respond: Respond = always_ok,
         max_requests: int = 2000,
+        rate_window: RateWindow | None = None,
     ) -> None:
         self.channel = FakeChannel(rng)
-        self.platform = VirtualPlatform()
-        self.platform.publish(texts)
+        self.store = VirtualStore()
+        self.store.put(documents)
         self.respond = respond
         self.attempts: list[VirtualAttempt] = []
         self.hosts: dict[HostId, VirtualHost] = {}
+        self.seeds = tuple(record.peer_address for record in records[:3])
         self._rng = rng
         self._new_parser = new_parser
         self._max_requests = max_requests
+        self._rate_window = rate_window
         self._incarnation = 0
-        self._listings = {listing.id: listing for listing in listings}
-        for listing in listings:
-            self.start(listing.id)
+        self._records = {record.id: record for record in records}
+        for record in records:
+            self.start(record.id)
 
     def start(self, host: HostId) -> VirtualHost:
         """Start a host, or a new process in the place of one that ended."""
         self._incarnation += 1
         outbox = Outbox()
+        record = evolve(self._records[host], incarnation=self._incarnation)
         coordinator = HostCoordinator(
-            HostIdentity(self._listings[host], self._incarnation),
+            record,
+            self.seeds,
             self._new_parser(),
             outbox,
             Random(self._rng.random()),
             self._max_requests,
             self.channel.now,
+            self._rate_window,
         )
         node = VirtualHost(coordinator, self, host, Random(self._rng.random()))
         self.hosts[host] = node
-        self.channel.attach(host, node, outbox, self._incarnation)
+        self.channel.attach(
+            host, node, outbox, self._incarnation, address=record.peer_address
+        )
         return node
 
     def crash(self, host: HostId) -> None:
--- /dev/null
+++ b/tests/coordination/rates/test_fleet.py
@@ -0,0 +1,43 @@
+"""Guards the rates over a fleet: no wrongful refusal, and the windowed bound."""
+
+from datetime import timedelta
+from random import Random
+
+import pytest
+
+from catkinspan.state.node import RateWindow
+from catkinspan.testing.hosts import VirtualFleet
+from tests.virtual_fleet import Traffic, tree_of, virtual_fleet
+
+RATE, BURST = 25.0, 25.0
+WINDOW = RateWindow(timedelta(seconds=5), overshoot=0.25, slack=20)
+BOUND = (RATE * 5 + BURST) * 1.25 + 20
+
+
+def admitted_in_worst_window(fleet: VirtualFleet, seconds: float = 5.0) -> int:
+    times = sorted(attempt.at for attempt in fleet.attempts)
+    worst = first = 0
+    for last, at in enumerate(times):
+        while times[first] < at - seconds:
+            first += 1
+        worst = max(worst, last - first + 1)
+    return worst
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_traffic_inside_the_rate_is_never_refused(seed: int) -> None:
+    """Guards against hosts that admit only an own share while a hub answers."""
+    fleet = virtual_fleet(40, tree_of(rate=RATE, burst=BURST), seed, rate_window=WINDOW)
+    traffic = Traffic(fleet, Random(seed))
+    traffic.run(fleet.channel.now + 20, RATE / 1.6)
+    assert traffic.refused() == []
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+@pytest.mark.parametrize("times", [2.0, 7.5])
+def test_hot_workspace_stays_below_the_windowed_bound(seed: int, times: float) -> None:
+    fleet = virtual_fleet(40, tree_of(rate=RATE, burst=BURST), seed, rate_window=WINDOW)
+    traffic = Traffic(fleet, Random(seed))
+    traffic.run(fleet.channel.now + 15, times * RATE / 1.6)
+    assert admitted_in_worst_window(fleet) <= BOUND
+    assert len(fleet.attempts) >= RATE * 15
--- /dev/null
+++ b/tests/virtual_fleet.py
@@ -0,0 +1,144 @@
+"""A fleet in virtual time with a small settings tree, for tests of whole hosts."""
+
+import hashlib
+from collections.abc import Callable
+from datetime import timedelta
+from random import Random
+from typing import Any
+
+from attrs import define, field
+
+from catkinspan.coordination.requests.models import RequestArrived
+from catkinspan.protocol.settings.documents import PREFIX, TreeDocuments
+from catkinspan.protocol.settings.tree import split_documents
+from catkinspan.state.hosts import HostRecord
+from catkinspan.state.ids import DataCentre, HostId, RequestId
+from catkinspan.state.node import RateWindow
+from catkinspan.state.tree import Address
+from catkinspan.testing.hosts import Respond, VirtualFleet, always_ok
+
+PLACES = ("north", "east", "south")
+READY_SECONDS = 3.0
+
+
+def host_records(count: int, places: tuple[str, ...] = PLACES) -> list[HostRecord]:
+    return [
+        HostRecord(
+            HostId(f"host-{n}"),
+            DataCentre(places[n % len(places)]),
+            Address(f"10.0.{n // 250}.{n % 250}", 9700),
+        )
+        for n in range(count)
+    ]
+
+
+def tree_of(
+    servers: int = 6,
+    rate: float = 1e6,
+    burst: float = 1e6,
+    workspaces: int = 1,
+    settings: dict[str, Any] | None = None,
+) -> dict[str, Any]:
+    upstreams = [
+        {
+            "id": f"server-{n}",
+            "address": f"10.9.0.{n + 1}:80",
+            "data_centre": PLACES[n % len(PLACES)],
+            "slots": 3,
+        }
+        for n in range(servers)
+    ]
+    return {
+        "defaults": {"deadline_ms": 3000, **(settings or {})},
+        "services": {
+            "prints": {
+                "upstreams": upstreams,
+                "routes": {"jobs": {"match": {"path_prefix": "/jobs"}}},
+            }
+        },
+        "workspaces": {
+            f"studio-{n}": {
+                "keys": [{"id": "k", "sha256": digest(f"key-{n}")}],
+                "rate": rate,
+                "burst": burst,
+            }
+            for n in range(workspaces)
+        },
+    }
+
+
+def digest(key: str) -> str:
+    return hashlib.sha256(key.encode()).hexdigest()
+
+
+def documents_of(tree: dict[str, Any]) -> dict[str, str]:
+    texts = split_documents(tree).unwrap()
+    return {PREFIX + name: text for name, text in texts.items()}
+
+
+@define
+class Traffic:
+    """Sends requests to random hosts and counts what becomes of them."""
+
+    fleet: VirtualFleet
+    rng: Random
+    sent: list[tuple[float, HostId, RequestId]] = field(factory=list)
+
+    def run(
+        self,
+        until: float,
+        per_second: float,
+        workspace: int = 0,
+        method: str = "GET",
+        hosts: list[HostId] | None = None,
+    ) -> None:
+        channel = self.fleet.channel
+        at = channel.now
+        while (at := at + self.rng.expovariate(per_second)) < until:
+            channel.run(at)
+            chosen = self.rng.choice(hosts or list(self.fleet.hosts))
+            request_id = RequestId(f"r{len(self.sent)}")
+            arrived = RequestArrived(
+                request_id,
+                method,
+                "shop.example",
+                f"/jobs/{len(self.sent)}",
+                presented_key=f"key-{workspace}",
+                deadline=timedelta(seconds=3),
+            )
+            self.sent.append((channel.now, chosen, request_id))
+            self.fleet.arrive(chosen, arrived)
+        channel.run(until)
+
+    def refused(self, since: float = 0.0) -> list[tuple[float, str]]:
+        found = []
+        for at, host, request_id in self.sent:
+            node = self.fleet.hosts.get(host)
+            refusal = node.refusals.get(request_id) if node else None
+            if at >= since and refusal is not None:
+                found.append((at, str(refusal.kind)))
+        return found
+
+
+def virtual_fleet(
+    hosts: int = 12,
+    tree: dict[str, Any] | None = None,
+    seed: int = 1,
+    respond: Respond = always_ok,
+    rate_window: RateWindow | None = None,
+    change: Callable[[dict[str, Any]], None] | None = None,
+) -> VirtualFleet:
+    """Start hosts in three data centres and run until they are ready."""
+    published = tree or tree_of()
+    if change is not None:
+        change(published)
+    fleet = VirtualFleet(
+        host_records(hosts),
+        documents_of(published),
+        TreeDocuments,
+        Random(seed),
+        respond,
+        rate_window=rate_window,
+    )
+    fleet.channel.run(READY_SECONDS)
+    return fleet
