--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 export PYTHONPATH := src:.
 export PYTHONHASHSEED := 0
 
-.PHONY: run test check format bench slopes clean
+.PHONY: run test check format slopes clean
 
 $(STAMP): requirements.lock pyproject.toml
 	@test -f $@ || { \
@@ -27,16 +27,12 @@
 test: check
 	$(BIN)/pytest -n 6 --dist loadfile
 
+slopes: $(STAMP)
+	$(BIN)/python -m bench.slopes
+
 format: $(STAMP)
 	$(BIN)/ruff format .
 	$(BIN)/ruff check --fix .
 
-bench: $(STAMP)
-	$(BIN)/python -m bench
-
-slopes: $(STAMP)
-	$(BIN)/pip install -q --disable-pip-version-check matplotlib==3.11.2
-	$(BIN)/python -m bench.slopes
-
 clean:
 	rm -rf .venv .pytest_cache .mypy_cache .ruff_cache
--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements for docs/CAPACITY.md."""
--- a/src/catkinspan/coordination/balancing/balancer.py
+++ b/src/catkinspan/coordination/balancing/balancer.py
@@ -18,6 +18,7 @@
     TRIAL_IN_FLIGHT,
     TRIAL_RISK,
     TRIAL_SHARE,
+    USUAL_RISK,
 )
 from catkinspan.coordination.balancing.models import (
     NoServer,
@@ -127,7 +128,7 @@
     def _cost(self, candidate: _Candidate, request: ServerRequest) -> float:
         upstream, view = candidate.upstream, candidate.view
         risk_cost = IDEMPOTENT_RISK_COST if request.idempotent else RISK_COST
-        cost = candidate.rounds + risk_cost * view.risk
+        cost = candidate.rounds + risk_cost * max(0.0, view.risk - USUAL_RISK)
         cost += LOAD_COST * view.in_flight / max(1, upstream.slots)
         if upstream.data_centre != self._data_centre:
             cost += REMOTE_COST
--- a/src/catkinspan/coordination/membership/coordinator.py
+++ b/src/catkinspan/coordination/membership/coordinator.py
@@ -184,7 +184,7 @@
             peer.follows_until = now + SILENT_SECONDS
             peer.place = message.place
         # A seed answers at once, so that a new host finds its data centre.
-        if is_new or message.place is None:
+        if is_new or message.lost:
             self._outbox.send(record.id, self._roster_for(record.data_centre, now))
 
     def _learn(self, record: HostRecord, heard_at: float, now: float) -> bool:
@@ -336,11 +336,12 @@
             self._heartbeat_at = now
             for place, hub in enumerate(self._hubs):
                 self._ask_hub(hub, place, now)
-        interval = SEED_SECONDS if self.has_hub(now) else HEARTBEAT_SECONDS
+        lost = not self.has_hub(now)
+        interval = HEARTBEAT_SECONDS if lost else SEED_SECONDS
         if now - self._seeds_at >= interval:
             self._seeds_at = now
             for seed in self._seeds:
-                self._outbox.send(seed, Heartbeat(self._record, place=None))
+                self._outbox.send(seed, Heartbeat(self._record, None, lost))
 
     def _ask_hub(self, hub: HostId, place: int, now: float) -> None:
         peer = self._peers.get(hub)
--- a/src/catkinspan/coordination/membership/models.py
+++ b/src/catkinspan/coordination/membership/models.py
@@ -17,6 +17,9 @@
     place: int | None = 0
     """Place of the receiver among the sender's hubs; None for a seed."""
 
+    lost: bool = False
+    """Whether the sender hears no hub and asks for a roster."""
+
 
 @frozen
 class RosterEntry:
--- a/src/catkinspan/coordination/rates/coordinator.py
+++ b/src/catkinspan/coordination/rates/coordinator.py
@@ -25,7 +25,7 @@
     WorkspaceRates,
     ZoneUse,
 )
-from catkinspan.coordination.rates.policy import RatePolicy
+from catkinspan.coordination.rates.policy import BucketLimits, RatePolicy
 from catkinspan.state.hosts import FleetView
 from catkinspan.state.ids import HostId, WorkspaceId
 from catkinspan.state.tree import SettingsTree, Workspace
@@ -121,7 +121,7 @@
         own = self._own.get(workspace)
         if own is None:
             size, limits = self._fleet_size(), self._policy.limits(limit)
-            share = Bucket.full(limits.rate / size, max(1.0, limits.cap / size), now)
+            share = self._first_share(limits, size, now)
             own = self._own[workspace] = _Own(share)
         own.used_at = now
         admitted = not limit.is_limited or self._admits(own, now)
@@ -131,6 +131,16 @@
             own.refused += 1
         return admitted
 
+    def _first_share(self, limits: BucketLimits, size: int, now: float) -> Bucket:
+        """Return the own share of a workspace that is new to this host.
+
+        A share of the cap below one token is the chance of one; a whole one on each
+        host of a fleet that has just started would be several bursts.
+        """
+        part = limits.cap / size
+        level = part if part >= 1.0 else float(self._rng.random() < part)
+        return Bucket(limits.rate / size, max(1.0, part), level, now)
+
     def _admits(self, own: _Own, now: float) -> bool:
         if now - self._told_at > FRESH_SECONDS:
             return own.share.take(now)
--- a/src/catkinspan/coordination/rates/policy.py
+++ b/src/catkinspan/coordination/rates/policy.py
@@ -43,7 +43,7 @@
     fleet admits between two exchanges, and for a restart with a full bucket.
     """
 
-    RATE_SHARE = 0.75
+    RATE_SHARE = 0.7
     """Part of the window's bound that a steady rate may use."""
 
     BURST_SHARE = 0.35
