--- a/src/catkinspan/coordination/const.py
+++ b/src/catkinspan/coordination/const.py
@@ -7,6 +7,6 @@
 STANDBY_SECONDS = 1.0
 """Interval of reports to the other hubs, which keep them ready to take over."""
 
-TICK_SECONDS = 0.1
+TICK_SECONDS = 0.05
 PAUSE_SECONDS = 1.0
 """A gap between two ticks longer than this counts as a pause of the process."""
--- a/src/catkinspan/coordination/health/const.py
+++ b/src/catkinspan/coordination/health/const.py
@@ -40,6 +40,15 @@
 
 MAX_LATENCY_CLASSES = 20_000
 
+LOAD_SECONDS = 0.05
+"""Interval of reports of the load, and of the hubs' answers, while there is news. A
+server runs a request for one to two tenths of a second, so that older news of its load
+would be of requests that have ended."""
+
+LOAD_HOSTS = 40
+"""Hosts of the fleet up to which that interval holds; with more it grows with them, so
+that the hubs' work does not."""
+
 FULL_SECONDS = 2.0
 """Interval of whole reports, which repair what was lost."""
 
--- a/src/catkinspan/coordination/health/coordinator.py
+++ b/src/catkinspan/coordination/health/coordinator.py
@@ -6,7 +6,7 @@
 from attrs import define
 
 from catkinspan.coordination.concern import BaseConcern
-from catkinspan.coordination.const import EXCHANGE_SECONDS, STANDBY_SECONDS
+from catkinspan.coordination.const import STANDBY_SECONDS, TICK_SECONDS
 from catkinspan.coordination.health.assessor import Assessor
 from catkinspan.coordination.health.const import (
     AVOIDED_RISK,
@@ -15,6 +15,8 @@
     FLEET_FRESH_SECONDS,
     FULL_SECONDS,
     GONE_SECONDS,
+    LOAD_HOSTS,
+    LOAD_SECONDS,
 )
 from catkinspan.coordination.health.latencies import UsualLatencies, overdue_after
 from catkinspan.coordination.health.models import (
@@ -290,7 +292,9 @@
             self._urgent = True
         if self._view is None:
             return
-        if not self._urgent and now - self._reported_at < EXCHANGE_SECONDS:
+        interval = LOAD_SECONDS * max(1.0, self._view.known / LOAD_HOSTS)
+        # Half a tick is left to the ticks' own delay.
+        if now - self._reported_at < interval - TICK_SECONDS / 2 and not self._urgent:
             return
         since, self._reported_at = self._reported_at, now
         self._urgent = False
