--- /dev/null
+++ b/tests/platform/test_path.py
@@ -0,0 +1,275 @@
+"""The whole path on the platform's names: store, entries, headers, readiness."""
+
+import asyncio
+import re
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+from datetime import timedelta
+
+import pytest
+from attrs import define, field
+
+from catkinspan.daemon.clock import SystemClock
+from catkinspan.daemon.node import HostNode
+from catkinspan.standin.platform import StandinPlatform
+from catkinspan.state.ids import DataCentre, HostId
+from catkinspan.state.node import Interface, NodeSettings
+from catkinspan.state.tree import Address
+from catkinspan.transport.http_client import async_fetch
+from tests.fleet import SAFETY_SECONDS, Caller, Reply, free_addresses
+from tests.platform.entries import KEY, configuration, server_entry
+
+STAMP = "X-Server-Stamp: 3e1b.07\r\n"
+Script = Callable[[str, str], str]
+"""Makes the raw answer from the request's id and its head."""
+
+
+def answer(
+    request_id: str, status: str = "200 OK", extra: str = STAMP, body: str = "whole"
+) -> str:
+    return (
+        f"HTTP/1.1 {status}\r\nX-Request-Id: {request_id}\r\n{extra}"
+        f"Content-Length: {len(body)}\r\n\r\n{body}"
+    )
+
+
+@define
+class RawServer:
+    """Answers each request by a script, and keeps the heads that it got."""
+
+    script: Script = lambda request_id, head: answer(request_id)
+    heads: list[str] = field(factory=list)
+    address: Address = Address("127.0.0.1", 0)
+    server: asyncio.Server | None = None
+
+    async def start(self) -> None:
+        self.server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        port = self.server.sockets[0].getsockname()[1]
+        self.address = Address("127.0.0.1", port)
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        try:
+            while True:
+                head = (await reader.readuntil(b"\r\n\r\n")).decode()
+                length = re.search(r"(?i)content-length: (\d+)", head)
+                if length:
+                    await reader.readexactly(int(length[1]))
+                self.heads.append(head)
+                found = re.search(r"(?i)x-request-id: (\S+)", head)
+                assert found is not None
+                writer.write(self.script(found[1], head).encode())
+        except (asyncio.IncompleteReadError, ConnectionError):
+            writer.close()
+
+
+@define
+class Platform:
+    store: StandinPlatform
+    node: HostNode
+    servers: list[RawServer]
+    ready: Address
+
+    async def send(
+        self, path: str = "/lohu930/2f", method: str = "GET", body: bytes = b""
+    ) -> Reply:
+        caller = await Caller.connect(self.node.callers_address)
+        headers = [
+            ("X-Request-Id", "9c41d07be2a35f68"),
+            ("X-Deadline-Ms", "1500"),
+            ("X-Tenant", "forged"),
+            ("X-Expect-Instance", "forged"),
+            ("Host", "ficu95.example"),
+        ]
+        caller.send_request(path, method, body, KEY, headers[:-1])
+        try:
+            return await caller.read_reply()
+        finally:
+            caller.close()
+
+
+@asynccontextmanager
+async def platform(count: int = 1) -> AsyncIterator[Platform]:
+    servers = [RawServer() for _ in range(count)]
+    for server in servers:
+        await server.start()
+    store = StandinPlatform()
+    store_address = await store.async_start(Address("127.0.0.1", 0))
+    listeners = configuration().replace("ficu95.example", "fleet.example")
+    entries: dict[str, bytes | None] = {"op/config": listeners.encode()}
+    for n, server in enumerate(servers):
+        entry = server_entry(n, address=str(server.address))
+        entries[f"servers/i-{n}"] = entry.encode()
+    await store.async_put(entries)
+    peers, operators, ready = free_addresses(3)
+    settings = NodeSettings(
+        host_id=HostId("front-1"),
+        data_centre=DataCentre("north"),
+        callers=Address("127.0.0.1", 0),
+        operators=operators,
+        peers=peers,
+        peer_address=peers,
+        platform=store_address,
+        interface=Interface.OPERATOR,
+        ready=ready,
+        drain=timedelta(seconds=3),
+        drain_notice=timedelta(milliseconds=300),
+        seed=1,
+    )
+    node = HostNode(settings, SystemClock())
+    await node.async_start()
+    try:
+        async with asyncio.timeout(SAFETY_SECONDS):
+            while (await async_fetch(ready, "/ready", 2.0)).status != 200:
+                await asyncio.sleep(0.05)
+        yield Platform(store, node, servers, ready)
+    finally:
+        await node.async_stop()
+        await store.async_stop()
+        for server in servers:
+            assert server.server is not None
+            server.server.close()
+
+
+async def test_request_carries_the_headers_of_the_platform() -> None:
+    async with platform() as running:
+        reply = await running.send("/pufi791/2f", "POST", b"body")
+        (head,) = running.servers[0].heads
+    assert (reply.status, reply.body) == (200, b"whole")
+    assert reply.headers["x-server-stamp"] == "3e1b.07"
+    assert reply.headers["x-request-id"] == "9c41d07be2a35f68"
+    lower = head.lower()
+    assert "x-expect-instance: i-0\r\n" in lower
+    assert "x-tenant: huka270\r\n" in lower
+    assert "forged" not in lower
+    assert KEY not in head
+    left = re.search(r"x-deadline-ms: (\d+)", lower)
+    assert left is not None
+    assert 1000 < int(left[1]) <= 1500
+
+
+async def test_unknown_route_and_key() -> None:
+    async with platform() as running:
+        assert (await running.send("/nowhere/")).status == 404
+        caller = await Caller.connect(running.node.callers_address)
+        caller.send_request("/pufi791/2f", key="unknown")
+        assert (await caller.read_reply()).status == 401
+        assert running.servers[0].heads == []
+
+
+@pytest.mark.parametrize(
+    "extra",
+    ["", STAMP + "Content-Encoding: gzip\r\n"],
+    ids=["without a stamp", "with a coding"],
+)
+async def test_success_that_is_not_the_servers_is_not_passed_on(extra: str) -> None:
+    async with platform() as running:
+        running.servers[0].script = lambda i, head: answer(i, extra=extra)
+        reply = await running.send("/pufi791/2f", "POST", b"x")
+    assert reply.status == 502
+
+
+async def test_servers_own_failure_passes_unchanged() -> None:
+    async with platform() as running:
+        running.servers[0].script = lambda i, head: answer(i, "500 Fault", body="oh")
+        reply = await running.send("/pufi791/2f", "POST", b"x")
+    assert (reply.status, reply.body) == (500, b"oh")
+    assert reply.headers["x-server-stamp"] == "3e1b.07"
+
+
+@pytest.mark.parametrize(
+    ("status", "extra"),
+    [
+        ("421 Misdirected Request", "X-Instance-Id: other\r\n"),
+        ("503 Full", "X-Not-Executed: 1\r\n"),
+        ("429 Many", "X-Not-Executed: 1\r\n"),
+    ],
+)
+async def test_request_that_did_not_run_goes_to_another_server(
+    status: str, extra: str
+) -> None:
+    """Also one that may run only once: the server said that it did not run it."""
+    async with platform(2) as running:
+        ran: list[str] = []
+
+        def refuse_first(request_id: str, head: str) -> str:
+            if not ran:
+                ran.append("first")
+                return answer(request_id, status, extra)
+            return answer(request_id)
+
+        for server in running.servers:
+            server.script = refuse_first
+        reply = await running.send("/pufi791/2f", "POST", b"x")
+        heads = [len(server.heads) for server in running.servers]
+    assert reply.status == 200
+    assert heads == [1, 1]
+
+
+async def test_refusal_of_all_servers_is_a_true_not_run_with_a_time() -> None:
+    async with platform(2) as running:
+        for server in running.servers:
+            server.script = lambda i, h: answer(i, "503 Full", "X-Not-Executed: 1\r\n")
+        reply = await running.send("/pufi791/2f", "POST", b"x")
+    assert reply.status == 503
+    assert 0 < float(reply.headers["retry-after"]) < 1
+
+
+async def test_lost_answer_is_never_a_promise() -> None:
+    async with platform() as running:
+
+        def cut(request_id: str, head: str) -> str:
+            raise ConnectionError
+
+        running.servers[0].script = cut
+        reply = await running.send("/pufi791/2f", "POST", b"x")
+    assert reply.status == 502
+
+
+async def test_stray_answer_to_an_earlier_request_is_skipped() -> None:
+    """A late answer stands where the next one is expected; the id tells them apart."""
+    async with platform() as running:
+        running.servers[0].script = lambda i, h: (
+            answer("earlier", body="wrong") + answer(i, body="right")
+        )
+        reply = await running.send("/pufi791/2f", "POST", b"x")
+    assert (reply.status, reply.body) == (200, b"right")
+
+
+async def test_drain_fails_the_check_at_once_and_serves_on() -> None:
+    async with platform() as running:
+        draining = asyncio.create_task(running.node.async_drain())
+        await asyncio.sleep(0.05)
+        assert (await async_fetch(running.ready, "/ready", 2.0)).status == 503
+        reply = await running.send()
+        assert reply.status == 200
+        assert reply.headers["connection"] == "close"
+        assert await draining
+
+
+async def test_host_without_a_configuration_is_not_ready() -> None:
+    """Guards against 404 or 401 of a host that knows no route and no key yet."""
+    async with platform() as running:
+        await running.store.async_stop()
+        peers, operators, ready = free_addresses(3)
+        settings = NodeSettings(
+            host_id=HostId("front-2"),
+            data_centre=DataCentre("south"),
+            callers=Address("127.0.0.1", 0),
+            operators=operators,
+            peers=peers,
+            peer_address=peers,
+            platform=free_addresses(1)[0],
+            interface=Interface.OPERATOR,
+            ready=ready,
+        )
+        node = HostNode(settings, SystemClock())
+        await node.async_start()
+        assert (await async_fetch(ready, "/ready", 2.0)).status == 503
+        caller = await Caller.connect(node.callers_address)
+        caller.send_request("/lohu930/2f", key=KEY)
+        reply = await caller.read_reply()
+        assert reply.status == 503
+        assert "retry-after" in reply.headers
+        await node.async_stop()
