Do not count attempts without a connection against a route's attempts

Change: four such attempts do not count, and a connection may take 0.25 s. The reporters of the rates and of the health share one class.

--- a/src/catkinspan/coordination/health/assessor.py
+++ b/src/catkinspan/coordination/health/assessor.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterable
 
-from attrs import define, field
+from attrs import define
 
 from catkinspan.coordination.health.belief import Belief
 from catkinspan.coordination.health.const import (
@@ -11,20 +11,12 @@
     STALE_SECONDS,
 )
 from catkinspan.coordination.health.models import ServerCount, ServerState
+from catkinspan.coordination.reporters import RemoteHubs, Reporters
 from catkinspan.state.ids import DataCentre, HostId, ServerId
 
 _FORGET_SECONDS = 30.0
 
 
-@define
-class _Reporter:
-    """A host, or the hub of another data centre."""
-
-    incarnation: int
-    heard_at: float
-    counts: dict[ServerId, ServerCount] = field(factory=dict)
-
-
 @define
 class _Sum:
     """Counts of the own data centre that only grow."""
@@ -42,9 +34,8 @@
     """
 
     def __init__(self) -> None:
-        self._hosts: dict[HostId, _Reporter] = {}
-        self._remote: dict[HostId, _Reporter] = {}
-        self._hub_of: dict[DataCentre, HostId] = {}
+        self._hosts: Reporters[ServerId, ServerCount] = Reporters()
+        self._remote: RemoteHubs[ServerId, ServerCount] = RemoteHubs(STALE_SECONDS)
         self._beliefs: dict[ServerId, Belief] = {}
         self._zone: dict[ServerId, _Sum] = {}
         self._changed_at: dict[ServerId, float] = {}
@@ -57,11 +48,11 @@
         now: float,
     ) -> bool:
         """Take over the counts of a host; return whether they hold new failures."""
-        reporter = self._reporter(self._hosts, host, incarnation, now)
+        reporter = self._hosts.hear(host, incarnation, now)
         failures = 0
         for count in counts:
-            good, bad = _growth(reporter.counts.get(count.server), count)
-            reporter.counts[count.server] = count
+            good, bad = _growth(reporter.latest.get(count.server), count)
+            reporter.latest[count.server] = count
             total = self._zone.setdefault(count.server, _Sum())
             total.succeeded += good
             total.failed += bad
@@ -79,35 +70,19 @@
         now: float,
     ) -> bool:
         """Take over another data centre's sums; return whether failures are new."""
-        chosen = self._hub_of.get(place)
-        known = self._remote.get(chosen) if chosen is not None else None
-        if known is None or now - known.heard_at > STALE_SECONDS:
-            chosen = self._hub_of[place] = hub
-        reporter = self._reporter(self._remote, hub, incarnation, now)
+        is_counted = self._remote.is_counted(hub, place, now)
+        reporter = self._remote.hear(hub, incarnation, now)
         failures = 0
         for count in counts:
-            before = reporter.counts.get(count.server)
-            reporter.counts[count.server] = count
+            before = reporter.latest.get(count.server)
+            reporter.latest[count.server] = count
             # The first sums of a hub say nothing of when their growth was.
             good, bad = (0, 0) if before is None else _growth(before, count)
-            if hub == chosen:
+            if is_counted:
                 failures += bad
                 self._judge(count.server, good, bad, now)
         return failures > 0
 
-    def _reporter(
-        self,
-        reporters: dict[HostId, _Reporter],
-        host: HostId,
-        incarnation: int,
-        now: float,
-    ) -> _Reporter:
-        reporter = reporters.get(host)
-        if reporter is None or reporter.incarnation != incarnation:
-            reporter = reporters[host] = _Reporter(incarnation, now)
-        reporter.heard_at = now
-        return reporter
-
     def _judge(self, server: ServerId, good: int, bad: int, now: float) -> None:
         self._changed_at[server] = now
         belief = self._beliefs.get(server)
@@ -133,12 +108,12 @@
 
     def zone_counts(self, since: float, now: float) -> tuple[ServerCount, ...]:
         """Return the sums of the own data centre that changed since a moment."""
-        fresh = [r for r in self._hosts.values() if now - r.heard_at <= STALE_SECONDS]
+        fresh = list(self._hosts.fresh(STALE_SECONDS, now))
         found = []
         for server, total in self._zone.items():
             if total.changed_at < since:
                 continue
-            own = [r.counts[server] for r in fresh if server in r.counts]
+            own = [r.latest[server] for r in fresh if server in r.latest]
             found.append(
                 ServerCount(
                     server,
@@ -152,12 +127,12 @@
 
     def _load(self, now: float) -> dict[ServerId, int]:
         """Return the requests in flight by server over the whole fleet."""
-        hubs = [self._remote[h] for h in self._hub_of.values() if h in self._remote]
         load: dict[ServerId, int] = {}
-        for reporter in (*self._hosts.values(), *hubs):
-            if now - reporter.heard_at > STALE_SECONDS:
-                continue
-            for server, count in reporter.counts.items():
+        for reporter in (
+            *self._hosts.fresh(STALE_SECONDS, now),
+            *self._remote.counted(STALE_SECONDS, now),
+        ):
+            for server, count in reporter.latest.items():
                 if count.in_flight:
                     load[server] = load.get(server, 0) + count.in_flight
         return load
@@ -175,13 +150,14 @@
         for table in (self._beliefs, self._zone, self._changed_at):
             for server in table.keys() - servers:
                 del table[server]
-        for reporters in (self._hosts, self._remote):
-            for host, reporter in list(reporters.items()):
-                if now - reporter.heard_at > _FORGET_SECONDS:
-                    del reporters[host]
-                    continue
-                for server in reporter.counts.keys() - servers:
-                    del reporter.counts[server]
+        self._hosts.forget_idle(_FORGET_SECONDS, now)
+        self._remote.forget_idle(_FORGET_SECONDS, now)
+        for reporter in (
+            *self._hosts.fresh(_FORGET_SECONDS, now),
+            *self._remote.fresh(_FORGET_SECONDS, now),
+        ):
+            for server in reporter.latest.keys() - servers:
+                del reporter.latest[server]
 
 
 def _growth(before: ServerCount | None, after: ServerCount) -> tuple[int, int]:
--- a/src/catkinspan/coordination/rates/ledger.py
+++ b/src/catkinspan/coordination/rates/ledger.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable, Iterator, Mapping
 from math import exp
 
-from attrs import define, field
+from attrs import define
 
 from catkinspan.coordination.rates.bucket import Bucket
 from catkinspan.coordination.rates.const import (
@@ -16,6 +16,7 @@
 )
 from catkinspan.coordination.rates.models import Use, WorkspaceLevel
 from catkinspan.coordination.rates.policy import RatePolicy
+from catkinspan.coordination.reporters import RemoteHubs, Reporter, Reporters
 from catkinspan.state.ids import DataCentre, HostId, WorkspaceId
 from catkinspan.state.tree import Workspace
 
@@ -43,15 +44,6 @@
         self.demand_at = now
 
 
-@define
-class _Reporter:
-    """A host or a hub that reports counters."""
-
-    incarnation: int
-    counted: dict[WorkspaceId, Use] = field(factory=dict)
-    heard_at: float = 0.0
-
-
 class Ledger:
     """Keeps one bucket for each workspace in use, from counters that only grow.
 
@@ -62,11 +54,8 @@
     def __init__(self, policy: RatePolicy) -> None:
         self._policy = policy
         self._accounts: dict[WorkspaceId, _Account] = {}
-        self._hosts: dict[HostId, _Reporter] = {}
-        self._remote: dict[HostId, _Reporter] = {}
-        self._hub_of: dict[DataCentre, HostId] = {}
-        """Hub of each other data centre whose reports are counted."""
-
+        self._hosts: Reporters[WorkspaceId, Use] = Reporters()
+        self._remote: RemoteHubs[WorkspaceId, Use] = RemoteHubs(FRESH_SECONDS)
         self._limits: Mapping[WorkspaceId, Workspace] = {}
         self._share = 1.0
 
@@ -101,7 +90,7 @@
         self, host: HostId, incarnation: int, uses: Iterable[Use], now: float
     ) -> None:
         """Count what a host of the own data centre reports."""
-        for use in self._news(self._hosts, host, incarnation, uses, now):
+        for use in _growth(self._hosts.hear(host, incarnation, now), uses):
             account = self._account(use.workspace, now)
             if account is not None:
                 account.bucket.charge(use.admitted)
@@ -119,40 +108,18 @@
         now: float,
     ) -> None:
         """Count what a hub of another data centre reports."""
-        chosen = self._hub_of.get(place)
-        known = self._remote.get(chosen) if chosen is not None else None
-        if known is None or now - known.heard_at > FRESH_SECONDS:
-            chosen = self._hub_of[place] = hub
-        for use in self._news(self._remote, hub, incarnation, uses, now):
+        is_counted = self._remote.is_counted(hub, place, now)
+        reporter = self._remote.hear(hub, incarnation, now)
+        grown = _growth(reporter, uses)
+        # The first sums of a hub say nothing of when their growth was.
+        if not is_counted or reporter.is_new:
+            return
+        for use in grown:
             account = self._account(use.workspace, now)
-            if account is not None and hub == chosen:
+            if account is not None:
                 account.bucket.charge(use.admitted)
                 account.ask(use.asked, now)
 
-    def _news(
-        self,
-        reporters: dict[HostId, _Reporter],
-        host: HostId,
-        incarnation: int,
-        uses: Iterable[Use],
-        now: float,
-    ) -> list[Use]:
-        """Return by how much the counters of a reporter grew."""
-        reporter = reporters.get(host)
-        # A hub's totals begin at an arbitrary number for a reader that missed some.
-        is_new = reporter is None and reporters is self._remote
-        if reporter is None or reporter.incarnation != incarnation:
-            reporter = reporters[host] = _Reporter(incarnation)
-        reporter.heard_at = now
-        grown = []
-        for use in uses:
-            before = reporter.counted.get(use.workspace, Use(use.workspace, 0, 0))
-            reporter.counted[use.workspace] = use
-            if use.asked > before.asked and not is_new:
-                admitted = max(0, use.admitted - before.admitted)
-                grown.append(Use(use.workspace, admitted, use.asked - before.asked))
-        return grown
-
     def _account(self, name: WorkspaceId, now: float) -> _Account | None:
         account = self._accounts.get(name)
         if account is None:
@@ -186,10 +153,24 @@
 
     def forget_idle(self, now: float) -> None:
         """Drop reporters and accounts without news."""
-        for reporters in (self._hosts, self._remote):
-            for host, reporter in list(reporters.items()):
-                if now - reporter.heard_at > IDLE_SECONDS:
-                    del reporters[host]
+        self._hosts.forget_idle(IDLE_SECONDS, now)
+        self._remote.forget_idle(IDLE_SECONDS, now)
         for name, account in list(self._accounts.items()):
             if now - account.used_at > IDLE_SECONDS:
                 del self._accounts[name]
+
+
+def _growth(reporter: Reporter[WorkspaceId, Use], uses: Iterable[Use]) -> list[Use]:
+    """Return by how much the counters of a reporter grew, and remember them."""
+    grown = []
+    for use in uses:
+        nothing = Use(use.workspace, 0, 0)
+        before = reporter.latest.get(use.workspace, nothing)
+        if use.asked < before.asked:
+            # A hub dropped an idle account and began to count anew.
+            before = nothing
+        reporter.latest[use.workspace] = use
+        if use.asked > before.asked:
+            admitted = max(0, use.admitted - before.admitted)
+            grown.append(Use(use.workspace, admitted, use.asked - before.asked))
+    return grown
--- a/src/catkinspan/coordination/requests/const.py
+++ b/src/catkinspan/coordination/requests/const.py
@@ -10,5 +10,9 @@
 LEAST_HEDGE_SECONDS = 0.02
 """Shortest wait before a second attempt."""
 
+MAX_UNCONNECTED = 4
+"""Attempts without a connection that do not count against the route's attempts, since
+no server got the request."""
+
 TRIAL_BUDGET = 1.5
 """Retries that must be left in the budget for a trial of a doubtful server."""
--- a/src/catkinspan/coordination/requests/coordinator.py
+++ b/src/catkinspan/coordination/requests/coordinator.py
@@ -28,6 +28,7 @@
 from catkinspan.coordination.requests.const import (
     HEDGE_AFTER_USUAL,
     LEAST_HEDGE_SECONDS,
+    MAX_UNCONNECTED,
     TRIAL_BUDGET,
     TRIAL_HEDGE_AFTER_USUAL,
 )
@@ -114,6 +115,9 @@
     fingerprint: Fingerprint | None = None
     body_digest: bytes = NO_BODY_DIGEST
     attempts_made: int = 0
+    unconnected: int = 0
+    """Attempts among these that got no connection."""
+
     running: dict[int, ServerId] = field(factory=dict)
     tried: set[ServerId] = field(factory=set)
     ran: Ran = Ran.NO
@@ -134,6 +138,11 @@
             return policy.idempotent
         return self.arrived.method in policy.idempotent_methods
 
+    @property
+    def servers_reached(self) -> int:
+        """Return the attempts that may have reached a server."""
+        return self.attempts_made - min(self.unconnected, MAX_UNCONNECTED)
+
     @property
     def due(self) -> float:
         """Return when the request needs a decision, in monotonic seconds."""
@@ -481,7 +490,7 @@
         policy = request.route.policy
         if self._stages.retries.may_hedge(
             request.service,
-            request.attempts_made,
+            request.servers_reached,
             policy.max_attempts,
             request.deadline,
             now,
@@ -508,6 +517,7 @@
     ) -> None:
         outcome = finished.outcome
         request.last_failure = outcome.kind
+        request.unconnected += outcome.kind is OutcomeKind.CONNECT_ERROR
         if request.running:
             # A hedge is still under way.
             if outcome.kind is OutcomeKind.SERVER_ERROR:
@@ -537,10 +547,10 @@
         if finished.outcome.kind is OutcomeKind.CONNECT_ERROR:
             # The attempt put no load on a server, so it costs no retry budget.
             in_time = now < request.deadline
-            return in_time and request.attempts_made < policy.max_attempts
+            return in_time and request.servers_reached < policy.max_attempts
         return self._stages.retries.may_retry(
             request.service,
-            request.attempts_made,
+            request.servers_reached,
             policy.max_attempts,
             request.deadline,
             now,
--- a/src/catkinspan/transport/upstreams/const.py
+++ b/src/catkinspan/transport/upstreams/const.py
@@ -1,6 +1,6 @@
 """Constants of the upstreams' side."""
 
-CONNECT_SECONDS = 0.4
+CONNECT_SECONDS = 0.25
 """Wait for a new connection. A round trip takes milliseconds; a lost first packet is
 sent again after a second, and another server is quicker."""
 
