--- a/tests/coordination/health/test_fleet.py
+++ b/tests/coordination/health/test_fleet.py
@@ -99,3 +99,24 @@
     belief.fail(5, FAILURE_FACTOR, 0.0)
     assert belief.risk > 0.9
     assert belief.drift(30.0) < 0.25
+
+
+def ten_times_slower(server: str, since: float) -> Respond:
+    def respond(attempt: VirtualAttempt, rng: Random) -> tuple[OutcomeKind, float]:
+        slow = attempt.assigned.server == server and attempt.at >= since
+        seconds = SERVICE_SECONDS * rng.uniform(0.7, 1.3)
+        return OutcomeKind.OK, seconds * (10 if slow else 1)
+
+    return respond
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_slow_server_is_avoided_within_two_seconds(seed: int) -> None:
+    """Guards against a server whose answers all come, but late."""
+    fleet = virtual_fleet(
+        40, tree_of(settings=SETTINGS), seed, ten_times_slower("server-1", 13.0)
+    )
+    traffic = Traffic(fleet, Random(seed))
+    traffic.run(18.0, 60, method="POST")
+    assert len(sent_to(traffic, "server-1", 11.0, 13.0)) >= 8
+    assert len(sent_to(traffic, "server-1", 15.0, 17.0)) <= 2
--- a/tests/coordination/rates/test_fleet.py
+++ b/tests/coordination/rates/test_fleet.py
@@ -69,3 +69,17 @@
         fleet.start(host)
     traffic.run(fleet.channel.now + 10, 4 * RATE)
     assert admitted_in_worst_window(fleet) <= BOUND
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_killed_hubs_cost_under_two_percent(seed: int) -> None:
+    """Guards against a workspace that is refused until a dead hub is replaced."""
+    fleet = virtual_fleet(40, tree_of(rate=RATE, burst=BURST), seed, rate_window=WINDOW)
+    traffic = Traffic(fleet, Random(seed))
+    traffic.run(fleet.channel.now + 3, RATE / 1.6)
+    killed_at = fleet.channel.now
+    for hub in {h.coordinator.view.hubs[0] for h in fleet.hosts.values()}:
+        fleet.crash(hub)
+    traffic.run(killed_at + 40, RATE / 1.6)
+    sent = [at for at, _, _ in traffic.sent if at >= killed_at]
+    assert len(traffic.refused(killed_at)) < 0.02 * len(sent)
