--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -9,6 +9,7 @@
 from random import Random
 
 from attrs import define, field
+from tests.virtual_fleet import Traffic, tree_of, virtual_fleet
 
 from catkinspan.coordination.host.coordinator import PEER_MESSAGES
 from catkinspan.coordination.models import Origin, PeerMessage
@@ -16,7 +17,6 @@
 from catkinspan.protocol.peers.codec import PeerCodec
 from catkinspan.state.ids import HostId
 from catkinspan.testing.hosts import VirtualAttempt
-from tests.virtual_fleet import Traffic, tree_of, virtual_fleet
 
 SIZES = (20, 40, 80, 160)
 REQUESTS_PER_HOST = (0.0, 4.0)
