Report a host's server counts from one place, and remove dead names

The report to the first hub and the one to standby hubs built the same counts; Observer.report now serves both. Removes the start time of a running attempt, which nothing read, and an unused number type.

--- a/src/catkinspan/coordination/health/coordinator.py
+++ b/src/catkinspan/coordination/health/coordinator.py
@@ -311,11 +311,7 @@
 
     def _report_own(self, since: float, is_full: bool, now: float) -> None:
         assert self._view is not None
-        counts = tuple(
-            own.report(server)
-            for server, own in self._observer.items()
-            if own.changed_at >= since or (is_full and own.is_used)
-        )
+        counts = self._observer.report(since, is_full)
         if not counts:
             return
         self._assessor.count_host(self._self_id, self._incarnation, counts, now)
@@ -325,11 +321,7 @@
     def _report_to_standby(self, since: float, now: float) -> None:
         """Tell the other hubs what changed, so that they can take over."""
         assert self._view is not None
-        counts = tuple(
-            own.report(server)
-            for server, own in self._observer.items()
-            if own.changed_at >= since
-        )
+        counts = self._observer.report(since, is_full=False)
         for hub in self._view.hubs[1:]:
             if hub != self._self_id and counts:
                 self._outbox.send(hub, HostCounts(counts))
--- a/src/catkinspan/coordination/health/observer.py
+++ b/src/catkinspan/coordination/health/observer.py
@@ -1,7 +1,5 @@
 """What the own host sees of each server."""
 
-from collections.abc import Iterator
-
 from attrs import define, field
 
 from catkinspan.coordination.health.belief import Belief
@@ -28,7 +26,6 @@
 
 @define
 class _Running:
-    started_at: float
     overdue_at: float
     is_overdue: bool = False
 
@@ -77,9 +74,13 @@
             known = self._servers[server] = OwnServer(Belief(at=now))
         return known
 
-    def items(self) -> Iterator[tuple[ServerId, OwnServer]]:
-        """Yield all servers."""
-        yield from self._servers.items()
+    def report(self, since: float, is_full: bool) -> tuple[ServerCount, ...]:
+        """Return the counts changed since a time; a full report has all used ones."""
+        return tuple(
+            own.report(server)
+            for server, own in self._servers.items()
+            if own.changed_at >= since or (is_full and own.is_used)
+        )
 
     def keep_only(self, servers: set[ServerId]) -> None:
         """Forget servers that are gone and have no attempt in flight."""
@@ -92,7 +93,7 @@
     ) -> None:
         """Note an attempt that is sent now."""
         own = self.server(server, now)
-        own.running[key] = _Running(now, now + overdue_after)
+        own.running[key] = _Running(now + overdue_after)
         own.changed_at = now
 
     def finish(self, outcome: AttemptOutcome, now: float) -> bool:
--- a/src/catkinspan/coordination/models.py
+++ b/src/catkinspan/coordination/models.py
@@ -27,9 +27,6 @@
 NUMBER = Between(0.0, 1e12)
 """Counts, rates and seconds; sums of them stay far from the ends of a float."""
 
-Digest64 = Annotated[int, Between(0, 2**64 - 1)]
-"""A 64-bit hash."""
-
 Millis = Annotated[int, Between(0, 10**12)]
 """A duration in milliseconds; a workspace of the lowest rate gets a token within it."""
 
