--- a/src/catkinspan/daemon/host_task.py
+++ b/src/catkinspan/daemon/host_task.py
@@ -16,7 +16,7 @@
 )
 from catkinspan.coordination.keys.models import CloseKeyConnections
 from catkinspan.coordination.metrics.models import FinishedRequest
-from catkinspan.coordination.models import Envelope, Event, Origin, PeerMessage
+from catkinspan.coordination.models import Event, Origin, PeerMessage
 from catkinspan.coordination.reports.audit import audit_line
 from catkinspan.coordination.requests.models import (
     Assigned,
@@ -49,7 +49,9 @@
     RequestRecord,
     Submit,
 )
-from catkinspan.transport.mailbox import Mailbox
+from catkinspan.transport.mailbox import InboxFullError, Mailbox
+from catkinspan.transport.peers.const import DATAGRAM_BYTES, FRAME_MESSAGES
+from catkinspan.transport.peers.datagrams import Datagram
 from catkinspan.transport.peers.link import PeerLink
 from catkinspan.transport.store.reader import (
     ReaderMessage,
@@ -80,6 +82,7 @@
         clock: Clock,
         new_link: LinkFactory,
         reader: Mailbox[ReaderMessage],
+        datagrams: Mailbox[Datagram] | None,
     ) -> None:
         self._coordinator = coordinator
         self._origin = origin
@@ -87,6 +90,7 @@
         self._clock = clock
         self._new_link = new_link
         self._reader = reader
+        self._datagrams = datagrams
         self._log = RequestLog()
         self._suspended = clock.suspended()
         self._inbox: Mailbox[Any] = Mailbox(HOST_INBOX)
@@ -260,8 +264,11 @@
             self._carry_out(directive)
         for event in outbox.take_events():
             self._record(event)
+        by_peer: dict[Peer, list[PeerMessage]] = {}
         for envelope in outbox.take_envelopes():
-            self._send(envelope)
+            by_peer.setdefault(envelope.to, []).append(envelope.message)
+        for peer, messages in by_peer.items():
+            self._send(peer, messages)
 
     def _carry_out(self, directive: object) -> None:
         match directive:
@@ -293,15 +300,34 @@
         line = audit_line(entry)
         logger.bind(event=line.kind).info("{}", "; ".join((line.text, *line.details)))
 
-    def _send(self, envelope: Envelope) -> None:
-        link = self._link(envelope.to)
-        if link is not None:
-            link.post(envelope.message)
-
-    def _link(self, peer: Peer) -> PeerLink | None:
+    def _send(self, peer: Peer, messages: list[PeerMessage]) -> None:
+        """Send messages as datagrams where they fit, else on the peer's stream."""
         address = self._address_of(peer)
         if address is None:
-            return None
+            return
+        batch: list[PeerMessage] = []
+        size = 0
+        for message in messages:
+            length = self._codec.size(message)
+            if self._datagrams is None or length > DATAGRAM_BYTES:
+                self._link(peer, address).post(message)
+                continue
+            if size + length > DATAGRAM_BYTES or len(batch) >= FRAME_MESSAGES:
+                self._send_datagram(address, batch)
+                batch, size = [], 0
+            batch.append(message)
+            size += length
+        if batch:
+            self._send_datagram(address, batch)
+
+    def _send_datagram(self, address: Address, messages: list[PeerMessage]) -> None:
+        assert self._datagrams is not None
+        try:
+            self._datagrams.post(Datagram(address, self._encode(messages)))
+        except InboxFullError as error:
+            logger.debug("a datagram to {} was dropped: {}", address, error)
+
+    def _link(self, peer: Peer, address: Address) -> PeerLink:
         known = self._links.get(peer)
         if known is not None:
             link, task = known
--- a/src/catkinspan/daemon/node.py
+++ b/src/catkinspan/daemon/node.py
@@ -38,6 +38,7 @@
 from catkinspan.transport.mailbox import InboxFullError, Mailbox
 from catkinspan.transport.operators.listener import OperatorsListener
 from catkinspan.transport.operators.messages import AuditExcerpt
+from catkinspan.transport.peers.datagrams import DatagramTask
 from catkinspan.transport.peers.link import PeerLink
 from catkinspan.transport.peers.server import PeerServer
 from catkinspan.transport.socket_port import SocketPort
@@ -88,6 +89,10 @@
         self._codec = PeerCodec(PEER_MESSAGES)
         self._pool = PoolTask(clock)
         self._reader_inbox: Mailbox[Any] = Mailbox(64)
+        # A datagram has no certificate, so that hosts with TLS use streams only.
+        self._datagrams: DatagramTask | None = None
+        if self._tls.peers_server is None:
+            self._datagrams = DatagramTask(lambda frame: self._on_frame(frame, None))
         self._host = HostTask(
             self._new_coordinator(incarnation),
             self._origin,
@@ -95,6 +100,7 @@
             clock,
             self._new_link,
             self._reader_inbox,
+            None if self._datagrams is None else self._datagrams.inbox,
         )
         store = PlatformStore(settings.platform, self._interface.prefixes)
         self._reader = StoreReader(
@@ -161,6 +167,9 @@
             self._pool.async_run,
             self._reader.async_run,
         ]
+        if self._datagrams is not None:
+            await self._datagrams.async_start(self._settings.peers)
+            runs.append(self._datagrams.async_run)
         self._tasks = [asyncio.create_task(self._async_guard(run)) for run in runs]
         self._operators_address = await self._operators.async_start(
             self._settings.operators
@@ -272,8 +281,9 @@
             return await reply.async_get()
 
     async def async_peer_bytes(self) -> int:
-        """Return the bytes sent on the open peer links, read in the host task."""
-        return await self.async_query(lambda _, now: self._host.peer_bytes)
+        """Return the bytes sent to peers, on open links and as datagrams."""
+        on_links = await self.async_query(lambda _, now: self._host.peer_bytes)
+        return on_links + (self._datagrams.sent_bytes if self._datagrams else 0)
 
     # Wiring
 
--- a/src/catkinspan/protocol/peers/codec.py
+++ b/src/catkinspan/protocol/peers/codec.py
@@ -70,9 +70,7 @@
             tag: _plain_defaults(cls, self._converter)
             for tag, cls in self._classes.items()
         }
-        self._encoded: OrderedDict[int, tuple[PeerMessage, orjson.Fragment]] = (
-            OrderedDict()
-        )
+        self._encoded: OrderedDict[int, tuple[PeerMessage, bytes]] = OrderedDict()
         """Latest messages by identity; holding them keeps the identity theirs."""
 
     @property
@@ -82,20 +80,24 @@
 
     def encode(self, origin: Origin, messages: Sequence[PeerMessage]) -> bytes:
         """Return the bytes of a frame."""
-        encoded = [self._encode_message(message) for message in messages]
+        encoded = [orjson.Fragment(self._encode_message(m)) for m in messages]
         return orjson.dumps([origin.host, origin.incarnation, encoded])
 
-    def _encode_message(self, message: PeerMessage) -> orjson.Fragment:
+    def size(self, message: PeerMessage) -> int:
+        """Return the bytes that a message takes in a frame."""
+        return len(self._encode_message(message)) + 1
+
+    def _encode_message(self, message: PeerMessage) -> bytes:
         """Encode a message once, also if it goes to many peers."""
         known = self._encoded.get(id(message))
         if known is not None and known[0] is message:
             return known[1]
         tagged = [type(message).__name__, self._fields(message)]
-        fragment = orjson.Fragment(orjson.dumps(tagged))
-        self._encoded[id(message)] = (message, fragment)
+        encoded = orjson.dumps(tagged)
+        self._encoded[id(message)] = (message, encoded)
         if len(self._encoded) > CACHED_MESSAGES:
             self._encoded.popitem(last=False)
-        return fragment
+        return encoded
 
     def _fields(self, message: PeerMessage) -> Sequence[Any]:
         """Return the fields without those at the end that have their default."""
--- a/src/catkinspan/transport/peers/const.py
+++ b/src/catkinspan/transport/peers/const.py
@@ -2,6 +2,11 @@
 
 LINK_METHOD = "/catkinspan.Peers/Link"
 
+DATAGRAM_BYTES = 1_200
+"""Largest frame sent as a datagram: one packet on any usual link, since a datagram in
+fragments is lost with any of them. Larger frames use a stream."""
+
+DATAGRAM_INBOX = 4_096
 LINK_INBOX = 1024
 FRAME_MESSAGES = 64
 """Messages in one frame; more wait for the next one."""
--- /dev/null
+++ b/src/catkinspan/transport/peers/datagrams.py
@@ -0,0 +1,81 @@
+"""The task that owns the datagram socket between hosts."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+from attrs import frozen
+from loguru import logger
+
+from catkinspan.state.tree import Address
+from catkinspan.transport.mailbox import Mailbox
+from catkinspan.transport.peers.const import DATAGRAM_INBOX
+
+
+@frozen
+class Datagram:
+    """A frame to send."""
+
+    to: Address
+    frame: bytes
+
+
+class _Receiver(asyncio.DatagramProtocol):
+    """Hands received frames over."""
+
+    def __init__(self, on_frame: Callable[[bytes], None]) -> None:
+        self._on_frame = on_frame
+
+    def datagram_received(self, data: bytes, addr: tuple[str | Any, int]) -> None:
+        """Take a frame."""
+        self._on_frame(data)
+
+    def error_received(self, exc: Exception) -> None:
+        """Ignore that a peer does not listen; heartbeats find that out."""
+        logger.debug("a datagram was not delivered: {!r}", exc)
+
+
+class DatagramTask:
+    """Sends and receives small frames; a lost one is not sent again.
+
+    All peer protocols repeat their news, so that a datagram saves the flow control
+    and the acknowledgements of a stream. It does not go silent with a connection.
+    """
+
+    def __init__(self, on_frame: Callable[[bytes], None]) -> None:
+        self._on_frame = on_frame
+        self._inbox: Mailbox[Datagram] = Mailbox(DATAGRAM_INBOX)
+        self._transport: asyncio.DatagramTransport | None = None
+        self._sent_bytes = 0
+
+    @property
+    def inbox(self) -> Mailbox[Datagram]:
+        """Return the inbox for frames to send."""
+        return self._inbox
+
+    @property
+    def sent_bytes(self) -> int:
+        """Return the bytes of the frames sent."""
+        return self._sent_bytes
+
+    async def async_start(self, address: Address) -> None:
+        """Open the socket; raises OSError if the address is not free."""
+        transport, _ = await asyncio.get_running_loop().create_datagram_endpoint(
+            lambda: _Receiver(self._on_frame), local_addr=(address.ip, address.port)
+        )
+        self._transport = transport
+
+    async def async_run(self) -> None:
+        """Send what is posted until cancelled, then close the socket."""
+        try:
+            while True:
+                self._send(await self._inbox.async_get())
+        finally:
+            if self._transport is not None:
+                self._transport.close()
+
+    def _send(self, datagram: Datagram) -> None:
+        if self._transport is None:
+            return
+        self._sent_bytes += len(datagram.frame)
+        self._transport.sendto(datagram.frame, (datagram.to.ip, datagram.to.port))
