Hold requests until the first configuration, and read the store for them at once

Ruled out: start-up of the processes, which the refusals follow.

Change: a host without a configuration holds requests for up to a quarter of their time, and reads the store as soon as one waits.

--- a/src/catkinspan/coordination/configuration/coordinator.py
+++ b/src/catkinspan/coordination/configuration/coordinator.py
@@ -95,6 +95,9 @@
 
         self._contact_lost = False
         self._is_reader = False
+        self._is_awaited = False
+        """Whether requests wait for the first configuration."""
+
         self._told_at = float("-inf")
         self._pulled_at = float("-inf")
         self._copying: dict[HostId, _Copying] = {}
@@ -129,6 +132,13 @@
         services = self._tree.services.values()
         return self._tree.revision > NO_REVISION and any(s.upstreams for s in services)
 
+    def hurry(self, now: float) -> None:
+        """Read the store at once, since requests wait for a configuration."""
+        if self.is_ready() or self._is_awaited:
+            return
+        self._is_awaited = True
+        self._choose_reader(now)
+
     def contact_age(self, now: float) -> float:
         """Return the seconds since anyone known reached the store.
 
@@ -322,6 +332,8 @@
         self._outbox.emit(ReadingChanged(reads, rank, self._age_ms(now)))
 
     def _should_read(self, now: float) -> bool:
+        if self._is_awaited and not self.is_ready():
+            return True
         if self._view is None or now - self._started_at < FIRST_READ_SECONDS:
             return False
         rank = self._view.rank
--- a/src/catkinspan/coordination/health/coordinator.py
+++ b/src/catkinspan/coordination/health/coordinator.py
@@ -253,9 +253,11 @@
             if is_fresh and place > server.told_by:
                 continue
             own = self._observer.server(state.server, now)
+            changed = server.told is None or server.told.risk != state.risk
             server.told, server.told_at, server.told_by = state, now, place
             server.own_in_flight_told = min(own.reported, state.in_flight)
-            self._follow(state.server, server, now)
+            if changed:
+                self._follow(state.server, server, now)
 
     def _follow(self, server_id: ServerId, server: _Server, now: float) -> None:
         """Report when a server becomes avoided or is back."""
--- a/src/catkinspan/coordination/host/coordinator.py
+++ b/src/catkinspan/coordination/host/coordinator.py
@@ -159,6 +159,9 @@
         match message:
             case RequestArrived():
                 self.requests.arrive(message, now)
+                if self.requests.held:
+                    self.configuration.hurry(now)
+                    self._choose_reader(now)
             case BodyReceived():
                 self.requests.receive_body(message, now)
             case AttemptFinished():
--- a/src/catkinspan/coordination/membership/const.py
+++ b/src/catkinspan/coordination/membership/const.py
@@ -57,3 +57,7 @@
 MAX_DATA_CENTRES = 64
 MAX_ROSTER_HOSTS = 2_000
 """Hosts that a host keeps in mind."""
+
+AGING_SECONDS = 0.2
+"""Interval at which all known hosts are checked for silence. Their number grows with
+the data centre, and no limit of silence is shorter than four of these."""
--- a/src/catkinspan/coordination/membership/coordinator.py
+++ b/src/catkinspan/coordination/membership/coordinator.py
@@ -7,6 +7,7 @@
 
 from catkinspan.coordination.concern import BaseConcern
 from catkinspan.coordination.membership.const import (
+    AGING_SECONDS,
     CHANGED_ROSTER_SECONDS,
     FORGET_SECONDS,
     HEARTBEAT_SECONDS,
@@ -94,6 +95,7 @@
 
         self._hubs: tuple[HostId, ...] = (record.id,)
         self._view = self._new_view(0)
+        self._aged_at = float("-inf")
         self._heartbeat_at = float("-inf")
         self._seeds_at = float("-inf")
         self._roster_at = float("-inf")
@@ -239,12 +241,14 @@
 
     def tick(self, now: float) -> None:
         """Send what is due, and follow hosts that fall silent."""
-        for host, peer in list(self._peers.items()):
-            self._age(host, peer, now)
+        if now - self._aged_at >= AGING_SECONDS:
+            self._aged_at = now
+            for host, peer in list(self._peers.items()):
+                self._age(host, peer, now)
+            if self._sizes(now) != (self._view.known, self._view.heard):
+                self._dirty = True
         self._choose_hubs(now)
         self._send_heartbeats(now)
-        if self._sizes(now) != (self._view.known, self._view.heard):
-            self._dirty = True
         if self._dirty:
             self._refresh(now)
         self._send_rosters(now)
--- a/src/catkinspan/coordination/requests/const.py
+++ b/src/catkinspan/coordination/requests/const.py
@@ -16,3 +16,12 @@
 
 TRIAL_BUDGET = 1.5
 """Retries that must be left in the budget for a trial of a doubtful server."""
+
+HOLD_SECONDS = 1.0
+"""Longest wait of a request for the first configuration of the host. A host that
+starts gets it within a few tenths of a second, sooner than a caller would return."""
+
+HOLD_SHARE = 0.25
+"""Part of the caller's time that this wait may take."""
+
+HOLD_WITHOUT_DEADLINE_SECONDS = 0.5
--- a/src/catkinspan/coordination/requests/coordinator.py
+++ b/src/catkinspan/coordination/requests/coordinator.py
@@ -1,5 +1,6 @@
 """The stages of each request: route, key, quarantine, rate and server."""
 
+from datetime import timedelta
 from enum import Enum, auto
 from random import Random
 from typing import Protocol
@@ -27,6 +28,9 @@
 from catkinspan.coordination.requests import refusals
 from catkinspan.coordination.requests.const import (
     HEDGE_AFTER_USUAL,
+    HOLD_SECONDS,
+    HOLD_SHARE,
+    HOLD_WITHOUT_DEADLINE_SECONDS,
     LEAST_HEDGE_SECONDS,
     MAX_UNCONNECTED,
     TRIAL_BUDGET,
@@ -159,6 +163,33 @@
         return None if target is None else target.total_seconds()
 
 
+@frozen
+class _Held:
+    """A request that waits for the first configuration of the host."""
+
+    arrived: RequestArrived
+    since: float
+    until: float
+
+    @classmethod
+    def of(cls, arrived: RequestArrived, now: float) -> "_Held":
+        """Return a request held from now on."""
+        wait = HOLD_WITHOUT_DEADLINE_SECONDS
+        if arrived.deadline is not None:
+            share = HOLD_SHARE * arrived.deadline.total_seconds()
+            wait = min(HOLD_SECONDS, share)
+        return cls(arrived, now, now + wait)
+
+    def shortened(self, now: float) -> RequestArrived:
+        """Return the request with the caller's time that is left."""
+        deadline = self.arrived.deadline
+        if deadline is None:
+            return self.arrived
+        return evolve(
+            self.arrived, deadline=deadline - timedelta(seconds=now - self.since)
+        )
+
+
 class RequestsCoordinator:
     """Takes each request through its stages and decides on retries and hedges.
 
@@ -180,11 +211,19 @@
         self._timed: set[RequestId] = set()
         """Requests in backoff or with a hedge to come."""
 
+        self._held: dict[RequestId, _Held] = {}
+        """Requests that wait for the first configuration, the oldest first."""
+
     @property
     def running(self) -> int:
         """Return the number of requests that have not ended."""
         return len(self._requests)
 
+    @property
+    def held(self) -> int:
+        """Return the number of requests that wait for the first configuration."""
+        return len(self._held)
+
     def in_flight(self, workspace: WorkspaceId) -> int:
         """Return the number of a workspace's requests that have not ended."""
         return self._in_flight.get(workspace, 0)
@@ -196,7 +235,11 @@
     # Messages from the front end
 
     def arrive(self, arrived: RequestArrived, now: float) -> None:
-        """Start a request, or refuse it."""
+        """Start a request, hold it until the host is ready, or refuse it."""
+        is_ready = self._stages.gate.is_ready(now)
+        if not is_ready and len(self._held) < self._max_requests:
+            self._held[arrived.request_id] = _Held.of(arrived, now)
+            return
         admitted = self._admit(arrived, now)
         if isinstance(admitted, Err):
             self._outbox.direct(Refused(arrived.request_id, admitted.err_value))
@@ -238,6 +281,7 @@
 
     def abandon(self, abandoned: RequestAbandoned, now: float) -> None:
         """End a request whose caller went away or was cut off."""
+        self._held.pop(abandoned.request_id, None)
         request = self._requests.get(abandoned.request_id)
         if request is None:
             return
@@ -248,6 +292,7 @@
 
     def forget(self, request_id: RequestId) -> None:
         """Drop a request whose processing failed."""
+        self._held.pop(request_id, None)
         request = self._requests.get(request_id)
         if request is None:
             return
@@ -258,13 +303,17 @@
 
     def tick(self, now: float) -> None:
         """Go on with requests whose time has come."""
+        if self._held:
+            self._release(now)
         for request_id in list(self._timed):
             self._on_time(self._requests.get(request_id), request_id, now)
 
     def next_due(self) -> float:
         """Return the next moment at which `tick` has something to do."""
         requests = (self._requests.get(name) for name in self._timed)
-        return min((r.due for r in requests if r is not None), default=float("inf"))
+        due = [r.due for r in requests if r is not None]
+        due += [held.until for held in self._held.values()]
+        return min(due, default=float("inf"))
 
     def resume(self, gap: float) -> None:
         """Shorten the time left by that of a pause, in which callers waited on."""
@@ -273,6 +322,22 @@
 
     # Admission
 
+    def _release(self, now: float) -> None:
+        """Start the held requests of a host that is ready; refuse the others in time.
+
+        The wait counts against the caller's time.
+        """
+        is_ready = self._stages.gate.is_ready(now)
+        for held in list(self._held.values()):
+            if not is_ready and now < held.until:
+                continue
+            del self._held[held.arrived.request_id]
+            if is_ready:
+                self.arrive(held.shortened(now), now)
+            else:
+                request_id = held.arrived.request_id
+                self._outbox.direct(Refused(request_id, refusals.NOT_READY))
+
     def _admit(self, arrived: RequestArrived, now: float) -> Result[_Request, Refusal]:
         if not self._stages.gate.is_ready(now):
             return Err(refusals.NOT_READY)
--- /dev/null
+++ b/tests/coordination/requests/test_held.py
@@ -0,0 +1,75 @@
+"""Guards requests that reach a host before it knows a configuration."""
+
+from datetime import timedelta
+from random import Random
+
+import pytest
+
+from catkinspan.coordination.requests.errors import RefusalKind
+from catkinspan.coordination.requests.models import RequestAbandoned, RequestArrived
+from catkinspan.protocol.settings.documents import TreeDocuments
+from catkinspan.state.ids import RequestId
+from catkinspan.testing.hosts import VirtualFleet
+from tests.virtual_fleet import documents_of, host_records, tree_of
+
+DEADLINE_SECONDS = 3.0
+REQUEST = RequestId("r1")
+
+
+def _new_fleet() -> VirtualFleet:
+    return VirtualFleet(
+        host_records(3), documents_of(tree_of()), TreeDocuments, Random(1)
+    )
+
+
+def _arrived() -> RequestArrived:
+    return RequestArrived(
+        REQUEST,
+        "GET",
+        "shop.example",
+        "/jobs/1",
+        presented_key="key-0",
+        deadline=timedelta(seconds=DEADLINE_SECONDS),
+    )
+
+
+def test_request_to_a_host_that_starts_is_served() -> None:
+    """A fleet that restarted as a whole refused all requests of its first second,
+    since its hosts waited half a second for hubs before they read the store."""
+    fleet = _new_fleet()
+    fleet.channel.run(0.05)
+    host = next(iter(fleet.hosts))
+    fleet.arrive(host, _arrived())
+    fleet.channel.run(0.15)
+    assert REQUEST in fleet.hosts[host].finished
+    assert fleet.hosts[host].refusals == {}
+    assigned = fleet.attempts[0].assigned
+    assert assigned.deadline == pytest.approx(0.05 + DEADLINE_SECONDS)
+
+
+def test_request_is_refused_in_time_while_the_store_is_away() -> None:
+    """A request that waits without end loses the time to go to another host."""
+    fleet = _new_fleet()
+    fleet.store.is_down = True
+    fleet.channel.run(0.05)
+    host = next(iter(fleet.hosts))
+    fleet.arrive(host, _arrived())
+    fleet.channel.run(0.05 + DEADLINE_SECONDS / 4 + 0.1)
+    refusal = fleet.hosts[host].refusals[REQUEST]
+    assert refusal.kind is RefusalKind.NOT_READY
+    assert fleet.attempts == []
+
+
+def test_abandoned_request_never_runs() -> None:
+    """A held request whose caller has left must not reach a server."""
+    fleet = _new_fleet()
+    fleet.store.is_down = True
+    fleet.channel.run(0.05)
+    host = next(iter(fleet.hosts))
+    fleet.arrive(host, _arrived())
+    coordinator = fleet.hosts[host].coordinator
+    coordinator.take_request(RequestAbandoned(REQUEST), fleet.channel.now)
+    fleet.store.is_down = False
+    fleet.channel.run(2.0)
+    assert fleet.attempts == []
+    assert coordinator.requests.held == 0
