Tell loads to other data centres ten times a second, and to their second hubs once

Change: the first hub of each other data centre gets them ten times a second, the second one once, as within a data centre.

--- a/src/catkinspan/coordination/health/const.py
+++ b/src/catkinspan/coordination/health/const.py
@@ -56,6 +56,10 @@
 server runs a request for one to two tenths of a second, so that older news of its load
 would be of requests that have ended."""
 
+REMOTE_LOAD_SECONDS = 0.1
+"""The same between data centres, where bytes have a price and most requests stay
+within their own."""
+
 LOAD_HOSTS = 40
 """Hosts of the fleet up to which that interval holds; with more it grows with them, so
 that the hubs' work does not."""
--- a/src/catkinspan/coordination/health/coordinator.py
+++ b/src/catkinspan/coordination/health/coordinator.py
@@ -1,6 +1,6 @@
 """Owner of the evidence on servers, on each host and as a hub."""
 
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 from typing import ClassVar
 
 from attrs import define
@@ -17,6 +17,7 @@
     GONE_SECONDS,
     LOAD_HOSTS,
     LOAD_SECONDS,
+    REMOTE_LOAD_SECONDS,
 )
 from catkinspan.coordination.health.latencies import LatencyLimits, UsualLatencies
 from catkinspan.coordination.health.models import (
@@ -96,6 +97,8 @@
         self._reported_at = float("-inf")
         self._full_at = float("-inf")
         self._standby_at = float("-inf")
+        self._remote_at = float("-inf")
+        self._remote_full_at = float("-inf")
         self._urgent = False
         """Whether something was seen that others should hear at once."""
 
@@ -306,7 +309,7 @@
         self._report_own(since, is_full, now)
         self._answer(since, is_full, now)
         if self._view.hubs[0] == self._self_id:
-            self._tell_remote(since, is_full, now)
+            self._tell_first_remote(now)
         if now - self._standby_at >= STANDBY_SECONDS:
             self._report_to_standby(self._standby_at, now)
             self._standby_at = now
@@ -327,6 +330,9 @@
         for hub in self._view.hubs[1:]:
             if hub != self._self_id and counts:
                 self._outbox.send(hub, HostCounts(counts))
+        if self._view.hubs[0] == self._self_id:
+            first = set(self._view.first_remote_hubs)
+            self._tell_remote(set(self._view.remote_hubs) - first, since, now)
 
     def _answer(self, since: float, is_full: bool, now: float) -> None:
         """Tell followers, and the own host, what the fleet knows."""
@@ -344,13 +350,24 @@
         if is_own_hub:
             self._take_states(self._self_id, message.states, now)
 
-    def _tell_remote(self, since: float, is_full: bool, now: float) -> None:
+    def _tell_first_remote(self, now: float) -> None:
+        """Tell the first hub of each other data centre the news of this one."""
         assert self._view is not None
-        counts = self._assessor.zone_counts(float("-inf") if is_full else since, now)
+        if now - self._remote_at < REMOTE_LOAD_SECONDS:
+            return
+        since, self._remote_at = self._remote_at, now
+        if now - self._remote_full_at >= FULL_SECONDS:
+            since, self._remote_full_at = float("-inf"), now
+        self._tell_remote(self._view.first_remote_hubs, since, now)
+
+    def _tell_remote(self, hubs: Iterable[HostId], since: float, now: float) -> None:
+        """Tell hubs of other data centres the sums that changed since a moment."""
+        counts = self._assessor.zone_counts(since, now)
         if not counts:
             return
-        for hub in self._view.remote_hubs:
-            self._outbox.send(hub, ZoneCounts(counts))
+        message = ZoneCounts(counts)
+        for hub in hubs:
+            self._outbox.send(hub, message)
 
     def resume(self, gap: float, now: float) -> None:
         """Use nothing that was told before a pause."""
--- a/src/catkinspan/coordination/membership/coordinator.py
+++ b/src/catkinspan/coordination/membership/coordinator.py
@@ -468,13 +468,15 @@
             hubs=self._hubs,
             followers=tuple(sorted(followers)),
             led=tuple(sorted(led)),
-            remote_hubs=self._remote_hubs(now),
+            remote_hubs=self._remote_hubs(HUBS_PER_DATA_CENTRE, now),
+            first_remote_hubs=self._remote_hubs(1, now),
             rank=self._rank(now),
             known=known,
             heard=heard,
         )
 
-    def _remote_hubs(self, now: float) -> tuple[HostId, ...]:
+    def _remote_hubs(self, count: int, now: float) -> tuple[HostId, ...]:
+        """Return the first hubs of each other data centre, if this host is a hub."""
         if self._record.id not in self._hubs:
             return ()
         places = {peer.record.data_centre for peer in self._peers.values()}
@@ -482,7 +484,7 @@
         return tuple(
             host
             for place in sorted(places)
-            for host in self._candidates(place, now)[:HUBS_PER_DATA_CENTRE]
+            for host in self._candidates(place, now)[:count]
         )
 
 
--- a/src/catkinspan/coordination/rates/coordinator.py
+++ b/src/catkinspan/coordination/rates/coordinator.py
@@ -267,5 +267,6 @@
         uses = self._ledger.zone_uses(now)
         if not uses:
             return
+        message = ZoneUse(uses)
         for hub in self._view.remote_hubs:
-            self._outbox.send(hub, ZoneUse(uses))
+            self._outbox.send(hub, message)
--- a/src/catkinspan/state/hosts.py
+++ b/src/catkinspan/state/hosts.py
@@ -56,6 +56,9 @@
     remote_hubs: tuple[HostId, ...] = ()
     """Hubs of the other data centres, if the own host is a hub."""
 
+    first_remote_hubs: tuple[HostId, ...] = ()
+    """The one of them in each data centre to which most of its hosts report."""
+
     rank: int = 0
     """Place of the own host among the hub candidates of its data centre."""
 
