Revert the evidence of slow requests

Cause of the trial: one request in a hundred is lost in the first half second of a server's bad phase, before any request there is overdue. Change tried: requests older than 1.5 times the usual latency multiplied the odds of a bad phase by four while they were in flight.

--- a/src/catkinspan/coordination/health/assessor.py
+++ b/src/catkinspan/coordination/health/assessor.py
@@ -26,14 +26,6 @@
     changed_at: float = float("-inf")
 
 
-@define
-class _Load:
-    """Requests in flight at a server."""
-
-    in_flight: int = 0
-    slow: int = 0
-
-
 class Assessor:
     """Pools the counts of hosts and judges each server by them.
 
@@ -104,7 +96,7 @@
     def states(self, servers: Iterable[ServerId], now: float) -> list[ServerState]:
         """Return the states of servers, for followers."""
         load = self._load(now)
-        return [self._state(name, load.get(name, _Load()), now) for name in servers]
+        return [self._state(server, load, now) for server in servers]
 
     def changed_since(self, at: float) -> list[ServerId]:
         """Return the servers with news since a moment."""
@@ -129,30 +121,29 @@
                     sum(count.overdue for count in own),
                     total.succeeded,
                     total.failed,
-                    sum(count.slow for count in own),
                 )
             )
         return tuple(found)
 
-    def _load(self, now: float) -> dict[ServerId, _Load]:
+    def _load(self, now: float) -> dict[ServerId, int]:
         """Return the requests in flight by server over the whole fleet."""
-        loads: dict[ServerId, _Load] = {}
+        load: dict[ServerId, int] = {}
         for reporter in (
             *self._hosts.fresh(STALE_SECONDS, now),
             *self._remote.counted(STALE_SECONDS, now),
         ):
             for server, count in reporter.latest.items():
                 if count.in_flight:
-                    load = loads.setdefault(server, _Load())
-                    load.in_flight += count.in_flight
-                    load.slow += count.slow
-        return loads
-
-    def _state(self, server: ServerId, load: _Load, now: float) -> ServerState:
-        belief = self._beliefs.get(server) or Belief(at=now)
-        risk = belief.risk_with(load.slow, now)
+                    load[server] = load.get(server, 0) + count.in_flight
+        return load
+
+    def _state(
+        self, server: ServerId, load: dict[ServerId, int], now: float
+    ) -> ServerState:
+        belief = self._beliefs.get(server)
+        risk = Belief(at=now).risk if belief is None else belief.drift(now)
         steps = round(risk / RISK_STEP) * RISK_STEP
-        return ServerState(server, load.in_flight, round(steps, 2))
+        return ServerState(server, load.get(server, 0), round(steps, 2))
 
     def forget(self, servers: set[ServerId], now: float) -> None:
         """Forget servers that are gone, and reporters without news."""
--- a/src/catkinspan/coordination/health/belief.py
+++ b/src/catkinspan/coordination/health/belief.py
@@ -8,9 +8,7 @@
     BAD_TO_GOOD_PER_SECOND,
     GOOD_TO_BAD_PER_SECOND,
     LEAST_RISK,
-    MAX_SLOW_EVIDENCE,
     MOST_RISK,
-    SLOW_EVIDENCE,
     START_RISK,
     SUCCESS_FACTOR,
 )
@@ -45,18 +43,7 @@
         """Take failures as evidence."""
         self._multiply(factor**count, now)
 
-    def risk_with(self, slow: int, now: float) -> float:
-        """Return the risk while some requests in flight are slow."""
-        risk = self.drift(now)
-        if not slow:
-            return risk
-        return _updated(risk, SLOW_EVIDENCE ** min(slow, MAX_SLOW_EVIDENCE))
-
     def _multiply(self, factor: float, now: float) -> None:
-        self.risk = _updated(self.drift(now), factor)
-
-
-def _updated(risk: float, factor: float) -> float:
-    """Return the risk after evidence that multiplies its odds."""
-    odds = risk / (1.0 - risk) * factor
-    return min(MOST_RISK, max(LEAST_RISK, odds / (1.0 + odds)))
+        risk = self.drift(now)
+        odds = risk / (1.0 - risk) * factor
+        self.risk = min(MOST_RISK, max(LEAST_RISK, odds / (1.0 + odds)))
--- a/src/catkinspan/coordination/health/const.py
+++ b/src/catkinspan/coordination/health/const.py
@@ -27,17 +27,6 @@
 """Multiple of the usual latency after which a request counts as overdue; about 2 of
 100 healthy requests take longer."""
 
-SLOW_FACTOR = 1.5
-"""Multiple of the usual latency after which a request in flight counts as slow; about
-one healthy request in seven takes longer."""
-
-SLOW_EVIDENCE = 4.0
-"""Change of the odds by each request that is slow now: nearly all requests to a server
-in a bad phase become slow. It is gone when the request ends."""
-
-MAX_SLOW_EVIDENCE = 2
-"""Slow requests at one server that count; queued ones are slow together."""
-
 LEAST_OVERDUE_SECONDS = 0.06
 USUAL_SHARE_OF_TARGET = 0.28
 """Usual latency as a share of the target, until enough requests were seen."""
--- a/src/catkinspan/coordination/health/coordinator.py
+++ b/src/catkinspan/coordination/health/coordinator.py
@@ -19,7 +19,7 @@
     LOAD_SECONDS,
     REMOTE_LOAD_SECONDS,
 )
-from catkinspan.coordination.health.latencies import LatencyLimits, UsualLatencies
+from catkinspan.coordination.health.latencies import UsualLatencies, overdue_after
 from catkinspan.coordination.health.models import (
     HostCounts,
     ServerAvoided,
@@ -146,11 +146,11 @@
         usual = self._latencies.expect(started.request_class, target)
         in_flight = self.view_of(started.server, now).in_flight
         slots = 1 if server is None else server.upstream.slots
-        limits = LatencyLimits.of(usual, in_flight + 1, slots)
+        limit = overdue_after(usual, in_flight + 1, slots)
         if server is not None and now < server.cold_until:
-            limits = limits.times(2.0)
+            limit *= 2.0
         key = (started.request_id, started.attempt)
-        self._observer.start(started.server, key, limits, now)
+        self._observer.start(started.server, key, limit, now)
 
     def record(self, outcome: AttemptOutcome, now: float) -> None:
         """Take the outcome of an attempt as evidence."""
@@ -176,7 +176,7 @@
     def view_of(self, server_id: ServerId, now: float) -> ServerView:
         """Return what is believed of a server now."""
         own = self._observer.server(server_id, now)
-        own_risk = own.belief.risk_with(own.slow, now)
+        own_risk = own.belief.drift(now)
         running = len(own.running)
         server = self._servers.get(server_id)
         if server is None:
@@ -187,7 +187,7 @@
             in_flight = running + max(0, others)
             # The own belief goes back to its resting value, the fleet's one knows.
             risk = server.told.risk
-            if own_risk > AVOIDED_RISK or own.overdue:
+            if own.belief.risk > AVOIDED_RISK or own.overdue:
                 risk = max(risk, own_risk)
         return ServerView(
             in_flight,
@@ -287,13 +287,13 @@
 
     # Time
 
-    def next_late(self) -> float:
-        """Return the monotonic seconds at which an attempt is late next."""
-        return self._observer.next_late()
+    def next_overdue(self) -> float:
+        """Return when the next attempt becomes overdue, in monotonic seconds."""
+        return self._observer.next_overdue()
 
     def tick(self, now: float) -> None:
-        """Find late attempts, report to hubs and answer as a hub."""
-        if self._observer.note_late(now):
+        """Find overdue attempts, report to hubs and answer as a hub."""
+        if self._observer.note_overdue(now):
             self._urgent = True
         if self._view is None:
             return
--- a/src/catkinspan/coordination/health/latencies.py
+++ b/src/catkinspan/coordination/health/latencies.py
@@ -1,6 +1,6 @@
 """Usual latencies of the classes of requests."""
 
-from attrs import define, frozen
+from attrs import define
 
 from catkinspan.coordination.health.const import (
     LATENCY_MEMORY_SAMPLES,
@@ -8,7 +8,6 @@
     MAX_LATENCY_CLASSES,
     OVERDUE_FACTOR,
     PRIOR_SAMPLES,
-    SLOW_FACTOR,
     USUAL_SHARE_OF_TARGET,
     USUAL_WITHOUT_TARGET_SECONDS,
 )
@@ -47,24 +46,10 @@
         usual.mean += (seconds - usual.mean) / usual.weight
 
 
-@frozen
-class LatencyLimits:
-    """Seconds after which a request counts as slow, and as overdue."""
+def overdue_after(usual: float, in_flight: int, slots: int) -> float:
+    """Return the seconds after which a request is overdue at a server.
 
-    slow: float
-    overdue: float
-
-    @classmethod
-    def of(cls, usual: float, in_flight: int, slots: int) -> "LatencyLimits":
-        """Return the limits at a server with requests in flight, the new one included.
-
-        Requests beyond the server's slots wait there for one of the others.
-        """
-        rounds = 1.0 + max(0, in_flight - slots) / max(1, slots)
-        slow = max(LEAST_OVERDUE_SECONDS, SLOW_FACTOR * usual)
-        overdue = max(LEAST_OVERDUE_SECONDS, OVERDUE_FACTOR * usual)
-        return cls(slow * rounds, overdue * rounds)
-
-    def times(self, factor: float) -> "LatencyLimits":
-        """Return limits for a server that is slower by a factor."""
-        return LatencyLimits(self.slow * factor, self.overdue * factor)
+    Requests beyond the server's slots wait there for one of the others.
+    """
+    rounds = 1.0 + max(0, in_flight - slots) / max(1, slots)
+    return max(LEAST_OVERDUE_SECONDS, OVERDUE_FACTOR * usual) * rounds
--- a/src/catkinspan/coordination/health/models.py
+++ b/src/catkinspan/coordination/health/models.py
@@ -23,9 +23,6 @@
     failed: int
     """Requests that failed or became overdue since the start of the sender."""
 
-    slow: int = 0
-    """Requests in flight that take longer than most, but are not overdue."""
-
 
 @frozen
 class HostCounts(PeerMessage):
--- a/src/catkinspan/coordination/health/observer.py
+++ b/src/catkinspan/coordination/health/observer.py
@@ -4,7 +4,6 @@
 
 from catkinspan.coordination.health.belief import Belief
 from catkinspan.coordination.health.const import OWN_FAILURE_FACTOR
-from catkinspan.coordination.health.latencies import LatencyLimits
 from catkinspan.coordination.health.models import ServerCount
 from catkinspan.coordination.outcomes import AttemptOutcome, OutcomeKind
 from catkinspan.state.ids import RequestId, ServerId
@@ -27,20 +26,9 @@
 
 @define
 class _Running:
-    """An attempt in flight."""
-
-    slow_at: float
     overdue_at: float
-    is_slow: bool = False
     is_overdue: bool = False
 
-    @property
-    def due(self) -> float:
-        """Return when the attempt becomes slow or overdue next."""
-        if self.is_overdue:
-            return float("inf")
-        return self.overdue_at if self.is_slow else self.slow_at
-
 
 @define
 class OwnServer:
@@ -48,9 +36,6 @@
 
     belief: Belief
     running: dict[AttemptKey, _Running] = field(factory=dict)
-    slow: int = 0
-    """Attempts in flight that are slow and not yet overdue."""
-
     overdue: int = 0
     succeeded: int = 0
     failed: int = 0
@@ -69,12 +54,7 @@
         """Return the counts for a report, and remember what it says."""
         self.reported = len(self.running)
         return ServerCount(
-            server,
-            self.reported,
-            self.overdue,
-            self.succeeded,
-            self.failed,
-            self.slow,
+            server, self.reported, self.overdue, self.succeeded, self.failed
         )
 
 
@@ -109,11 +89,11 @@
                 del self._servers[name]
 
     def start(
-        self, server: ServerId, key: AttemptKey, limits: LatencyLimits, now: float
+        self, server: ServerId, key: AttemptKey, overdue_after: float, now: float
     ) -> None:
         """Note an attempt that is sent now."""
         own = self.server(server, now)
-        own.running[key] = _Running(now + limits.slow, now + limits.overdue)
+        own.running[key] = _Running(now + overdue_after)
         own.changed_at = now
 
     def finish(self, outcome: AttemptOutcome, now: float) -> bool:
@@ -125,8 +105,6 @@
         own.changed_at = now
         if running.is_overdue:
             own.overdue -= 1
-        elif running.is_slow:
-            own.slow -= 1
         if outcome.kind is OutcomeKind.OK and not running.is_overdue:
             own.succeeded += 1
             own.belief.succeed(1, now)
@@ -135,39 +113,31 @@
             self._fail(own, now)
         return False
 
-    def next_late(self) -> float:
-        """Return the monotonic seconds at which an attempt is late next."""
+    def next_overdue(self) -> float:
+        """Return when the next attempt becomes overdue, in monotonic seconds."""
         return min(
             (
-                running.due
+                running.overdue_at
                 for own in self._servers.values()
                 for running in own.running.values()
+                if not running.is_overdue
             ),
             default=float("inf"),
         )
 
-    def note_late(self, now: float) -> bool:
-        """Count attempts that have become slow or overdue; return whether any has."""
+    def note_overdue(self, now: float) -> bool:
+        """Count attempts that have become overdue; return whether there were any."""
         found = False
         for own in self._servers.values():
             for running in own.running.values():
-                if now < running.due:
-                    continue
-                found = True
-                own.changed_at = now
-                self._note_late(own, running, now)
+                if not running.is_overdue and now >= running.overdue_at:
+                    running.is_overdue = True
+                    own.overdue += 1
+                    own.changed_at = now
+                    self._fail(own, now)
+                    found = True
         return found
 
-    def _note_late(self, own: OwnServer, running: _Running, now: float) -> None:
-        if now < running.overdue_at:
-            running.is_slow = True
-            own.slow += 1
-            return
-        own.slow -= running.is_slow
-        own.overdue += 1
-        running.is_overdue = True
-        self._fail(own, now)
-
     def _fail(self, own: OwnServer, now: float) -> None:
         own.failed += 1
         own.belief.fail(1, OWN_FAILURE_FACTOR, now)
--- a/src/catkinspan/coordination/host/coordinator.py
+++ b/src/catkinspan/coordination/host/coordinator.py
@@ -212,7 +212,7 @@
 
     def next_due(self) -> float:
         """Return the next moment, in monotonic seconds, at which `wake` has work."""
-        return min(self.requests.next_due(), self.health.next_late())
+        return min(self.requests.next_due(), self.health.next_overdue())
 
     def wake(self, now: float) -> None:
         """Go on with requests whose time has come; cheaper than `tick`."""
