Split the requests coordinator by the question each part answers

Admission (route, key, split, crowding), the records of live and held requests, and the set of concerns they pass are modules of their own now. Held requests count against the bound of requests.

--- a/src/catkinspan/coordination/host/coordinator.py
+++ b/src/catkinspan/coordination/host/coordinator.py
@@ -25,13 +25,14 @@
 from catkinspan.coordination.rates.coordinator import RateCoordinator
 from catkinspan.coordination.rates.policy import rate_policy
 from catkinspan.coordination.reports.history import StatusHistory
-from catkinspan.coordination.requests.coordinator import RequestsCoordinator, Stages
+from catkinspan.coordination.requests.coordinator import RequestsCoordinator
 from catkinspan.coordination.requests.models import (
     AttemptFinished,
     BodyReceived,
     RequestAbandoned,
     RequestArrived,
 )
+from catkinspan.coordination.requests.stages import Stages
 from catkinspan.coordination.retries.coordinator import RetryCoordinator
 from catkinspan.coordination.routing.coordinator import RoutingCoordinator
 from catkinspan.state.hosts import FleetView, HostRecord
--- a/src/catkinspan/coordination/requests/coordinator.py
+++ b/src/catkinspan/coordination/requests/coordinator.py
@@ -1,44 +1,32 @@
-"""The stages of each request: route, key, quarantine, rate and server."""
+"""The stages of each request, and the decisions on retries and hedges."""
 
-from datetime import timedelta
-from enum import Enum, auto
 from random import Random
-from typing import Protocol
 
-from attrs import define, evolve, field, frozen
-from result import Err, Ok, Result
+from attrs import evolve
+from result import Err, Ok
 
-from catkinspan.coordination.balancing.balancer import Balancer
 from catkinspan.coordination.balancing.models import (
     ServerChoice,
     ServerRefused,
     ServerRequest,
 )
-from catkinspan.coordination.health.coordinator import HealthCoordinator
-from catkinspan.coordination.keys.coordinator import KeyCoordinator
 from catkinspan.coordination.outbox import Outbox
 from catkinspan.coordination.outcomes import (
     AttemptOutcome,
     AttemptStarted,
     OutcomeKind,
 )
-from catkinspan.coordination.quarantine.coordinator import QuarantineCoordinator
-from catkinspan.coordination.quarantine.models import Fingerprint, fingerprint
-from catkinspan.coordination.rates.coordinator import RateCoordinator
+from catkinspan.coordination.quarantine.models import fingerprint
 from catkinspan.coordination.requests import refusals
+from catkinspan.coordination.requests.admission import Admission
 from catkinspan.coordination.requests.const import (
     HEDGE_AFTER_USUAL,
-    HOLD_SECONDS,
-    HOLD_SHARE,
-    HOLD_WITHOUT_DEADLINE_SECONDS,
     LEAST_HEDGE_SECONDS,
-    MAX_UNCONNECTED,
     TRIAL_BUDGET,
     TRIAL_HEDGE_AFTER_USUAL,
 )
 from catkinspan.coordination.requests.errors import Ran, Refusal
 from catkinspan.coordination.requests.models import (
-    NO_BODY_DIGEST,
     Assigned,
     AttemptFinished,
     BodyReceived,
@@ -49,145 +37,23 @@
     RequestAbandoned,
     RequestArrived,
 )
-from catkinspan.coordination.retries.coordinator import RetryCoordinator, backoff
-from catkinspan.coordination.routing.coordinator import RoutingCoordinator
+from catkinspan.coordination.requests.records import (
+    HeldRequest,
+    LiveRequest,
+    Stage,
+    cancelled,
+    may_have_run,
+)
+from catkinspan.coordination.requests.stages import Stages
+from catkinspan.coordination.retries.coordinator import backoff
 from catkinspan.state.ids import (
     OPEN_WORKSPACE,
     RequestId,
-    Revision,
-    ServerId,
-    ServiceId,
     WorkspaceId,
 )
-from catkinspan.state.tree import Route, SettingsTree, Workspace
+from catkinspan.state.tree import SettingsTree, Workspace
 
 CRASH_KINDS = frozenset({OutcomeKind.RESET, OutcomeKind.TRUNCATED})
-DID_NOT_RUN_KINDS = frozenset(
-    {OutcomeKind.SHED, OutcomeKind.DRAINING, OutcomeKind.MISDIRECTED}
-)
-"""Outcomes by which the upstream itself said that the request did not run."""
-
-
-class AdmissionGate(Protocol):
-    """Whether the host as a whole may serve."""
-
-    def is_ready(self, now: float) -> bool:
-        """Return whether the host has a configuration to serve by."""
-
-    def is_isolated(self, now: float) -> bool:
-        """Return whether keyed requests must be refused."""
-
-
-@frozen
-class Stages:
-    """The concerns that a request passes, in their order."""
-
-    gate: AdmissionGate
-    routing: RoutingCoordinator
-    keys: KeyCoordinator
-    quarantine: QuarantineCoordinator
-    rates: RateCoordinator
-    balancer: Balancer
-    retries: RetryCoordinator
-    health: HealthCoordinator
-
-
-class Stage(Enum):
-    """What a request waits for."""
-
-    BODY = auto()
-    BACKOFF = auto()
-    RUNNING = auto()
-    ENDED = auto()
-    """The caller has its answer; attempts that lost a hedge may still run."""
-
-
-@define
-class _Request:
-    """A request between its arrival and the end of its last attempt."""
-
-    arrived: RequestArrived
-    route: Route
-    service: ServiceId
-    workspace: WorkspaceId
-    key: str | None = field(repr=False)
-    deadline: float
-    key_revision: Revision
-    """Revision at which the key was checked last."""
-
-    stage: Stage = Stage.BODY
-    fingerprint: Fingerprint | None = None
-    body_digest: bytes = NO_BODY_DIGEST
-    attempts_made: int = 0
-    unconnected: int = 0
-    """Attempts among these that got no connection."""
-
-    running: dict[int, ServerId] = field(factory=dict)
-    tried: set[ServerId] = field(factory=set)
-    ran: Ran = Ran.NO
-    last_failure: OutcomeKind | None = None
-    backoff_until: float = 0.0
-    hedge_at: float | None = None
-
-    @property
-    def id(self) -> RequestId:
-        """Return the id of the request."""
-        return self.arrived.request_id
-
-    @property
-    def is_idempotent(self) -> bool:
-        """Return whether the request may run more than once."""
-        policy = self.route.policy
-        if policy.idempotent is not None:
-            return policy.idempotent
-        return self.arrived.method in policy.idempotent_methods
-
-    @property
-    def servers_reached(self) -> int:
-        """Return the attempts that may have reached a server."""
-        return self.attempts_made - min(self.unconnected, MAX_UNCONNECTED)
-
-    @property
-    def due(self) -> float:
-        """Return when the request needs a decision, in monotonic seconds."""
-        if self.stage is Stage.BODY:
-            return self.deadline
-        if self.stage is Stage.BACKOFF:
-            return self.backoff_until
-        return float("inf") if self.hedge_at is None else self.hedge_at
-
-    @property
-    def target(self) -> float | None:
-        """Return the latency in seconds up to which an answer is of full use."""
-        target = self.route.policy.target_latency
-        return None if target is None else target.total_seconds()
-
-
-@frozen
-class _Held:
-    """A request that waits for the first configuration of the host."""
-
-    arrived: RequestArrived
-    since: float
-    until: float
-
-    @classmethod
-    def of(cls, arrived: RequestArrived, now: float) -> "_Held":
-        """Return a request held from now on."""
-        wait = HOLD_WITHOUT_DEADLINE_SECONDS
-        if arrived.deadline is not None:
-            share = HOLD_SHARE * arrived.deadline.total_seconds()
-            wait = min(HOLD_SECONDS, share)
-        return cls(arrived, now, now + wait)
-
-    def shortened(self, now: float) -> RequestArrived:
-        """Return the request with the caller's time that is left."""
-        deadline = self.arrived.deadline
-        if deadline is None:
-            return self.arrived
-        return evolve(
-            self.arrived, deadline=deadline - timedelta(seconds=now - self.since)
-        )
 
 
 class RequestsCoordinator:
@@ -206,12 +72,12 @@
         self._rng = rng
         self._max_requests = max_requests
         self._tree = SettingsTree()
-        self._requests: dict[RequestId, _Request] = {}
-        self._in_flight: dict[WorkspaceId, int] = {}
+        self._requests: dict[RequestId, LiveRequest] = {}
+        self._admission = Admission(stages, rng)
         self._timed: set[RequestId] = set()
         """Requests in backoff or with a hedge to come."""
 
-        self._held: dict[RequestId, _Held] = {}
+        self._held: dict[RequestId, HeldRequest] = {}
         """Requests that wait for the first configuration, the oldest first."""
 
     @property
@@ -226,28 +92,29 @@
 
     def in_flight(self, workspace: WorkspaceId) -> int:
         """Return the number of a workspace's requests that have not ended."""
-        return self._in_flight.get(workspace, 0)
+        return self._admission.in_flight(workspace)
 
     def apply_tree(self, tree: SettingsTree, now: float) -> None:
         """Take over the settings; running requests keep their route's settings."""
         self._tree = tree
+        self._admission.apply_tree(tree)
 
     # Messages from the front end
 
     def arrive(self, arrived: RequestArrived, now: float) -> None:
         """Start a request, hold it until the host is ready, or refuse it."""
-        is_ready = self._stages.gate.is_ready(now)
-        if not is_ready and len(self._held) < self._max_requests:
-            self._held[arrived.request_id] = _Held.of(arrived, now)
+        if len(self._requests) + len(self._held) >= self._max_requests:
+            self._outbox.direct(Refused(arrived.request_id, refusals.OVERLOADED))
             return
-        admitted = self._admit(arrived, now)
+        if not self._stages.gate.is_ready(now):
+            self._held[arrived.request_id] = HeldRequest.of(arrived, now)
+            return
+        admitted = self._admission.admit(arrived, now)
         if isinstance(admitted, Err):
             self._outbox.direct(Refused(arrived.request_id, admitted.err_value))
             return
         request = admitted.ok_value
         self._requests[request.id] = request
-        count = self._in_flight.get(request.workspace, 0)
-        self._in_flight[request.workspace] = count + 1
         if arrived.content_length == 0:
             self._check_quarantine(request, now)
             return
@@ -286,7 +153,7 @@
         if request is None:
             return
         for attempt in request.running:
-            self._stages.health.record(_cancelled(request, attempt), now)
+            self._stages.health.record(cancelled(request, attempt), now)
         request.running.clear()
         self._end(request)
 
@@ -338,60 +205,7 @@
                 request_id = held.arrived.request_id
                 self._outbox.direct(Refused(request_id, refusals.NOT_READY))
 
-    def _admit(self, arrived: RequestArrived, now: float) -> Result[_Request, Refusal]:
-        if not self._stages.gate.is_ready(now):
-            return Err(refusals.NOT_READY)
-        if len(self._requests) >= self._max_requests:
-            return Err(refusals.OVERLOADED)
-        matched = self._stages.routing.match(arrived.method, arrived.host, arrived.path)
-        if isinstance(matched, Err):
-            return Err(refusals.route_refusal(matched.err_value))
-        route = matched.ok_value
-        key = _presented_key(arrived, route)
-        workspace = self._authenticate(route, key, now)
-        if isinstance(workspace, Err):
-            return workspace
-        if self._is_crowded(workspace.ok_value):
-            return Err(refusals.WORKSPACE_OVERLOADED)
-        allowed = route.policy.deadline
-        if arrived.deadline is not None:
-            allowed = min(allowed, arrived.deadline)
-        return Ok(
-            _Request(
-                arrived=arrived,
-                route=route,
-                service=self._service_of(route),
-                workspace=workspace.ok_value,
-                key=key,
-                deadline=now + allowed.total_seconds(),
-                key_revision=self._tree.revision,
-            )
-        )
-
-    def _service_of(self, route: Route) -> ServiceId:
-        """Return the service of a request, by the weights of a split route."""
-        if not route.split:
-            return route.service
-        weights = [part.weight for part in route.split]
-        return self._rng.choices(route.split, weights)[0].service
-
-    def _authenticate(
-        self, route: Route, key: str | None, now: float
-    ) -> Result[WorkspaceId, Refusal]:
-        if route.policy.open:
-            return Ok(OPEN_WORKSPACE)
-        if self._stages.gate.is_isolated(now):
-            return Err(refusals.ISOLATED)
-        found = self._stages.keys.workspace_for(key or "", now)
-        return found.map_err(refusals.key_refusal)
-
-    def _is_crowded(self, workspace_id: WorkspaceId) -> bool:
-        workspace = self._tree.workspaces.get(workspace_id)
-        if workspace is None:
-            return False
-        return self.in_flight(workspace_id) >= workspace.max_in_flight
-
-    def _check_quarantine(self, request: _Request, now: float) -> None:
+    def _check_quarantine(self, request: LiveRequest, now: float) -> None:
         arrived = request.arrived
         request.fingerprint = fingerprint(
             request.workspace,
@@ -406,7 +220,7 @@
             return
         self._take_rate(request, now)
 
-    def _take_rate(self, request: _Request, now: float) -> None:
+    def _take_rate(self, request: LiveRequest, now: float) -> None:
         if request.workspace != OPEN_WORKSPACE:
             rates = self._stages.rates
             if not rates.take(request.workspace, now):
@@ -421,7 +235,7 @@
 
     # Servers and attempts
 
-    def _seek_server(self, request: _Request, now: float) -> None:
+    def _seek_server(self, request: LiveRequest, now: float) -> None:
         """Send the request to the best server, or end it if there is none."""
         refusal = self._late_refusal(request, now)
         if refusal is not None:
@@ -435,7 +249,7 @@
         elif not request.running:
             self._refuse(request, self._server_refusal(request, chosen.err_value))
 
-    def _server_request(self, request: _Request, now: float) -> ServerRequest:
+    def _server_request(self, request: LiveRequest, now: float) -> ServerRequest:
         usual = self._stages.health.usual_latency(request.route.id, request.target)
         first = not request.attempts_made
         can_hedge = self._can_hedge(request)
@@ -449,13 +263,13 @@
             may_try=first and can_hedge and budget > TRIAL_BUDGET,
         )
 
-    def _server_refusal(self, request: _Request, refused: ServerRefused) -> Refusal:
+    def _server_refusal(self, request: LiveRequest, refused: ServerRefused) -> Refusal:
         if request.last_failure is None:
             return refusals.server_refusal(refused)
         return refusals.outcome_refusal(request.last_failure, request.ran)
 
     def _assign(
-        self, request: _Request, choice: ServerChoice, usual: float, now: float
+        self, request: LiveRequest, choice: ServerChoice, usual: float, now: float
     ) -> None:
         request.attempts_made += 1
         attempt = request.attempts_made
@@ -470,20 +284,16 @@
         self._plan_hedge(request, choice, usual, now)
         self._outbox.direct(self._assigned(request, attempt, choice, usual))
 
-    def _late_refusal(self, request: _Request, now: float) -> Refusal | None:
+    def _late_refusal(self, request: LiveRequest, now: float) -> Refusal | None:
         """Check what may have changed while the request waited."""
         if now >= request.deadline:
             if request.last_failure is not None:
                 return refusals.outcome_refusal(request.last_failure, request.ran)
             return refusals.DEADLINE_PASSED
-        if request.key_revision == self._tree.revision:
-            return None
-        request.key_revision = self._tree.revision
-        checked = self._authenticate(request.route, request.key, now)
-        return checked.err_value if isinstance(checked, Err) else None
+        return self._admission.refusal_by_key(request, now)
 
     def _assigned(
-        self, request: _Request, attempt: int, choice: ServerChoice, usual: float
+        self, request: LiveRequest, attempt: int, choice: ServerChoice, usual: float
     ) -> Assigned:
         policy = request.route.policy
         upstream = choice.upstream
@@ -509,7 +319,7 @@
             revision=self._tree.revision,
         )
 
-    def _can_hedge(self, request: _Request) -> bool:
+    def _can_hedge(self, request: LiveRequest) -> bool:
         """Return whether a second server may get the request beside the first.
 
         A body that streams to one server cannot go to a second one as well.
@@ -523,7 +333,7 @@
         )
 
     def _plan_hedge(
-        self, request: _Request, choice: ServerChoice, usual: float, now: float
+        self, request: LiveRequest, choice: ServerChoice, usual: float, now: float
     ) -> None:
         if request.attempts_made > 1 or not self._can_hedge(request):
             return
@@ -534,7 +344,7 @@
         self._timed.add(request.id)
 
     def _on_time(
-        self, request: _Request | None, request_id: RequestId, now: float
+        self, request: LiveRequest | None, request_id: RequestId, now: float
     ) -> None:
         if request is None:
             self._timed.discard(request_id)
@@ -549,7 +359,7 @@
             request.hedge_at = None
             self._hedge(request, now)
 
-    def _hedge(self, request: _Request, now: float) -> None:
+    def _hedge(self, request: LiveRequest, now: float) -> None:
         if request.stage is not Stage.RUNNING:
             return
         policy = request.route.policy
@@ -564,9 +374,11 @@
 
     # Outcomes
 
-    def _record(self, request: _Request, outcome: AttemptOutcome, now: float) -> None:
+    def _record(
+        self, request: LiveRequest, outcome: AttemptOutcome, now: float
+    ) -> None:
         self._stages.health.record(outcome, now)
-        if _may_have_run(outcome):
+        if may_have_run(outcome):
             request.ran = Ran.MAYBE
         if request.fingerprint is None:
             return
@@ -578,7 +390,7 @@
             self._stages.quarantine.record_success(request.fingerprint, now)
 
     def _after_failure(
-        self, request: _Request, finished: AttemptFinished, now: float
+        self, request: LiveRequest, finished: AttemptFinished, now: float
     ) -> None:
         outcome = finished.outcome
         request.last_failure = outcome.kind
@@ -600,7 +412,7 @@
             self._refuse(request, refusal)
 
     def _may_send_again(
-        self, request: _Request, finished: AttemptFinished, now: float
+        self, request: LiveRequest, finished: AttemptFinished, now: float
     ) -> bool:
         if not finished.replayable:
             return False
@@ -621,12 +433,12 @@
             now,
         )
 
-    def _is_quarantined(self, request: _Request, now: float) -> bool:
+    def _is_quarantined(self, request: LiveRequest, now: float) -> bool:
         if request.fingerprint is None:
             return False
         return self._stages.quarantine.check(request.fingerprint, now).is_err()
 
-    def _back_off(self, request: _Request, now: float) -> None:
+    def _back_off(self, request: LiveRequest, now: float) -> None:
         if request.last_failure is OutcomeKind.CONNECT_ERROR:
             # Another server is tried at once; only load needs time to fall.
             self._seek_server(request, now)
@@ -637,51 +449,20 @@
 
     # Ends
 
-    def _refuse(self, request: _Request, refusal: Refusal) -> None:
+    def _refuse(self, request: LiveRequest, refusal: Refusal) -> None:
         if request.ran is not Ran.NO:
             refusal = evolve(refusal, ran=request.ran, retry_after=None)
         directive = Refused(request.id, refusal, request.service, request.workspace)
         self._outbox.direct(directive)
         self._end(request)
 
-    def _end(self, request: _Request) -> None:
+    def _end(self, request: LiveRequest) -> None:
         request.stage = Stage.ENDED
         self._timed.discard(request.id)
         self._forget_if_idle(request)
 
-    def _forget_if_idle(self, request: _Request) -> None:
+    def _forget_if_idle(self, request: LiveRequest) -> None:
         if request.running or request.id not in self._requests:
             return
         del self._requests[request.id]
-        left = self._in_flight[request.workspace] - 1
-        if left:
-            self._in_flight[request.workspace] = left
-        else:
-            del self._in_flight[request.workspace]
-
-
-def _presented_key(arrived: RequestArrived, route: Route) -> str | None:
-    if arrived.presented_key is not None:
-        return arrived.presented_key
-    parameter = route.policy.key_query_parameter
-    return arrived.query.get(parameter) if parameter else None
-
-
-def _cancelled(request: _Request, attempt: int) -> AttemptOutcome:
-    return AttemptOutcome(
-        request_id=request.id,
-        attempt=attempt,
-        service=request.service,
-        server=request.running[attempt],
-        workspace=request.workspace,
-        kind=OutcomeKind.CANCELLED,
-        latency=0.0,
-        bytes_written=True,
-        request_class=request.route.id,
-    )
-
-
-def _may_have_run(outcome: AttemptOutcome) -> bool:
-    if outcome.kind in DID_NOT_RUN_KINDS:
-        return False
-    return outcome.bytes_written
+        self._admission.leave(request.workspace)
--- /dev/null
+++ b/src/catkinspan/coordination/requests/stages.py
@@ -0,0 +1,37 @@
+"""The concerns that a request passes."""
+
+from typing import Protocol
+
+from attrs import frozen
+
+from catkinspan.coordination.balancing.balancer import Balancer
+from catkinspan.coordination.health.coordinator import HealthCoordinator
+from catkinspan.coordination.keys.coordinator import KeyCoordinator
+from catkinspan.coordination.quarantine.coordinator import QuarantineCoordinator
+from catkinspan.coordination.rates.coordinator import RateCoordinator
+from catkinspan.coordination.retries.coordinator import RetryCoordinator
+from catkinspan.coordination.routing.coordinator import RoutingCoordinator
+
+
+class AdmissionGate(Protocol):
+    """Whether the host as a whole may serve."""
+
+    def is_ready(self, now: float) -> bool:
+        """Return whether the host has a configuration to serve by."""
+
+    def is_isolated(self, now: float) -> bool:
+        """Return whether keyed requests must be refused."""
+
+
+@frozen
+class Stages:
+    """The concerns that a request passes, in their order."""
+
+    gate: AdmissionGate
+    routing: RoutingCoordinator
+    keys: KeyCoordinator
+    quarantine: QuarantineCoordinator
+    rates: RateCoordinator
+    balancer: Balancer
+    retries: RetryCoordinator
+    health: HealthCoordinator
