Tell the end of a store outage only when the store was reached

A host took a peer's slightly later contact, itself more than two seconds old, for the end of the outage.

Change: the outage ends with a contact that is less than two seconds old, and the line names its whole length. Only log lines and audit entries change.

Figures: a test of 12 hosts fails before (several pairs a host) and passes after (one).

--- a/src/catkinspan/coordination/configuration/coordinator.py
+++ b/src/catkinspan/coordination/configuration/coordinator.py
@@ -93,7 +93,9 @@
         self._others_contact_at = float("-inf")
         """As `_contact_at`, without the own reading."""
 
-        self._contact_lost = False
+        self._lost_since: float | None = None
+        """Last contact with the store before it counted as lost."""
+
         self._is_reader = False
         self._is_awaited = False
         """Whether requests wait for the first configuration."""
@@ -298,8 +300,9 @@
             self._told_at = now
             self._tell_freshness(now)
         age = self.contact_age(now)
-        if age > OUTAGE_SECONDS and not self._contact_lost and self._was_reached:
-            self._contact_lost = True
+        is_lost = age > OUTAGE_SECONDS and self._was_reached
+        if is_lost and self._lost_since is None:
+            self._lost_since = now - age
             self._outbox.emit(StoreContactLost(round(age, 3)))
         if self._lapsed and now >= self._lapse_until:
             self._lapsed.clear()
@@ -348,9 +351,11 @@
         outage = at - max(self._contact_at, self._others_contact_at)
         if outage > OUTAGE_SECONDS and self._was_reached:
             self._lapse_until = now + LAPSE_GRACE_SECONDS
-        if self._contact_lost:
-            self._contact_lost = False
-            self._outbox.emit(StoreContactRegained(round(outage, 3), source))
+        # News of an earlier contact than the last known one is no end of an outage.
+        if self._lost_since is not None and now - at < OUTAGE_SECONDS:
+            seconds = round(at - self._lost_since, 3)
+            self._lost_since = None
+            self._outbox.emit(StoreContactRegained(seconds, source))
 
     # Settings
 
--- a/tests/coordination/configuration/test_fleet.py
+++ b/tests/coordination/configuration/test_fleet.py
@@ -2,7 +2,11 @@
 
 import pytest
 
-from catkinspan.coordination.configuration.models import ServersLapsed
+from catkinspan.coordination.configuration.models import (
+    ServersLapsed,
+    StoreContactLost,
+    StoreContactRegained,
+)
 from catkinspan.state.ids import HostId
 from catkinspan.testing.hosts import VirtualFleet
 from tests.platform.entries import configuration, platform_fleet, server_entry
@@ -139,3 +143,19 @@
     fleet.channel.run(fleet.channel.now + 1.0)
     assert revisions(fleet) == {7}
     assert all("i-9" in servers for servers in servers_in_use(fleet))
+
+
+def test_outage_of_the_store_is_told_once() -> None:
+    """Hosts took the slightly later contact of a peer for the end of the outage, and
+    wrote ten lines of a lost and regained store each (incident inc-cd78)."""
+    fleet = virtual_fleet(12)
+    fleet.channel.run(4.0)
+    fleet.store.is_down = True
+    fleet.channel.run(9.0)
+    fleet.store.is_down = False
+    fleet.channel.run(12.0)
+    for host in fleet.hosts.values():
+        lost = [e for e in host.events if isinstance(e, StoreContactLost)]
+        regained = [e for e in host.events if isinstance(e, StoreContactRegained)]
+        assert (len(lost), len(regained)) == (1, 1)
+        assert regained[0].outage_seconds >= 4.0
