--- a/src/catkinspan/protocol/operators/prometheus.py
+++ b/src/catkinspan/protocol/operators/prometheus.py
@@ -204,8 +204,8 @@
             value=config.platform_seconds,
         )
     yield GaugeMetricFamily(
-        "catkinspan_open_links_sent_bytes",
-        "Bytes sent on the peer links that are open now.",
+        "catkinspan_peer_sent_bytes",
+        "Bytes sent to peers, on links that are open now and as datagrams.",
         value=answer.peer_bytes,
     )
     yield CounterMetricFamily(
--- a/src/catkinspan/state/node.py
+++ b/src/catkinspan/state/node.py
@@ -87,7 +87,9 @@
         "Listener for operators; it has no authentication, so keep it on loopback.",
         shown_default="127.0.0.1:9900",
     )
-    peers: Address = setting(NOTHING, "IP:PORT", "Listener for other hosts.")
+    peers: Address = setting(
+        NOTHING, "IP:PORT", "Listener for other hosts, by TCP and UDP."
+    )
     peer_address: Address = setting(
         NOTHING,
         "IP:PORT",
--- a/src/catkinspan/transport/peers/link.py
+++ b/src/catkinspan/transport/peers/link.py
@@ -49,7 +49,7 @@
     def __init__(self, peer: HostId | Address, names: Collection[str]) -> None:
         super().__init__(
             f"the certificate names {', '.join(sorted(names)) or 'no host'}, not "
-            f"{peer}; correct `peer_address` in the host list, or the certificate"
+            f"{peer}; correct `peer_address` in its settings, or the certificate"
         )
 
 
--- a/tests/transport/test_tls.py
+++ b/tests/transport/test_tls.py
@@ -199,7 +199,7 @@
 
 
 async def test_link_refuses_a_peer_certified_as_another_host(tmp_path: Path) -> None:
-    """A wrong address in the host list must not send messages to another host."""
+    """A wrong address of a host must not send messages to another host."""
     authority = Authority(tmp_path)
     async with peer_server(contexts(authority, "host-1")) as (address, seen):
         own = contexts(authority, "host-2")
