Take the ports of tests from below the range of outgoing connections

Ruled out: the drain, which had not begun.

Change: each worker has a block of ports below that range, which nothing else takes. No check of any test changes.

--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import hashlib
+import itertools
+import os
 import socket
 import ssl
 from collections.abc import AsyncIterator, Callable
@@ -26,16 +28,40 @@
 """Ends a test that hangs; no verdict depends on it."""
 
 
+FIRST_PORT = 10_000
+PORTS_PER_WORKER = 1_300
+"""Blocks for 17 workers of pytest end below 32,768, where the system begins to take
+ports for outgoing connections; one of those could take a port before a test binds it."""
+
+_WORKER = int(os.environ.get("PYTEST_XDIST_WORKER", "gw0").removeprefix("gw"))
+_PORTS = itertools.cycle(
+    range(
+        FIRST_PORT + _WORKER % 17 * PORTS_PER_WORKER,
+        FIRST_PORT + (_WORKER % 17 + 1) * PORTS_PER_WORKER,
+    )
+)
+
+
 def free_addresses(count: int) -> list[Address]:
-    sockets = [socket.socket() for _ in range(count)]
-    for sock in sockets:
-        sock.bind(("127.0.0.1", 0))
-    addresses = [Address("127.0.0.1", sock.getsockname()[1]) for sock in sockets]
-    for sock in sockets:
-        sock.close()
+    """Return addresses that nobody else binds until the test does."""
+    addresses: list[Address] = []
+    while len(addresses) < count:
+        address = Address("127.0.0.1", next(_PORTS))
+        if _is_free(address):
+            addresses.append(address)
     return addresses
 
 
+def _is_free(address: Address) -> bool:
+    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+        with socket.socket(socket.AF_INET, kind) as probe:
+            try:
+                probe.bind((address.ip, address.port))
+            except OSError:
+                return False
+    return True
+
+
 def digest(key: str) -> str:
     return hashlib.sha256(key.encode()).hexdigest()
 
--- a/tests/transport/peers/test_datagrams.py
+++ b/tests/transport/peers/test_datagrams.py
@@ -1,7 +1,6 @@
 """Small frames between hosts travel as datagrams, large ones on streams."""
 
 import asyncio
-import socket
 from random import Random
 from typing import Any
 
@@ -20,6 +19,7 @@
 from catkinspan.transport.mailbox import Mailbox
 from catkinspan.transport.peers.const import DATAGRAM_BYTES
 from catkinspan.transport.peers.datagrams import Datagram, DatagramTask
+from tests.fleet import free_addresses
 
 PEER = Address("127.0.0.1", 9)
 WAIT_SECONDS = 5.0
@@ -37,12 +37,6 @@
         await asyncio.Event().wait()
 
 
-def _free_address() -> Address:
-    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as probe:
-        probe.bind(("127.0.0.1", 0))
-        return Address("127.0.0.1", probe.getsockname()[1])
-
-
 def _record() -> HostRecord:
     return HostRecord(HostId("host-1"), DataCentre("north"), Address("127.0.0.1", 8), 1)
 
@@ -71,7 +65,7 @@
 async def test_frame_reaches_the_other_socket() -> None:
     """Guards against hosts that never hear each other's datagrams."""
     received: asyncio.Queue[bytes] = asyncio.Queue()
-    address = _free_address()
+    (address,) = free_addresses(1)
     receiver = DatagramTask(received.put_nowait)
     sender = DatagramTask(received.put_nowait)
     await receiver.async_start(address)
