--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -30,8 +30,8 @@
 
 FIRST_PORT = 10_000
 PORTS_PER_WORKER = 1_300
-"""Blocks for 17 workers of pytest end below 32,768, where the system begins to take
-ports for outgoing connections; one of those could take a port before a test binds it."""
+"""Blocks for 17 workers of pytest end below 32,768. From there on the system takes
+ports for outgoing connections, which could have one before a test binds it."""
 
 _WORKER = int(os.environ.get("PYTEST_XDIST_WORKER", "gw0").removeprefix("gw"))
 _PORTS = itertools.cycle(
