Rank the remote hubs once a view, and tidy what the datagrams brought

A new view ranked the hub candidates of each other data centre twice; it does so once now. The second remote hubs are told in the view's order instead of a set's, a comment and the doc text of DATAGRAM_BYTES say what holds, and the tests of held requests share their setup with the same assertions.

--- a/src/catkinspan/coordination/configuration/coordinator.py
+++ b/src/catkinspan/coordination/configuration/coordinator.py
@@ -351,7 +351,7 @@
         outage = at - max(self._contact_at, self._others_contact_at)
         if outage > OUTAGE_SECONDS and self._was_reached:
             self._lapse_until = now + LAPSE_GRACE_SECONDS
-        # News of an earlier contact than the last known one is no end of an outage.
+        # A contact that is itself old by now is no end of an outage.
         if self._lost_since is not None and now - at < OUTAGE_SECONDS:
             seconds = round(at - self._lost_since, 3)
             self._lost_since = None
--- a/src/catkinspan/coordination/health/coordinator.py
+++ b/src/catkinspan/coordination/health/coordinator.py
@@ -331,8 +331,9 @@
             if hub != self._self_id and counts:
                 self._outbox.send(hub, HostCounts(counts))
         if self._view.hubs[0] == self._self_id:
-            first = set(self._view.first_remote_hubs)
-            self._tell_remote(set(self._view.remote_hubs) - first, since, now)
+            first = self._view.first_remote_hubs
+            others = [hub for hub in self._view.remote_hubs if hub not in first]
+            self._tell_remote(others, since, now)
 
     def _answer(self, since: float, is_full: bool, now: float) -> None:
         """Tell followers, and the own host, what the fleet knows."""
--- a/src/catkinspan/coordination/membership/coordinator.py
+++ b/src/catkinspan/coordination/membership/coordinator.py
@@ -460,6 +460,7 @@
             host for host, peer in self._peers.items() if peer.follows_until > now
         ]
         led = [host for host in followers if self._peers[host].place == 0]
+        remote = self._remote_hubs(now)
         return FleetView(
             self_id=own.id,
             self_data_centre=own.data_centre,
@@ -468,24 +469,23 @@
             hubs=self._hubs,
             followers=tuple(sorted(followers)),
             led=tuple(sorted(led)),
-            remote_hubs=self._remote_hubs(HUBS_PER_DATA_CENTRE, now),
-            first_remote_hubs=self._remote_hubs(1, now),
+            remote_hubs=tuple(host for hubs in remote for host in hubs),
+            first_remote_hubs=tuple(host for hubs in remote for host in hubs[:1]),
             rank=self._rank(now),
             known=known,
             heard=heard,
         )
 
-    def _remote_hubs(self, count: int, now: float) -> tuple[HostId, ...]:
-        """Return the first hubs of each other data centre, if this host is a hub."""
+    def _remote_hubs(self, now: float) -> list[list[HostId]]:
+        """Return the hubs of each other data centre, if this host is a hub."""
         if self._record.id not in self._hubs:
-            return ()
+            return []
         places = {peer.record.data_centre for peer in self._peers.values()}
         places.discard(self._record.data_centre)
-        return tuple(
-            host
+        return [
+            self._candidates(place, now)[:HUBS_PER_DATA_CENTRE]
             for place in sorted(places)
-            for host in self._candidates(place, now)[:count]
-        )
+        ]
 
 
 def _status(peer: _Peer, now: float) -> HostStatus:
--- a/src/catkinspan/transport/peers/const.py
+++ b/src/catkinspan/transport/peers/const.py
@@ -3,8 +3,9 @@
 LINK_METHOD = "/catkinspan.Peers/Link"
 
 DATAGRAM_BYTES = 1_200
-"""Largest frame sent as a datagram: one packet on any usual link, since a datagram in
-fragments is lost with any of them. Larger frames use a stream."""
+"""Largest size of the messages in a datagram, without the head of the frame: one packet
+on any usual link, since a datagram in fragments is lost with any of them. Larger
+messages use a stream."""
 
 DATAGRAM_INBOX = 4_096
 LINK_INBOX = 1024
--- a/tests/coordination/requests/test_held.py
+++ b/tests/coordination/requests/test_held.py
@@ -8,7 +8,7 @@
 from catkinspan.coordination.requests.errors import RefusalKind
 from catkinspan.coordination.requests.models import RequestAbandoned, RequestArrived
 from catkinspan.protocol.settings.documents import TreeDocuments
-from catkinspan.state.ids import RequestId
+from catkinspan.state.ids import HostId, RequestId
 from catkinspan.testing.hosts import VirtualFleet
 from tests.virtual_fleet import documents_of, host_records, tree_of
 
@@ -16,10 +16,19 @@
 REQUEST = RequestId("r1")
 
 
-def _new_fleet() -> VirtualFleet:
-    return VirtualFleet(
+ARRIVAL_SECONDS = 0.05
+
+
+def _fleet_with_request(is_store_down: bool) -> tuple[VirtualFleet, HostId]:
+    """Return a fleet that has just started, and its host with a request."""
+    fleet = VirtualFleet(
         host_records(3), documents_of(tree_of()), TreeDocuments, Random(1)
     )
+    fleet.store.is_down = is_store_down
+    fleet.channel.run(ARRIVAL_SECONDS)
+    host = next(iter(fleet.hosts))
+    fleet.arrive(host, _arrived())
+    return fleet, host
 
 
 def _arrived() -> RequestArrived:
@@ -36,25 +45,18 @@
 def test_request_to_a_host_that_starts_is_served() -> None:
     """A fleet that restarted as a whole refused all requests of its first second,
     since its hosts waited half a second for hubs before they read the store."""
-    fleet = _new_fleet()
-    fleet.channel.run(0.05)
-    host = next(iter(fleet.hosts))
-    fleet.arrive(host, _arrived())
+    fleet, host = _fleet_with_request(is_store_down=False)
     fleet.channel.run(0.15)
     assert REQUEST in fleet.hosts[host].finished
     assert fleet.hosts[host].refusals == {}
     assigned = fleet.attempts[0].assigned
-    assert assigned.deadline == pytest.approx(0.05 + DEADLINE_SECONDS)
+    assert assigned.deadline == pytest.approx(ARRIVAL_SECONDS + DEADLINE_SECONDS)
 
 
 def test_request_is_refused_in_time_while_the_store_is_away() -> None:
     """A request that waits without end loses the time to go to another host."""
-    fleet = _new_fleet()
-    fleet.store.is_down = True
-    fleet.channel.run(0.05)
-    host = next(iter(fleet.hosts))
-    fleet.arrive(host, _arrived())
-    fleet.channel.run(0.05 + DEADLINE_SECONDS / 4 + 0.1)
+    fleet, host = _fleet_with_request(is_store_down=True)
+    fleet.channel.run(ARRIVAL_SECONDS + DEADLINE_SECONDS / 4 + 0.1)
     refusal = fleet.hosts[host].refusals[REQUEST]
     assert refusal.kind is RefusalKind.NOT_READY
     assert fleet.attempts == []
@@ -62,11 +64,7 @@
 
 def test_abandoned_request_never_runs() -> None:
     """A held request whose caller has left must not reach a server."""
-    fleet = _new_fleet()
-    fleet.store.is_down = True
-    fleet.channel.run(0.05)
-    host = next(iter(fleet.hosts))
-    fleet.arrive(host, _arrived())
+    fleet, host = _fleet_with_request(is_store_down=True)
     coordinator = fleet.hosts[host].coordinator
     coordinator.take_request(RequestAbandoned(REQUEST), fleet.channel.now)
     fleet.store.is_down = False
