--- a/tests/test_docs.py
+++ b/tests/test_docs.py
@@ -6,7 +6,7 @@
 import pytest
 
 ROOT = Path(__file__).parent.parent
-PAGES = sorted([ROOT / "README.md", *(ROOT / "docs").glob("*.md")])
+PAGES = sorted([ROOT / "README.md", *(ROOT / "docs").rglob("*.md")])
 
 
 def test_promises_name_existing_tests() -> None:
