Count the bytes of control traffic by kind of message

Each host now logs its rates by kind every five seconds, with the messages that it dropped, and serves the counters as catkinspan_control_sent_bytes. One line in five seconds bounds the volume. The decisions are unchanged.

--- a/src/catkinspan/daemon/host_task.py
+++ b/src/catkinspan/daemon/host_task.py
@@ -1,7 +1,7 @@
 """The task that owns a host's coordinators."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Any
 
 from loguru import logger
@@ -28,6 +28,7 @@
     RequestDirective,
 )
 from catkinspan.coordination.requests.refusals import INTERNAL_ERROR
+from catkinspan.daemon.control_traffic import ControlTraffic
 from catkinspan.daemon.messages import (
     AnnounceDrain,
     BeginDrain,
@@ -92,12 +93,14 @@
         self._reader = reader
         self._datagrams = datagrams
         self._request_log = RequestLog()
+        self._control_traffic = ControlTraffic(clock.monotonic())
         self._suspended_seconds = clock.suspended()
         self._inbox: Mailbox[Any] = Mailbox(MAX_INBOX_MESSAGES)
         self._audit = AuditTrail(sender.host)
         self._replies: dict[RequestId, Mailbox[Any]] = {}
         self._connections: set[Mailbox[Any]] = set()
         self._links: dict[Peer, tuple[PeerLink, asyncio.Task[None]]] = {}
+        self._dropped_datagram_messages = 0
         self._drain_begun = False
         self._drain_announced = False
 
@@ -116,6 +119,17 @@
         """Return the bytes sent on the open links."""
         return sum(link.sent_bytes for link, _ in self._links.values())
 
+    @property
+    def control_bytes_by_kind(self) -> Mapping[str, int]:
+        """Return the bytes sent to peers since the start, by kind of message."""
+        return self._control_traffic.bytes_by_kind
+
+    @property
+    def _dropped_messages(self) -> int:
+        """Return the messages dropped on open links and before the datagram socket."""
+        on_links = sum(link.dropped_messages for link, _ in self._links.values())
+        return on_links + self._dropped_datagram_messages
+
     async def async_run(self) -> None:
         """Handle the messages of the inbox until cancelled."""
         next_tick = self._clock.monotonic()
@@ -131,6 +145,7 @@
                 now = self._clock.monotonic()
                 if now >= next_tick or handled >= MAX_MESSAGES_BETWEEN_TICKS:
                     self._coordinator.tick(now)
+                    self._control_traffic.log_if_due(self._dropped_messages, now)
                     next_tick = now + TICK_INTERVAL_SECONDS
                     handled = 0
                 elif now >= due:
@@ -314,6 +329,7 @@
         size = 0
         for message in messages:
             length = self._codec.size(message)
+            self._control_traffic.record(message, length)
             if self._datagrams is None or length > MAX_DATAGRAM_BYTES:
                 self._get_link(peer, address).post(message)
                 continue
@@ -333,6 +349,7 @@
         try:
             self._datagrams.post(Datagram(address, self._encode(messages)))
         except InboxFullError as error:
+            self._dropped_datagram_messages += len(messages)
             logger.debug("dropped a datagram to {}: {}", address, error)
 
     def _get_link(self, peer: Peer, address: Address) -> PeerLink:
--- a/src/catkinspan/daemon/node.py
+++ b/src/catkinspan/daemon/node.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import secrets
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from random import Random
 from typing import TYPE_CHECKING, Any, TypeVar
 
@@ -298,6 +298,12 @@
         )
         return stream_bytes + (self._datagrams.sent_bytes if self._datagrams else 0)
 
+    async def async_control_bytes_by_kind(self) -> Mapping[str, int]:
+        """Return the bytes sent to peers since the start, by kind of message."""
+        return await self.async_query(
+            lambda _, now: self._host_task.control_bytes_by_kind
+        )
+
     # Wiring
 
     def _new_coordinator(self, incarnation: int) -> HostCoordinator:
--- a/tests/daemon/operators/test_listener.py
+++ b/tests/daemon/operators/test_listener.py
@@ -125,3 +125,15 @@
     assert samples[("catkinspan_request_seconds", "0.99", "catalogue", "studio")] > 0
     assert samples[("catkinspan_service_state", "catalogue")] == 0
     assert samples[("catkinspan_revision",)] == 1
+
+
+async def test_metrics_tell_the_kinds_of_control_traffic() -> None:
+    async with running_fleet(hosts=2) as fleet:
+        text = (await fetch(fleet, "/metrics")).body.decode()
+    sent_bytes = {
+        sample.labels["kind"]: sample.value
+        for family in text_string_to_metric_families(text)
+        for sample in family.samples
+        if sample.name == "catkinspan_control_sent_bytes_total"
+    }
+    assert sent_bytes["Heartbeat"] > 0
