Drop messages that wait too long for a slow peer link

A link keeps up to 1,024 messages in order, so on a full network link the newest states, levels and changes wait behind all older ones, and receivers take a state as current when it arrives. Messages now leave the queue unsent after one second; each peer protocol repeats them. The test failed before: the peer received three outdated messages first.

--- a/src/catkinspan/transport/peers/const.py
+++ b/src/catkinspan/transport/peers/const.py
@@ -9,6 +9,10 @@
 
 DATAGRAM_INBOX_MESSAGES = 4_096
 LINK_INBOX_MESSAGES = 1024
+MAX_LINK_QUEUE_SECONDS = 1.0
+"""Time after which a queued message is dropped instead of sent. Receivers take a state
+as current when it arrives, and the next report replaces a dropped one."""
+
 MAX_SENT_FRAME_MESSAGES = 64
 """Maximum number of messages in a frame; further ones wait for the next frame."""
 
--- a/src/catkinspan/transport/peers/link.py
+++ b/src/catkinspan/transport/peers/link.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable, Collection
 from random import Random
 
+from attrs import frozen
 from grpclib.client import Channel, Stream, StreamStreamMethod
 from grpclib.config import Configuration
 from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
@@ -24,6 +25,7 @@
     LINK_IDLE_SECONDS,
     LINK_INBOX_MESSAGES,
     LINK_METHOD,
+    MAX_LINK_QUEUE_SECONDS,
     MAX_SENT_FRAME_MESSAGES,
     RETRY_MAX_SECONDS,
     RETRY_MIN_SECONDS,
@@ -63,12 +65,19 @@
 CERTIFICATE_ERRORS = (ssl.SSLError, UnicodeError, WrongPeerError)
 
 
+@frozen
+class _QueuedMessage:
+    message: PeerMessage
+    queued_at: float
+
+
 class PeerLink:
     """Sends the messages for one peer in order, batched into frames.
 
     The peer acknowledges frames, so that an unresponsive connection is detected and
-    replaced. Messages are lost while the peer cannot be reached; every peer protocol
-    tolerates that. The task ends after `LINK_IDLE_SECONDS` without messages.
+    replaced. Messages are lost while the peer cannot be reached or while a slow network
+    link keeps them waiting for too long; every peer protocol tolerates that. The task
+    ends after `LINK_IDLE_SECONDS` without messages.
     """
 
     def __init__(
@@ -91,7 +100,7 @@
         self._config = Configuration(
             ssl_target_name_override=target_name if tls else None
         )
-        self._inbox: Mailbox[PeerMessage] = Mailbox(LINK_INBOX_MESSAGES)
+        self._inbox: Mailbox[_QueuedMessage] = Mailbox(LINK_INBOX_MESSAGES)
         self._failures = 0
         self._acknowledged_at = float("-inf")
         self._retry_at = 0.0
@@ -116,14 +125,14 @@
     def post(self, message: PeerMessage) -> None:
         """Queue a message; it is dropped if the queue is full."""
         try:
-            self._inbox.post(message)
+            self._inbox.post(_QueuedMessage(message, self._clock.monotonic()))
         except InboxFullError:
             self._dropped_messages += 1
 
     async def async_run(self) -> None:
         """Send messages until the link is idle."""
         while True:
-            first = await self._inbox.async_get_until(self._idle_deadline())
+            first = await self._async_next_message()
             if first is None:
                 return
             if self._clock.monotonic() < self._retry_at:
@@ -161,7 +170,7 @@
                         await self._async_wait_acknowledged(stream)
                     self._failures = 0
                     self._sent_bytes += len(frame)
-                    message = await self._inbox.async_get_until(self._idle_deadline())
+                    message = await self._async_next_message()
                 await stream.cancel()
         finally:
             channel.close()
@@ -188,11 +197,27 @@
     def _take_batch(self, first: PeerMessage) -> list[PeerMessage]:
         batch = [first]
         while len(self._inbox) and len(batch) < MAX_SENT_FRAME_MESSAGES:
-            batch.append(self._inbox.get_nowait())
+            queued = self._inbox.get_nowait()
+            if self._is_current(queued):
+                batch.append(queued.message)
         return batch
 
-    def _idle_deadline(self) -> float:
-        return self._clock.monotonic() + LINK_IDLE_SECONDS
+    async def _async_next_message(self) -> PeerMessage | None:
+        """Return the next message; None after `LINK_IDLE_SECONDS` without one."""
+        deadline = self._clock.monotonic() + LINK_IDLE_SECONDS
+        while True:
+            queued = await self._inbox.async_get_until(deadline)
+            if queued is None:
+                return None
+            if self._is_current(queued):
+                return queued.message
+
+    def _is_current(self, queued: _QueuedMessage) -> bool:
+        """Return whether a message may still be sent; count it as dropped if not."""
+        if self._clock.monotonic() - queued.queued_at <= MAX_LINK_QUEUE_SECONDS:
+            return True
+        self._dropped_messages += 1
+        return False
 
     def _back_off(self, error: BaseException) -> None:
         self._failures += 1
--- /dev/null
+++ b/tests/transport/peers/test_link.py
@@ -0,0 +1,59 @@
+import asyncio
+from datetime import UTC, datetime
+from random import Random
+
+import orjson
+from attrs import define
+
+from catkinspan.coordination.configuration.models import Freshness, Pull
+from catkinspan.coordination.models import PeerMessage
+from catkinspan.daemon.clock import SystemClock
+from catkinspan.state.ids import HostId, Revision
+from catkinspan.transport.peers.const import MAX_LINK_QUEUE_SECONDS
+from catkinspan.transport.peers.link import PeerLink
+from catkinspan.transport.peers.server import PeerServer
+from tests.fleet import free_addresses
+
+WAIT_SECONDS = 5.0
+
+
+@define
+class _SteppedClock:
+    """The clock of the event loop, which a test can step forward."""
+
+    offset: float = 0.0
+
+    def monotonic(self) -> float:
+        return asyncio.get_running_loop().time() + self.offset
+
+    def now(self) -> datetime:
+        return datetime.now(UTC)
+
+    def suspended(self) -> float:
+        return 0.0
+
+
+def _encode(messages: list[PeerMessage]) -> bytes:
+    return orjson.dumps([type(message).__name__ for message in messages])
+
+
+async def test_outdated_messages_are_dropped_and_not_sent_before_new_ones() -> None:
+    received: asyncio.Queue[bytes] = asyncio.Queue()
+    (address,) = free_addresses(1)
+    server = PeerServer(
+        lambda frame, _: received.put_nowait(frame), None, SystemClock()
+    )
+    await server.async_start(address)
+    clock = _SteppedClock()
+    link = PeerLink(HostId("host-2"), address, _encode, clock, Random(1), None)
+    for _ in range(3):
+        link.post(Freshness(Revision(1), 0))
+    clock.offset += 1.5 * MAX_LINK_QUEUE_SECONDS
+    link.post(Pull(Revision(1)))
+    task = asyncio.create_task(link.async_run())
+    async with asyncio.timeout(WAIT_SECONDS):
+        assert orjson.loads(await received.get()) == ["Pull"]
+    assert link.dropped_messages == 3
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
+    await server.async_stop()
