Send the states of servers within a byte budget

Cause: a hub sent the id, load and risk of each changed server to each of its followers at every tick while anything failed anywhere, and all of them every 2 s. The bytes grew with servers x followers x failures, the messages queued at links of 10 Mbit/s, and a host took a state for current when it arrived. All hosts chose the servers that had been idle seconds before, so that these were full; their queued requests counted as overdue, the servers as risky, and the others got more.

Change: states are packed to six bytes and sent only if they differ from what followers have; followers let risks decay by themselves; changes that matter to the choice go first; the interval follows from bytes x followers; rising risks have a budget of their own. Messages have sequence numbers, and a follower asks for what it missed. Their time of sending shows how long they were queued. Reports of counts have budgets too, and repeat only recent changes.

--- a/src/catkinspan/coordination/health/assessor.py
+++ b/src/catkinspan/coordination/health/assessor.py
@@ -6,10 +6,11 @@
 
 from catkinspan.coordination.health.const import (
     FAILURE_FACTOR,
-    RISK_STEP,
+    INITIAL_RISK,
+    LOAD_RECOUNT_SECONDS,
     STALE_REPORT_SECONDS,
 )
-from catkinspan.coordination.health.models import ServerCounts, ServerState
+from catkinspan.coordination.health.models import ServerCounts
 from catkinspan.coordination.health.risk import RiskEstimate
 from catkinspan.coordination.reporters import RemoteHubs, Reporters
 from catkinspan.state.ids import DataCentre, HostId, ServerId
@@ -40,7 +41,17 @@
         )
         self._estimates: dict[ServerId, RiskEstimate] = {}
         self._data_centre_totals: dict[ServerId, _Totals] = {}
-        self._changed_at: dict[ServerId, float] = {}
+        self._in_flight: dict[ServerId, int] = {}
+        """Requests of the whole fleet in flight, as of the latest reports."""
+
+        self._recounted_at = float("-inf")
+        self._changed: dict[ServerId, None] = {}
+        self._failed: dict[ServerId, None] = {}
+
+    @property
+    def has_failed(self) -> bool:
+        """Return whether servers had failures that `take_failed` has not returned."""
+        return bool(self._failed)
 
     def add_host_counts(
         self,
@@ -48,22 +59,19 @@
         incarnation: int,
         counts: Iterable[ServerCounts],
         now: float,
-    ) -> bool:
-        """Add the counts of a host; return whether they hold new failures."""
+    ) -> None:
+        """Add the counts of a host."""
         reporter = self._host_reporters.record_report(host, incarnation, now)
-        failures = 0
         for count in counts:
-            succeeded, failed = _increase(
-                reporter.latest_reports.get(count.server), count
-            )
+            previous = reporter.latest_reports.get(count.server)
+            succeeded, failed = _increase(previous, count)
             reporter.latest_reports[count.server] = count
+            self._update_load(count.server, previous, count)
             total = self._data_centre_totals.setdefault(count.server, _Totals())
             total.succeeded += succeeded
             total.failed += failed
             total.changed_at = now
-            failures += failed
             self._update_risk(count.server, succeeded, failed, now)
-        return failures > 0
 
     def add_data_centre_counts(
         self,
@@ -72,11 +80,10 @@
         incarnation: int,
         counts: Iterable[ServerCounts],
         now: float,
-    ) -> bool:
-        """Add another data centre's totals; return whether they hold new failures."""
+    ) -> None:
+        """Add another data centre's totals."""
         is_counted = self._remote_hubs.is_selected(hub, data_centre, now)
         reporter = self._remote_hubs.record_report(hub, incarnation, now)
-        failures = 0
         for count in counts:
             previous = reporter.latest_reports.get(count.server)
             reporter.latest_reports[count.server] = count
@@ -85,14 +92,20 @@
                 (0, 0) if previous is None else _increase(previous, count)
             )
             if is_counted:
-                failures += failed
+                self._update_load(count.server, previous, count)
                 self._update_risk(count.server, succeeded, failed, now)
-        return failures > 0
+
+    def _update_load(
+        self, server: ServerId, previous: ServerCounts | None, current: ServerCounts
+    ) -> None:
+        before = 0 if previous is None else previous.in_flight
+        load = self._in_flight.get(server, 0) + current.in_flight - before
+        self._in_flight[server] = max(0, load)
+        self._changed[server] = None
 
     def _update_risk(
         self, server: ServerId, succeeded: int, failed: int, now: float
     ) -> None:
-        self._changed_at[server] = now
         estimate = self._estimates.get(server)
         if estimate is None:
             estimate = self._estimates[server] = RiskEstimate(updated_at=now)
@@ -100,19 +113,34 @@
             estimate.record_successes(succeeded, now)
         if failed:
             estimate.record_failures(failed, FAILURE_FACTOR, now)
+            self._failed[server] = None
 
-    def states(self, servers: Iterable[ServerId], now: float) -> list[ServerState]:
-        """Return the states of servers to send to followers."""
-        in_flight = self._in_flight_by_server(now)
-        return [self._state(server, in_flight, now) for server in servers]
-
-    def changed_since(self, since: float) -> list[ServerId]:
-        """Return the servers whose counts changed since a time."""
-        return [name for name, changed in self._changed_at.items() if changed >= since]
-
-    def known_servers(self) -> list[ServerId]:
-        """Return all servers for which counts have arrived."""
-        return list(self._changed_at)
+    def load_and_risk(self, server: ServerId, now: float) -> tuple[int, float]:
+        """Return the fleet's requests in flight at a server, and its risk."""
+        estimate = self._estimates.get(server)
+        risk = INITIAL_RISK if estimate is None else estimate.decay_to(now)
+        return self._in_flight.get(server, 0), risk
+
+    def take_changed(self) -> Iterable[ServerId]:
+        """Return the servers whose counts changed since the last call."""
+        changed, self._changed = self._changed, {}
+        return changed
+
+    def take_failed(self) -> Iterable[ServerId]:
+        """Return the servers that had failures since the last call."""
+        failed, self._failed = self._failed, {}
+        return failed
+
+    def recount(self, now: float) -> None:
+        """Count the load anew at times, without hosts that stopped reporting."""
+        if now - self._recounted_at < LOAD_RECOUNT_SECONDS:
+            return
+        self._recounted_at = now
+        counted = self._in_flight_by_server(now)
+        for server in {**counted, **self._in_flight}:
+            if counted.get(server, 0) != self._in_flight.get(server, 0):
+                self._changed[server] = None
+        self._in_flight = counted
 
     def data_centre_counts(self, since: float, now: float) -> tuple[ServerCounts, ...]:
         """Return the totals of this hub's data centre that changed since a time."""
@@ -147,21 +175,15 @@
                     in_flight[server] = in_flight.get(server, 0) + count.in_flight
         return in_flight
 
-    def _state(
-        self, server: ServerId, in_flight: dict[ServerId, int], now: float
-    ) -> ServerState:
-        estimate = self._estimates.get(server)
-        risk = (
-            RiskEstimate(updated_at=now).risk
-            if estimate is None
-            else estimate.decay_to(now)
-        )
-        rounded_risk = round(risk / RISK_STEP) * RISK_STEP
-        return ServerState(server, in_flight.get(server, 0), round(rounded_risk, 2))
-
     def keep_only(self, servers: set[ServerId], now: float) -> None:
         """Drop all servers but the given ones, and hosts that stopped reporting."""
-        for table in (self._estimates, self._data_centre_totals, self._changed_at):
+        for table in (
+            self._estimates,
+            self._data_centre_totals,
+            self._in_flight,
+            self._changed,
+            self._failed,
+        ):
             for server in table.keys() - servers:
                 del table[server]
         self._host_reporters.remove_stale(_REPORTER_EXPIRY_SECONDS, now)
--- a/src/catkinspan/coordination/health/const.py
+++ b/src/catkinspan/coordination/health/const.py
@@ -43,27 +43,101 @@
 MAX_LATENCY_CLASSES = 20_000
 
 LOAD_REPORT_SECONDS = 0.05
-"""Interval of load reports and of the hubs' replies while there are changes. A server
-runs a request for 0.1 to 0.2 s, so older reports would describe requests that
+"""Minimum interval of load reports and of the hubs' replies while there are changes. A
+server runs a request for 0.1 to 0.2 s, so older reports would describe requests that
 have ended."""
 
 REMOTE_LOAD_REPORT_SECONDS = 0.1
-"""Interval of load reports between data centres. It is longer because this traffic is
-billed and most requests stay within their own data centre."""
+"""Minimum interval of load reports between data centres. It is longer because this
+traffic is billed and most requests stay within their own data centre."""
 
-BASE_INTERVAL_HOSTS = 40
-"""Fleet size up to which `LOAD_REPORT_SECONDS` holds. Beyond it the interval grows
-in proportion to the number of hosts, so that the load on the hubs does not."""
+MINOR_STATE_SECONDS = 0.5
+"""Minimum interval at which followers get changes of load that hardly matter to the
+choice of servers: of servers in other data centres, or below the number of slots."""
+
+HUB_REPORTS_PER_SECOND = 400
+"""Reports that a hub receives from its data centre; more hosts report less often. At
+0.05 ms of processor time a report this is 2 % of a core."""
+
+HUB_LOAD_BYTES_PER_SECOND = 48_000.0
+"""Bytes that a hub sends on loads and falling risks. With the other budgets it leaves a
+quarter of a tenth of a link of 10 Mbit/s to rosters, rates and configuration."""
+
+HUB_URGENT_BYTES_PER_SECOND = 16_000.0
+"""Bytes that a hub sends on risks that have risen. They have a budget of their own, so
+that load reports do not delay them."""
+
+REMOTE_COUNT_BYTES_PER_SECOND = 30_000.0
+"""Bytes that a hub sends to the hubs of other data centres."""
+
+COUNT_BYTES_PER_SECOND = 2_000.0
+"""Bytes that a host sends on its counts to each hub; the target for all control traffic
+of a host is 6 KB a second."""
+
+URGENT_COUNT_BYTES_PER_SECOND = 1_000.0
+"""Bytes that a host sends on failures before the next report is due."""
+
+BUDGET_BURST_SECONDS = 0.1
+"""Time for which unused budget is kept."""
+
+MESSAGE_BYTES = 100
+"""Size of an empty message with the headers of frame, UDP and IP."""
+
+STATE_BYTES = 8
+"""Size of a server state in a message."""
+
+COUNTS_BYTES = 32
+"""Size of the counts of a server in a message."""
+
+MAX_STATES_PER_MESSAGE = 120
+"""States that fit into one datagram."""
+
+MIN_STATES_PER_MESSAGE = 12
+"""States from which at least half of a message are states, not headers."""
+
+STATES_INTERVAL_SECONDS = 0.2
+"""Interval of messages with states that a hub aims at under load. What does not fit is
+left for the next one; a shorter interval would spend the budget on headers."""
+
+RISK_WEIGHT = 6.0
+"""Weight of a risk beside one request in flight, in the order of sending. It is that of
+a certain failure in the choice of servers."""
+
+KEEPALIVE_SECONDS = 1.0
+"""Interval of messages to followers while no state changes. Without any the followers
+would take the hub for silent and use their own estimates."""
+
+CATCH_UP_RETRY_SECONDS = 0.3
+"""Interval at which a follower asks for states that it has missed."""
+
+CLOCK_DRIFT_PER_SECOND = 0.001
+"""Drift of the clocks of two hosts in seconds, above what computers' clocks have."""
+
+URGENT_RISK_INCREASE = 0.2
+"""Increase of a risk from which it is sent at once; it outweighs a busy slot in the
+choice of servers."""
+
+LOAD_RECOUNT_SECONDS = 1.0
+"""Interval at which the load is counted anew, without hosts that stopped reporting."""
 
 FULL_REPORT_SECONDS = 2.0
-"""Interval of full reports, which make up for lost messages."""
+"""Interval of reports that repeat recent changes, to make up for lost messages."""
+
+REPEATED_SECONDS = 4.0
+"""Age of the changes that such a report repeats, so that each one is repeated."""
+
+AVOIDED_CHECK_SECONDS = 0.5
+"""Interval at which avoided servers are checked, since their risk decays."""
 
 STALE_REPORT_SECONDS = 3.0
 """Age from which a report of another host or hub no longer counts as load."""
 
 MAX_STATE_AGE_SECONDS = 2.5
-"""Age up to which a hub's state of a server takes precedence over this host's
-estimate."""
+"""Age of a hub's latest message up to which its states take precedence over this host's
+estimates."""
+
+NEGLIGIBLE_RISK = 0.12
+"""Risk below which differences do not matter to the choice of servers."""
 
 RISK_STEP = 0.05
 """Step to which the risk in messages is rounded; smaller changes are not worth a
--- a/src/catkinspan/coordination/health/coordinator.py
+++ b/src/catkinspan/coordination/health/coordinator.py
@@ -5,39 +5,35 @@
 
 from attrs import define
 
-from catkinspan.coordination.const import (
-    STANDBY_REPORT_INTERVAL_SECONDS,
-    TICK_INTERVAL_SECONDS,
-)
 from catkinspan.coordination.coordinator import BaseCoordinator
 from catkinspan.coordination.health.assessor import Assessor
 from catkinspan.coordination.health.const import (
+    AVOIDED_CHECK_SECONDS,
     AVOIDED_RISK,
-    BASE_INTERVAL_HOSTS,
     DRAIN_SIGNAL_SECONDS,
-    FULL_REPORT_SECONDS,
-    LOAD_REPORT_SECONDS,
-    MAX_STATE_AGE_SECONDS,
     MISDIRECTED_SECONDS,
     RECOVERED_RISK,
-    REMOTE_LOAD_REPORT_SECONDS,
 )
+from catkinspan.coordination.health.count_reporter import CountReporter
 from catkinspan.coordination.health.latencies import ExpectedLatencies, overdue_after
 from catkinspan.coordination.health.models import (
     HostCounts,
+    MissedStatesRequest,
     ServerAvoided,
     ServerBack,
     ServerDraining,
     ServerMisdirected,
     ServerReport,
-    ServerState,
     ServerStates,
     ServerStatus,
     ServerView,
     ServiceReport,
     ZoneCounts,
+    server_digest,
 )
 from catkinspan.coordination.health.observer import Observer
+from catkinspan.coordination.health.publisher import StatePublisher
+from catkinspan.coordination.health.subscriber import StateSubscriber
 from catkinspan.coordination.models import PeerMessage, Sender
 from catkinspan.coordination.outbox import Outbox
 from catkinspan.coordination.outcomes import (
@@ -46,7 +42,7 @@
     OutcomeKind,
 )
 from catkinspan.state.hosts import FleetView
-from catkinspan.state.ids import HostId, ServerId, ServiceId
+from catkinspan.state.ids import DataCentre, HostId, ServerId, ServiceId
 from catkinspan.state.tree import SettingsTree, Upstream
 
 
@@ -57,16 +53,7 @@
     service: ServiceId
     upstream: Upstream
     cold_until: float
-    fleet_state: ServerState | None = None
-    """Latest state from the first hub in the list that sends states."""
-
-    fleet_state_at: float = float("-inf")
-    hub_index: int = 0
-    """Index of that hub in the list of hubs."""
-
-    own_in_flight_included: int = 0
-    """Requests of this host that the in-flight count of `fleet_state` includes."""
-
+    digest: int
     avoided_since: float | None = None
     draining_until: float = float("-inf")
     misdirected_until: float = float("-inf")
@@ -85,6 +72,7 @@
         HostCounts,
         ZoneCounts,
         ServerStates,
+        MissedStatesRequest,
     )
 
     def __init__(self, self_id: HostId, incarnation: int, outbox: Outbox) -> None:
@@ -96,14 +84,18 @@
         self._services: Mapping[ServiceId, tuple[ServerId, ...]] = {}
         self._observer = Observer()
         self._latencies = ExpectedLatencies()
+        self._server_by_digest: dict[int, ServerId] = {}
+        self._local_slots: dict[ServerId, int] = {}
+        self._avoided: set[ServerId] = set()
+        self._avoided_checked_at = float("-inf")
         self._assessor = Assessor()
-        self._reported_at = float("-inf")
-        self._full_report_at = float("-inf")
-        self._standby_report_at = float("-inf")
-        self._remote_report_at = float("-inf")
-        self._remote_full_report_at = float("-inf")
+        self._publisher = StatePublisher(self._assessor)
+        self._subscriber = StateSubscriber()
+        self._reporter = CountReporter(
+            self_id, incarnation, self._observer, self._assessor, outbox
+        )
         self._is_urgent = False
-        """Whether the next tick reports without waiting for the interval."""
+        """Whether the next report does not wait for the interval."""
 
     def apply_tree(self, tree: SettingsTree, now: float) -> None:
         """Replace the published servers; one with the same process keeps its state."""
@@ -116,8 +108,24 @@
             service.id: tuple(u.id for u in service.upstreams)
             for service in tree.services.values()
         }
+        self._server_by_digest = _index_digests(servers)
+        self._update_local_slots()
+        self._avoided &= servers.keys()
         self._observer.keep_only(set(servers))
         self._assessor.keep_only(set(servers), now)
+        self._publisher.keep_only(set(servers))
+
+    def _update_local_slots(self) -> None:
+        data_centre = self._data_centre
+        self._local_slots = {
+            server_id: max(1, server.upstream.slots)
+            for server_id, server in self._servers.items()
+            if server.upstream.data_centre == data_centre
+        }
+
+    @property
+    def _data_centre(self) -> DataCentre | None:
+        return None if self._view is None else self._view.self_data_centre
 
     def _update_server(
         self, service: ServiceId, upstream: Upstream, now: float
@@ -125,17 +133,22 @@
         known = self._servers.get(upstream.id)
         if known is None or known.upstream.process != upstream.process:
             cold_until = now + upstream.warmup.total_seconds()
-            return _Server(service, upstream, cold_until)
+            self._avoided.discard(upstream.id)
+            return _Server(service, upstream, cold_until, server_digest(upstream.id))
         if known.upstream != upstream:
             known.misdirected_until = float("-inf")
         known.upstream = upstream
         return known
 
     def apply_view(self, view: FleetView, now: float) -> None:
-        """Use the hubs of the view; a change triggers a full report."""
-        if self._view is None or view.hubs != self._view.hubs:
-            self._full_report_at = float("-inf")
-        self._view = view
+        """Use the hubs of the view; a change triggers a report of recent changes."""
+        previous, self._view = self._view, view
+        has_new_hubs = previous is None or view.hubs != previous.hubs
+        self._reporter.apply_view(view, has_new_hubs)
+        if has_new_hubs:
+            self._subscriber.keep_only(view.hubs)
+        if previous is None:
+            self._update_local_slots()
 
     # Evidence
 
@@ -187,15 +200,16 @@
         if server is None:
             return ServerView(running, own_risk)
         in_flight, risk = running, own_risk
-        if (
-            server.fleet_state is not None
-            and now - server.fleet_state_at <= MAX_STATE_AGE_SECONDS
-        ):
-            others = server.fleet_state.in_flight - server.own_in_flight_included
+        hubs = () if self._view is None else self._view.hubs
+        state = None
+        if self._server_by_digest.get(server.digest) == server_id:
+            state = self._subscriber.state(server.digest, hubs, now)
+        if state is not None:
+            others = state.in_flight - state.own_in_flight_included
             in_flight = running + max(0, others)
             # Without evidence this host's estimate decays towards its stationary
             # value, while the hub's risk rests on the requests of the whole fleet.
-            risk = server.fleet_state.risk
+            risk = state.risk_at(now)
             if own.estimate.risk > AVOIDED_RISK or own.overdue:
                 risk = max(risk, own_risk)
         return ServerView(
@@ -204,6 +218,7 @@
             is_draining=server.upstream.leaving or now < server.draining_until,
             is_cold=now < server.cold_until,
             is_misdirected=now < server.misdirected_until,
+            state_age=None if state is None else self._subscriber.age(hubs, now),
         )
 
     def report(self, service: ServiceId, now: float) -> ServiceReport | None:
@@ -217,7 +232,6 @@
         server = self._servers[server_id]
         view = self.server_view(server_id, now)
         own = self._observer.attempts_at(server_id, now)
-        age = now - server.fleet_state_at
         return ServerReport(
             server_id,
             _server_status(server, view),
@@ -226,7 +240,7 @@
             round(own.estimate.risk, 3),
             view.in_flight,
             own.overdue,
-            None if age == float("inf") else age,
+            view.state_age,
         )
 
     # Peers
@@ -235,58 +249,50 @@
         """Add the counts of a host or hub, or apply the states that a hub sends."""
         match message:
             case HostCounts(counts):
-                if self._assessor.add_host_counts(
+                self._assessor.add_host_counts(
                     sender.host, sender.incarnation, counts, now
-                ):
-                    self._is_urgent = True
+                )
             case ZoneCounts(counts):
                 record = self._view and self._view.hosts.get(sender.host)
                 if record:
                     data_centre = record.data_centre
-                    if self._assessor.add_data_centre_counts(
+                    self._assessor.add_data_centre_counts(
                         sender.host, data_centre, sender.incarnation, counts, now
-                    ):
-                        self._is_urgent = True
-            case ServerStates(states):
-                self._apply_states(sender.host, states, now)
-
-    def _apply_states(
-        self, hub: HostId, states: tuple[ServerState, ...], now: float
-    ) -> None:
+                    )
+            case ServerStates():
+                self._apply_states(message, sender, now)
+            case MissedStatesRequest(since):
+                answer = self._publisher.catch_up(since, now)
+                if answer is not None:
+                    self._outbox.send(sender.host, answer)
+
+    def _apply_states(self, message: ServerStates, sender: Sender, now: float) -> None:
         hubs = self._view.hubs if self._view is not None else ()
-        if hub not in hubs:
+        if sender.host not in hubs:
             return
-        hub_index = hubs.index(hub)
-        for state in states:
-            server = self._servers.get(state.server)
-            if server is None:
-                continue
-            is_fresh = now - server.fleet_state_at <= MAX_STATE_AGE_SECONDS
-            if is_fresh and hub_index > server.hub_index:
-                continue
-            own = self._observer.attempts_at(state.server, now)
-            risk_changed = (
-                server.fleet_state is None or server.fleet_state.risk != state.risk
-            )
-            server.fleet_state, server.fleet_state_at, server.hub_index = (
-                state,
-                now,
-                hub_index,
-            )
-            server.own_in_flight_included = min(own.reported_in_flight, state.in_flight)
-            if risk_changed:
-                self._update_avoided(state.server, server, now)
+        servers = {
+            state.server: server
+            for state in message.states
+            if (server := self._server_by_digest.get(state.server)) is not None
+        }
+        own_in_flight = {
+            digest: self._observer.attempts_at(server, now).reported_in_flight
+            for digest, server in servers.items()
+        }
+        changed = self._subscriber.receive(message, sender, own_in_flight, now)
+        for digest in changed:
+            if digest in servers:
+                server = servers[digest]
+                self._update_avoided(server, self._servers[server], now)
 
     def _update_avoided(self, server_id: ServerId, server: _Server, now: float) -> None:
         """Emit an event when a server becomes avoided or has recovered."""
         view = self.server_view(server_id, now)
         if server.avoided_since is None and view.risk >= AVOIDED_RISK:
             server.avoided_since = now
+            self._avoided.add(server_id)
             own = self._observer.attempts_at(server_id, now)
-            fleet_risk = (
-                server.fleet_state.risk if server.fleet_state is not None else 0.0
-            )
-            evidence = "fleet" if fleet_risk >= AVOIDED_RISK else "own"
+            is_own = own.estimate.risk >= view.risk or view.state_age is None
             self._outbox.emit(
                 ServerAvoided(
                     server.service,
@@ -294,14 +300,23 @@
                     round(view.risk, 3),
                     round(own.estimate.risk, 3),
                     own.overdue,
-                    evidence,
+                    "own" if is_own else "fleet",
                 )
             )
         elif server.avoided_since is not None and view.risk <= RECOVERED_RISK:
             seconds = round(now - server.avoided_since, 3)
             server.avoided_since = None
+            self._avoided.discard(server_id)
             self._outbox.emit(ServerBack(server.service, server_id, seconds))
 
+    def _check_avoided(self, now: float) -> None:
+        """Check the avoided servers, whose risk decays without a message."""
+        if now - self._avoided_checked_at < AVOIDED_CHECK_SECONDS:
+            return
+        self._avoided_checked_at = now
+        for server_id in sorted(self._avoided):
+            self._update_avoided(server_id, self._servers[server_id], now)
+
     # Time
 
     def next_overdue(self) -> float:
@@ -312,93 +327,44 @@
         """Mark overdue attempts, report to the hubs, and send states as a hub."""
         if self._observer.mark_overdue(now):
             self._is_urgent = True
+        self._check_avoided(now)
         if self._view is None:
             return
-        interval = LOAD_REPORT_SECONDS * max(
-            1.0, self._view.known_count / BASE_INTERVAL_HOSTS
-        )
-        # Half a tick of tolerance, since ticks arrive late.
-        if (
-            now - self._reported_at < interval - TICK_INTERVAL_SECONDS / 2
-            and not self._is_urgent
-        ):
-            return
-        since, self._reported_at = self._reported_at, now
-        self._is_urgent = False
-        is_full = now - self._full_report_at >= FULL_REPORT_SECONDS
-        if is_full:
-            self._full_report_at = now
-        self._report_to_primary(since, is_full, now)
-        self._send_states(since, is_full, now)
-        if self._view.hubs[0] == self._self_id:
-            self._report_to_remote_hubs(now)
-        if now - self._standby_report_at >= STANDBY_REPORT_INTERVAL_SECONDS:
-            self._report_to_standby(self._standby_report_at, now)
-            self._standby_report_at = now
-
-    def _report_to_primary(self, since: float, is_full: bool, now: float) -> None:
-        """Send counts to the primary hub, and add them on this host."""
-        assert self._view is not None
-        counts = self._observer.report(since, is_full)
-        if not counts:
-            return
-        self._assessor.add_host_counts(self._self_id, self._incarnation, counts, now)
-        if self._view.hubs[0] != self._self_id:
-            self._outbox.send(self._view.hubs[0], HostCounts(counts))
-
-    def _report_to_standby(self, since: float, now: float) -> None:
-        """Send changed counts to the standby hubs, so that they can take over."""
-        assert self._view is not None
-        counts = self._observer.report(since, is_full=False)
-        for hub in self._view.hubs[1:]:
-            if hub != self._self_id and counts:
-                self._outbox.send(hub, HostCounts(counts))
-        if self._view.hubs[0] == self._self_id:
-            primary = self._view.primary_remote_hubs
-            others = [hub for hub in self._view.remote_hubs if hub not in primary]
-            self._send_data_centre_counts(others, since, now)
-
-    def _send_states(self, since: float, is_full: bool, now: float) -> None:
+        if self._reporter.report_to_primary(self._view, self._is_urgent, now):
+            self._is_urgent = False
+        self._send_states(self._view, now)
+        for hub, since in self._subscriber.missed_states(self._view.hubs, now):
+            self._outbox.send(hub, MissedStatesRequest(since))
+        self._reporter.report_to_others(self._view, now)
+
+    def _send_states(self, view: FleetView, now: float) -> None:
         """Send the fleet's states to the followers, and apply them on this host."""
-        assert self._view is not None
-        is_hub = self._self_id in self._view.hubs
-        if not self._view.primary_followers and not is_hub:
+        if not view.primary_followers and not view.is_hub:
             return
-        assessor = self._assessor
-        names = assessor.known_servers() if is_full else assessor.changed_since(since)
-        if not names:
+        self._assessor.recount(now)
+        message = self._publisher.next_message(
+            len(view.primary_followers), self._local_slots, now
+        )
+        if message is None:
             return
-        message = ServerStates(tuple(assessor.states(names, now)))
-        for host in self._view.primary_followers:
+        for host in view.primary_followers:
             self._outbox.send(host, message)
-        if is_hub:
-            self._apply_states(self._self_id, message.states, now)
-
-    def _report_to_remote_hubs(self, now: float) -> None:
-        """Report changed totals to the primary hub of each other data centre."""
-        assert self._view is not None
-        if now - self._remote_report_at < REMOTE_LOAD_REPORT_SECONDS:
-            return
-        since, self._remote_report_at = self._remote_report_at, now
-        if now - self._remote_full_report_at >= FULL_REPORT_SECONDS:
-            since, self._remote_full_report_at = float("-inf"), now
-        self._send_data_centre_counts(self._view.primary_remote_hubs, since, now)
-
-    def _send_data_centre_counts(
-        self, hubs: Iterable[HostId], since: float, now: float
-    ) -> None:
-        """Send totals that changed since a time to hubs of other data centres."""
-        counts = self._assessor.data_centre_counts(since, now)
-        if not counts:
-            return
-        message = ZoneCounts(counts)
-        for hub in hubs:
-            self._outbox.send(hub, message)
+        self._apply_states(message, Sender(self._self_id, self._incarnation), now)
 
     def resume(self, gap: float, now: float) -> None:
-        """Expire all states that were received before a pause."""
-        for server in self._servers.values():
-            server.fleet_state_at = float("-inf")
+        """Drop all states that were received before a pause."""
+        self._subscriber.clear()
+
+
+def _index_digests(servers: Iterable[ServerId]) -> dict[int, ServerId]:
+    """Return the servers by digest, without those that share one."""
+    found: dict[int, ServerId] = {}
+    shared = set()
+    for server in servers:
+        digest = server_digest(server)
+        if found.setdefault(digest, server) != server:
+            shared.add(digest)
+    return {digest: server for digest, server in found.items() if digest not in shared}
 
 
 def _server_status(server: _Server, view: ServerView) -> ServerStatus:
--- a/src/catkinspan/coordination/health/models.py
+++ b/src/catkinspan/coordination/health/models.py
@@ -2,6 +2,7 @@
 
 from enum import StrEnum
 
+import xxhash
 from attrs import frozen
 
 from catkinspan.coordination.models import Event, PeerMessage
@@ -38,20 +39,41 @@
     counts: tuple[ServerCounts, ...]
 
 
+def server_digest(server: ServerId) -> int:
+    """Return a 32-bit number for a server, which is shorter than its id."""
+    return xxhash.xxh32_intdigest(server.encode())
+
+
 @frozen
 class ServerState:
     """Fleet-wide state of a server, as computed by a hub."""
 
-    server: ServerId
+    server: int
+    """Digest of the server id. Hosts ignore one that several of their servers have."""
+
     in_flight: int
     risk: float
 
 
 @frozen
 class ServerStates(PeerMessage):
-    """States of the servers that changed."""
+    """States of servers that changed, for followers that have all up to `first`."""
+
+    first: int
+    last: int
+    """Sequence number up to which a follower then has all states."""
+
+    sent_ms: int
+    """Time of sending on the hub's monotonic clock, in milliseconds."""
 
-    states: tuple[ServerState, ...]
+    states: tuple[ServerState, ...] = ()
+
+
+@frozen
+class MissedStatesRequest(PeerMessage):
+    """Asks a hub for the states that changed after a sequence number."""
+
+    since: int
 
 
 @frozen
@@ -69,6 +91,9 @@
     is_misdirected: bool = False
     """Whether a different server answers at its address."""
 
+    state_age: float | None = None
+    """Age in seconds of the hub's news that it rests on; None for own counts only."""
+
 
 class ServerStatus(StrEnum):
     """Status of a server, as shown to operators."""
--- a/src/catkinspan/coordination/health/observer.py
+++ b/src/catkinspan/coordination/health/observer.py
@@ -45,11 +45,6 @@
     changed_at: float = float("-inf")
     """Monotonic seconds of the last change of the counts."""
 
-    @property
-    def is_used(self) -> bool:
-        """Return whether this host has sent requests to the server."""
-        return bool(self.running or self.succeeded or self.failed)
-
     def report(self, server: ServerId) -> ServerCounts:
         """Return the counts for a report, and store the reported load."""
         self.reported_in_flight = len(self.running)
@@ -76,12 +71,20 @@
             )
         return attempts
 
-    def report(self, since: float, is_full: bool) -> tuple[ServerCounts, ...]:
-        """Return counts changed since a time; a full report has all used servers."""
+    def report(self, since: float) -> tuple[ServerCounts, ...]:
+        """Return the counts that changed since a time."""
+        return tuple(
+            attempts.report(server)
+            for server, attempts in self._servers.items()
+            if attempts.changed_at >= since
+        )
+
+    def report_active(self, since: float) -> tuple[ServerCounts, ...]:
+        """Return the counts that changed since a time or have requests in flight."""
         return tuple(
             attempts.report(server)
             for server, attempts in self._servers.items()
-            if attempts.changed_at >= since or (is_full and attempts.is_used)
+            if attempts.changed_at >= since or attempts.running
         )
 
     def keep_only(self, servers: set[ServerId]) -> None:
--- a/src/catkinspan/coordination/health/risk.py
+++ b/src/catkinspan/coordination/health/risk.py
@@ -17,6 +17,12 @@
 _STATIONARY_RISK = GOOD_TO_BAD_PER_SECOND / _DECAY_PER_SECOND
 
 
+def decayed_risk(risk: float, seconds: float) -> float:
+    """Return a risk after a time without evidence."""
+    remaining = exp(-_DECAY_PER_SECOND * max(0.0, seconds))
+    return _STATIONARY_RISK + (risk - _STATIONARY_RISK) * remaining
+
+
 @define
 class RiskEstimate:
     """A two-state hidden Markov model (Rabiner, 1989) with fixed likelihoods.
@@ -30,8 +36,7 @@
 
     def decay_to(self, now: float) -> float:
         """Advance the estimate to the current time and return the risk."""
-        remaining = exp(-_DECAY_PER_SECOND * max(0.0, now - self.updated_at))
-        self.risk = _STATIONARY_RISK + (self.risk - _STATIONARY_RISK) * remaining
+        self.risk = decayed_risk(self.risk, now - self.updated_at)
         self.updated_at = max(self.updated_at, now)
         return self.risk
 
--- a/src/catkinspan/protocol/peers/codec.py
+++ b/src/catkinspan/protocol/peers/codec.py
@@ -24,6 +24,11 @@
     PeerMessage,
     Sender,
 )
+from catkinspan.protocol.peers.packed_states import (
+    STATES_TYPE,
+    pack_states,
+    unpack_states,
+)
 from catkinspan.protocol.settings.reader import MAX_PORT
 from catkinspan.state.ids import HostId
 from catkinspan.state.tree import Address
@@ -180,9 +185,15 @@
     converter.register_structure_hook(StrEnum, _structure_enum)
     converter.register_structure_hook_factory(_is_bounded, _bounded_hook)
     converter.register_structure_hook(Address, _structure_address)
+    converter.register_structure_hook_func(_is_states, unpack_states)
+    converter.register_unstructure_hook_func(_is_states, pack_states)
     return converter
 
 
+def _is_states(kind: Any) -> bool:
+    return bool(kind == STATES_TYPE)
+
+
 def _is_bounded(kind: Any) -> bool:
     return isinstance(getattr(kind, "__metadata__", (None,))[0], Bounds)
 
--- /dev/null
+++ b/src/catkinspan/protocol/peers/packed_states.py
@@ -0,0 +1,49 @@
+"""Compact encoding of server states, of which hubs send more than of anything else."""
+
+from base64 import b64decode, b64encode
+from struct import Struct
+from typing import Any
+
+from catkinspan.coordination.health.const import RISK_STEP
+from catkinspan.coordination.health.models import ServerState
+
+_STATE = Struct(">IBB")
+_MAX_IN_FLIGHT = 255
+_MAX_STEPS = round(1 / RISK_STEP)
+
+STATES_TYPE = tuple[ServerState, ...]
+
+
+def pack_states(states: tuple[ServerState, ...]) -> str:
+    """Return states as base64 of six bytes each: digest, load and steps of risk.
+
+    A load above 255 is encoded as 255.
+    """
+    packed = b"".join(
+        _STATE.pack(
+            state.server,
+            min(state.in_flight, _MAX_IN_FLIGHT),
+            round(state.risk / RISK_STEP),
+        )
+        for state in states
+    )
+    return b64encode(packed).decode()
+
+
+def unpack_states(text: Any, _: Any) -> tuple[ServerState, ...]:
+    """Return the states; raises ValueError for an invalid text."""
+    if type(text) is not str:
+        raise TypeError("not a string")
+    data = b64decode(text, validate=True)
+    if len(data) % _STATE.size:
+        raise ValueError(f"{len(data)} bytes are not a whole number of states")
+    return tuple(
+        _to_state(server, in_flight, steps)
+        for server, in_flight, steps in _STATE.iter_unpack(data)
+    )
+
+
+def _to_state(server: int, in_flight: int, steps: int) -> ServerState:
+    if steps > _MAX_STEPS:
+        raise ValueError(f"a risk of {steps} steps is above 1")
+    return ServerState(server, in_flight, round(steps * RISK_STEP, 2))
--- a/tests/protocol/peers/test_codec.py
+++ b/tests/protocol/peers/test_codec.py
@@ -11,7 +11,12 @@
 
 from catkinspan.coordination.configuration.models import Changes as StoreChangesMessage
 from catkinspan.coordination.configuration.models import Document, Freshness, Pull
-from catkinspan.coordination.health.models import HostCounts, ServerCounts
+from catkinspan.coordination.health.models import (
+    HostCounts,
+    ServerCounts,
+    ServerState,
+    ServerStates,
+)
 from catkinspan.coordination.host.coordinator import PEER_MESSAGES
 from catkinspan.coordination.membership.models import Heartbeat, Roster, RosterEntry
 from catkinspan.coordination.models import Sender
@@ -89,6 +94,10 @@
         ["Levels", [[["w", 1e13, 1]]]],
         ["HostCounts", [[["s", -1, 0, 0, 0]]]],
         ["HostCounts", [[["s", 1, 0, 0]]]],
+        ["ServerStates", [0, 1, 5, "AAAA"]],
+        ["ServerStates", [0, 1, 5, "AAAAAAD/"]],
+        ["ServerStates", [0, 1, 5, "!AAAAAAA"]],
+        ["ServerStates", [0, 1, 5, [1, 0, 0.5]]],
         ["Heartbeat", [["h", "perth-1", ["example.org", 80], 1, False]]],
         ["Heartbeat", [["h", "perth-1", ["127.0.0.1", 70000], 1, False]]],
         ["Heartbeat", [["h", "perth-1", ["127.0.0.1", 80], 1, "yes"]]],
@@ -123,6 +132,7 @@
     record = HostRecord(HostId("h"), DataCentre("d"), Address("127.0.0.1", 9), 4)
     sent = [
         HostCounts((ServerCounts(ServerId("a"), 1, 0, 2, 3),)),
+        ServerStates(4, 5, 1234, (ServerState(2**32 - 1, 3, 0.95),)),
         Heartbeat(record, hub_index=None),
         Roster((RosterEntry(record, 12),)),
         StoreChangesMessage(
