Log the age of the state behind a choice of server

The incident's logs could not tell how old the load and risk were on which a host chose a server; it had to be inferred from the load that the servers had had before. The line of an attempt has state_age_ms now; null means that the host used its own counts only.

--- a/src/catkinspan/coordination/balancing/balancer.py
+++ b/src/catkinspan/coordination/balancing/balancer.py
@@ -151,5 +151,10 @@
 ) -> ServerChoice:
     view = candidate.view
     return ServerChoice(
-        candidate.upstream, view.risk, view.in_flight, is_trial, len(candidates)
+        candidate.upstream,
+        view.risk,
+        view.in_flight,
+        is_trial,
+        len(candidates),
+        view.state_age,
     )
--- a/src/catkinspan/coordination/balancing/models.py
+++ b/src/catkinspan/coordination/balancing/models.py
@@ -36,6 +36,8 @@
     in_flight: int
     is_trial: bool
     candidates: int
+    state_age: float | None = None
+    """Age in seconds of the hub's news on the server; None for own counts only."""
 
 
 class NoServerReason(StrEnum):
--- a/src/catkinspan/coordination/requests/coordinator.py
+++ b/src/catkinspan/coordination/requests/coordinator.py
@@ -341,6 +341,7 @@
             key_query_parameter=policy.key_query_parameter,
             risk=round(choice.risk, 3),
             in_flight=choice.in_flight,
+            state_age=choice.state_age,
             is_trial=choice.is_trial,
             revision=self._tree.revision,
         )
--- a/src/catkinspan/daemon/request_log.py
+++ b/src/catkinspan/daemon/request_log.py
@@ -52,6 +52,7 @@
             server=assigned.server,
             risk=assigned.risk,
             in_flight=assigned.in_flight,
+            state_age_ms=_to_ms(assigned.state_age),
             trial=assigned.is_trial,
             usual_ms=round(assigned.usual * 1000),
             left_ms=round((assigned.deadline - now) * 1000),
@@ -119,3 +120,7 @@
                 "suppressed {} log lines about requests", suppressed
             )
         return True
+
+
+def _to_ms(seconds: float | None) -> int | None:
+    return None if seconds is None else round(seconds * 1000)
