Log what a host knew when it refuses a request

Refusal lines carry the revision of the settings in force, the age of the last contact with the store, the hub whose rate levels are in use (empty without recent levels) and, for a refused key, the leading digits of its digest. The key itself is never logged. The reported hub of the rates is the one that sent the levels, instead of the first hub.

--- a/src/catkinspan/coordination/rates/coordinator.py
+++ b/src/catkinspan/coordination/rates/coordinator.py
@@ -85,6 +85,8 @@
         self._levels_hub_index = 0
         """Index of that hub among the hubs."""
 
+        self._levels_hub: HostId | None = None
+
     def apply_tree(self, tree: SettingsTree, now: float) -> None:
         """Apply changed rates."""
         if tree.workspaces == self._workspaces:
@@ -196,9 +198,13 @@
                 None if level is None else level.level,
                 None if level is None else age,
             )
-        is_used = age <= HUB_REPORT_MAX_AGE_SECONDS and self._view is not None
-        hub = self._view.hubs[0] if is_used and self._view is not None else None
-        return RatesSnapshot(hub, workspaces)
+        return RatesSnapshot(self.levels_hub(now), workspaces)
+
+    def levels_hub(self, now: float) -> HostId | None:
+        """Return the hub whose levels are in use; None without recent levels."""
+        if now - self._levels_received_at > HUB_REPORT_MAX_AGE_SECONDS:
+            return None
+        return self._levels_hub
 
     # Reports
 
@@ -232,6 +238,7 @@
         ):
             return
         self._levels_received_at, self._levels_hub_index = now, hub_index
+        self._levels_hub = hub
         levels_by_workspace = {level.workspace: level for level in levels}
         for name, state in self._states.items():
             state.hub_level = levels_by_workspace.get(name)
--- a/src/catkinspan/coordination/requests/admission.py
+++ b/src/catkinspan/coordination/requests/admission.py
@@ -99,7 +99,7 @@
         if self._dependencies.gate.is_isolated(now):
             return Err(refusals.ISOLATED)
         found = self._dependencies.keys.workspace_for(key or "", now)
-        return found.map_err(refusals.key_refusal)
+        return found.map_err(lambda error: refusals.key_refusal(error, key))
 
     def _is_at_limit(self, workspace_id: WorkspaceId) -> bool:
         workspace = self._tree.workspaces.get(workspace_id)
--- a/src/catkinspan/coordination/requests/refusals.py
+++ b/src/catkinspan/coordination/requests/refusals.py
@@ -3,7 +3,9 @@
 from collections.abc import Mapping
 
 from catkinspan.coordination.balancing.models import NoServerAvailable, NoServerReason
+from catkinspan.coordination.keys.coordinator import digest_of
 from catkinspan.coordination.keys.errors import KeyRefusal, KeyRefusalKind
+from catkinspan.coordination.keys.models import digest_prefix
 from catkinspan.coordination.outcomes import OutcomeKind
 from catkinspan.coordination.quarantine.errors import Quarantined
 from catkinspan.coordination.requests.errors import Ran, Refusal, RefusalKind
@@ -132,9 +134,14 @@
     return Refusal(kind, str(error), error.remedy)
 
 
-def key_refusal(error: KeyRefusal) -> Refusal:
-    """Return the refusal of a request without a valid key."""
-    return Refusal(_KEY_KINDS[error.kind], error.message, error.remedy)
+def key_refusal(error: KeyRefusal, key: str | None) -> Refusal:
+    """Return the refusal of a request without a valid key; never contains the key."""
+    return Refusal(
+        _KEY_KINDS[error.kind],
+        error.message,
+        error.remedy,
+        evidence=f"key {digest_prefix(digest_of(key))}" if key else "",
+    )
 
 
 def quarantine_refusal(error: Quarantined) -> Refusal:
--- a/src/catkinspan/daemon/host_task.py
+++ b/src/catkinspan/daemon/host_task.py
@@ -37,7 +37,7 @@
     Query,
     SeedsChanged,
 )
-from catkinspan.daemon.request_log import RequestLog
+from catkinspan.daemon.request_log import HostKnowledge, RequestLog
 from catkinspan.protocol.peers.codec import PeerCodec
 from catkinspan.state.ids import HostId, RequestId, ServiceId, WorkspaceId
 from catkinspan.state.tree import Address
@@ -297,7 +297,15 @@
                 age = self._coordinator.configuration.contact_age(now)
                 self._request_log.log_assignment(directive, age, now)
             case Refused():
-                self._request_log.log_refusal(directive, now)
+                self._request_log.log_refusal(directive, self._knowledge(now), now)
+
+    def _knowledge(self, now: float) -> HostKnowledge:
+        coordinator = self._coordinator
+        return HostKnowledge(
+            coordinator.tree.revision,
+            coordinator.configuration.contact_age(now),
+            coordinator.rates.levels_hub(now),
+        )
 
     def _record_event(self, event: Event) -> None:
         entry = self._audit.record(event, self._clock.now())
--- a/src/catkinspan/daemon/request_log.py
+++ b/src/catkinspan/daemon/request_log.py
@@ -1,10 +1,11 @@
 """Rate-limited log lines for the decisions on requests."""
 
-from attrs import define
+from attrs import define, frozen
 from loguru import logger
 
 from catkinspan.coordination.outcomes import AttemptOutcome, OutcomeKind
 from catkinspan.coordination.requests.models import Assigned, Refused
+from catkinspan.state.ids import HostId, Revision
 from catkinspan.transport.callers.messages import RequestRecord
 
 LINES_PER_SECOND = 200.0
@@ -14,6 +15,20 @@
 BURST_LINES = 600.0
 
 
+@frozen
+class HostKnowledge:
+    """What a host knew of the fleet when it refused a request."""
+
+    revision: Revision
+    """Revision of the settings in force."""
+
+    store_age: float
+    """Seconds since the host or a peer last reached the store."""
+
+    hub: HostId | None
+    """Hub whose rate levels are in use; None without recent levels."""
+
+
 @define
 class _TokenBucket:
     tokens: float = BURST_LINES
@@ -74,8 +89,8 @@
             bytes_written=outcome.bytes_written,
         ).info("attempt {} ended with {}", outcome.attempt, outcome.kind)
 
-    def log_refusal(self, refused: Refused, now: float) -> None:
-        """Log a refusal with its reason."""
+    def log_refusal(self, refused: Refused, known: HostKnowledge, now: float) -> None:
+        """Log a refusal with its reason and what the host knew."""
         if not self._admit_line(now):
             return
         refusal = refused.refusal
@@ -88,6 +103,9 @@
             ran=refusal.ran,
             retry_after=refusal.retry_after,
             evidence=refusal.evidence,
+            revision=known.revision,
+            store_age_ms=round(known.store_age * 1000),
+            hub=known.hub or "",
         ).info("request refused: {}", refusal)
 
     def log_end(self, record: RequestRecord, now: float) -> None:
