Answer 503 instead of 401 or 404 while the settings may be outdated

Callers got 401 or 404, which they take as final, for a key or a route that exists: from a host that had not got the newest settings.

Cause: the decision did not ask how old the settings were. A host also counted as in contact with the store when a peer announced a revision that the host did not have, and a hub that lagged announced its old revision with the age of a contact of which it had only heard.

A host now knows when its copy was last complete, and announces the newest revision that it has heard of instead of its own. A refusal that newer settings may lift (404, 405, 401) is final only while no newer revision is known and the copy was complete within the last 2 s. While a pull is under way the request waits for it for up to 0.3 s; otherwise the answer is 503 settings_outdated with Retry-After 0.3. A wrong key still gets 401 at once from an up-to-date host, and a withdrawn key is not served by any.

The tests fail on the code before: key_unknown, route_not_found and key_withdrawn instead of settings_outdated or success.

--- a/src/catkinspan/coordination/configuration/coordinator.py
+++ b/src/catkinspan/coordination/configuration/coordinator.py
@@ -93,6 +93,12 @@
         self._peer_contact_at = float("-inf")
         """Time of the latest contact with the store that a peer reported."""
 
+        self._announced_revision = NO_REVISION
+        """Newest store revision of which this host has heard."""
+
+        self._complete_at = float("-inf")
+        """Time at which the replica was last known to have all changes."""
+
         self._outage_started_at: float | None = None
         """Time of the last contact before an outage; None while the store answers."""
 
@@ -151,6 +157,28 @@
         latest = max(self._own_contact_at, self._peer_contact_at, self._started_at)
         return now - latest
 
+    def copy_age(self, now: float) -> float:
+        """Return the seconds since the replica was last known to have all changes.
+
+        It is infinite before the first contact with the store.
+        """
+        return now - self._complete_at
+
+    def is_up_to_date(self, now: float) -> bool:
+        """Return whether no newer change is known and the last contact is recent."""
+        return not self.is_catching_up() and (
+            self.copy_age(now) <= OUTAGE_THRESHOLD_SECONDS
+        )
+
+    def is_catching_up(self) -> bool:
+        """Return whether the store has changes that the replica lacks."""
+        return self._replica.revision < self._announced_revision
+
+    def _update_completeness(self) -> None:
+        if not self.is_catching_up():
+            contact_at = max(self._own_contact_at, self._peer_contact_at)
+            self._complete_at = max(self._complete_at, contact_at)
+
     @property
     def _was_store_reached(self) -> bool:
         """Return whether this host or a peer ever reached the store."""
@@ -195,6 +223,7 @@
         """Record that the store answered this host."""
         self._check_outage_end(now, STORE_SOURCE, now)
         self._own_contact_at = now
+        self._update_completeness()
 
     # Peers
 
@@ -211,6 +240,7 @@
                 self._on_freshness(message, sender.host, now)
 
     def _on_changes(self, message: Changes, source: HostId, now: float) -> None:
+        self._record_announcement(message.revision)
         if message.after_revision > self._replica.revision:
             self._request_changes(source, now)
             return
@@ -225,6 +255,7 @@
 
     def _on_copy_part(self, part: CopyPart, source: HostId, now: float) -> None:
         partial = self._partial_copies.get(source)
+        self._record_announcement(part.revision)
         if part.index == 0:
             partial = self._partial_copies[source] = _PartialCopy(part.revision)
         if partial is None or part.revision != partial.revision:
@@ -242,6 +273,7 @@
             self._apply_and_forward(changed, source, now)
 
     def _on_freshness(self, message: Freshness, source: HostId, now: float) -> None:
+        self._record_announcement(message.revision)
         self._record_peer_contact(
             now - message.store_contact_age_ms / 1000, source, now
         )
@@ -252,6 +284,10 @@
         if at > self._peer_contact_at:
             self._check_outage_end(at, source, now)
             self._peer_contact_at = at
+            self._update_completeness()
+
+    def _record_announcement(self, revision: Revision) -> None:
+        self._announced_revision = max(self._announced_revision, revision)
 
     def _request_changes(self, source: HostId, now: float) -> None:
         if now - self._last_pull_at < PULL_RETRY_SECONDS:
@@ -279,6 +315,7 @@
         self, changed: tuple[Document, ...], source: HostId | None, now: float
     ) -> None:
         """Apply changes and forward them to hosts that may not have them."""
+        self._update_completeness()
         if not changed:
             return
         self._apply_documents(changed, source or STORE_SOURCE, now)
@@ -323,6 +360,7 @@
         self._partial_copies.clear()
         self._own_contact_at -= gap
         self._peer_contact_at -= gap
+        self._complete_at -= gap
 
     def _age_ms(self, now: float) -> int:
         return max(0, round(self.contact_age(now) * 1000))
@@ -331,7 +369,9 @@
         view = self._view
         if view is None or not self._was_store_reached:
             return
-        message = Freshness(self._replica.revision, self._age_ms(now))
+        # A host that lacks a revision it has heard of does not vouch for its copy.
+        revision = max(self._replica.revision, self._announced_revision)
+        message = Freshness(revision, self._age_ms(now))
         for host in {*view.followers, *view.remote_hubs}:
             self._outbox.send(host, message)
 
--- a/src/catkinspan/coordination/configuration/models.py
+++ b/src/catkinspan/coordination/configuration/models.py
@@ -101,7 +101,7 @@
 
 @frozen
 class Freshness(PeerMessage):
-    """Reports how recent the sender's copy is."""
+    """Reports the newest revision of the store that the sender has heard of."""
 
     revision: Revision
     store_contact_age_ms: Millis
--- a/src/catkinspan/coordination/host/coordinator.py
+++ b/src/catkinspan/coordination/host/coordinator.py
@@ -148,6 +148,14 @@
         """Return whether the host has a configuration to serve requests."""
         return self.configuration.is_ready()
 
+    def is_up_to_date(self, now: float) -> bool:
+        """Return whether the settings in force were recently known to be the newest."""
+        return self.configuration.is_up_to_date(now)
+
+    def is_catching_up(self, now: float) -> bool:
+        """Return whether newer settings are known to exist."""
+        return self.configuration.is_catching_up()
+
     def is_isolated(self, now: float) -> bool:
         """Return whether requests with a key must be refused."""
         return self.isolation.is_isolated
--- a/src/catkinspan/coordination/metrics/endings.py
+++ b/src/catkinspan/coordination/metrics/endings.py
@@ -35,7 +35,13 @@
     ResultCategory.KEY: frozenset(
         {RefusalKind.KEY_MISSING, RefusalKind.KEY_UNKNOWN, RefusalKind.KEY_WITHDRAWN}
     ),
-    ResultCategory.HOST: frozenset({RefusalKind.NOT_READY, RefusalKind.ISOLATED}),
+    ResultCategory.HOST: frozenset(
+        {
+            RefusalKind.NOT_READY,
+            RefusalKind.SETTINGS_OUTDATED,
+            RefusalKind.ISOLATED,
+        }
+    ),
     ResultCategory.REQUEST: frozenset(
         {
             RefusalKind.BAD_REQUEST,
--- a/src/catkinspan/coordination/requests/const.py
+++ b/src/catkinspan/coordination/requests/const.py
@@ -24,3 +24,8 @@
 """Maximum share of the caller's deadline that a request is held."""
 
 MAX_HOLD_SECONDS_WITHOUT_DEADLINE = 0.5
+
+MAX_CATCH_UP_HOLD_SECONDS = 0.3
+"""Maximum time that a request which the settings in force do not allow is held while
+newer settings are on their way. A pull takes a few milliseconds; a caller's retry at
+another host costs a new connection."""
--- a/src/catkinspan/coordination/requests/coordinator.py
+++ b/src/catkinspan/coordination/requests/coordinator.py
@@ -21,12 +21,14 @@
 from catkinspan.coordination.requests.admission import Admission
 from catkinspan.coordination.requests.const import (
     HEDGE_LATENCY_MULTIPLE,
+    MAX_CATCH_UP_HOLD_SECONDS,
     MIN_HEDGE_DELAY_SECONDS,
     MIN_TRIAL_BUDGET,
     TRIAL_HEDGE_LATENCY_MULTIPLE,
 )
 from catkinspan.coordination.requests.dependencies import RequestDependencies
 from catkinspan.coordination.requests.errors import Ran, Refusal
+from catkinspan.coordination.requests.holding import HeldRequest, HeldRequests
 from catkinspan.coordination.requests.models import (
     Assigned,
     AttemptFinished,
@@ -40,7 +42,6 @@
 )
 from catkinspan.coordination.requests.records import (
     ActiveRequest,
-    HeldRequest,
     Stage,
     cancelled_outcome,
     may_have_run,
@@ -81,8 +82,11 @@
         self._timed_requests: set[RequestId] = set()
         """Requests that wait for a body, a backoff or a hedge delay."""
 
-        self._held: dict[RequestId, HeldRequest] = {}
-        """Requests held until the host has a configuration, oldest first."""
+        self._held = HeldRequests()
+        """Requests held until the host has a configuration."""
+
+        self._held_outdated = HeldRequests()
+        """Requests held until the newest settings that are known of have arrived."""
 
     @property
     def running(self) -> int:
@@ -107,15 +111,19 @@
 
     def start_request(self, arrived: RequestArrived, now: float) -> None:
         """Admit a request, hold it until the host is ready, or refuse it."""
-        if len(self._requests) + len(self._held) >= self._max_requests:
+        held_count = len(self._held) + len(self._held_outdated)
+        if len(self._requests) + held_count >= self._max_requests:
             self._outbox.add_directive(Refused(arrived.request_id, refusals.OVERLOADED))
             return
         if not self._dependencies.gate.is_ready(now):
-            self._held[arrived.request_id] = HeldRequest.of(arrived, now)
+            self._held.add(HeldRequest.of(arrived, now))
             return
+        self._admit(arrived, now, may_hold=True)
+
+    def _admit(self, arrived: RequestArrived, now: float, may_hold: bool) -> None:
         admitted = self._admission.admit(arrived, now)
         if isinstance(admitted, Err):
-            self._outbox.add_directive(Refused(arrived.request_id, admitted.err_value))
+            self._refuse_unadmitted(arrived, admitted.err_value, now, may_hold)
             return
         request = admitted.ok_value
         self._requests[request.id] = request
@@ -152,7 +160,7 @@
 
     def abandon_request(self, abandoned: RequestAbandoned, now: float) -> None:
         """Finish a request whose caller disconnected or was disconnected."""
-        self._held.pop(abandoned.request_id, None)
+        self._discard_held(abandoned.request_id)
         request = self._requests.get(abandoned.request_id)
         if request is None:
             return
@@ -165,7 +173,7 @@
 
     def drop_request(self, request_id: RequestId) -> None:
         """Drop a request whose processing raised an exception."""
-        self._held.pop(request_id, None)
+        self._discard_held(request_id)
         request = self._requests.get(request_id)
         if request is None:
             return
@@ -176,8 +184,7 @@
 
     def tick(self, now: float) -> None:
         """Process held requests and expired timers."""
-        if self._held:
-            self._process_held(now)
+        self._process_held(now)
         for request_id in list(self._timed_requests):
             self._handle_timer(self._requests.get(request_id), request_id, now)
 
@@ -185,8 +192,7 @@
         """Return the monotonic time at which `tick` must run next."""
         requests = (self._requests.get(id_) for id_ in self._timed_requests)
         due = [r.due_at for r in requests if r is not None]
-        due += [held.hold_until for held in self._held.values()]
-        return min(due, default=float("inf"))
+        return min([*due, self._held.next_due, self._held_outdated.next_due])
 
     def resume(self, gap: float) -> None:
         """Bring deadlines forward by a pause of this host; callers waited meanwhile."""
@@ -200,16 +206,43 @@
 
         The time held counts towards the caller's deadline.
         """
-        is_ready = self._dependencies.gate.is_ready(now)
-        for held in list(self._held.values()):
-            if not is_ready and now < held.hold_until:
-                continue
-            del self._held[held.arrived.request_id]
+        gate = self._dependencies.gate
+        is_ready = gate.is_ready(now)
+        for held in self._held.take(is_ready, now):
             if is_ready:
                 self.start_request(held.with_remaining_time(now), now)
             else:
                 request_id = held.arrived.request_id
                 self._outbox.add_directive(Refused(request_id, refusals.NOT_READY))
+        if not self._held_outdated:
+            return
+        for held in self._held_outdated.take(not gate.is_catching_up(now), now):
+            self._admit(held.with_remaining_time(now), now, may_hold=False)
+
+    def _discard_held(self, request_id: RequestId) -> None:
+        self._held.discard(request_id)
+        self._held_outdated.discard(request_id)
+
+    def _refuse_unadmitted(
+        self, arrived: RequestArrived, refusal: Refusal, now: float, may_hold: bool
+    ) -> None:
+        """Refuse a request, or hold it while newer settings may allow it."""
+        gate = self._dependencies.gate
+        is_final = refusal.kind not in refusals.SETTINGS_KINDS
+        if may_hold and not is_final and gate.is_catching_up(now):
+            held = HeldRequest.of(arrived, now, MAX_CATCH_UP_HOLD_SECONDS)
+            self._held_outdated.add(held)
+            return
+        refusal = self._final_refusal(refusal, now)
+        self._outbox.add_directive(Refused(arrived.request_id, refusal))
+
+    def _final_refusal(self, refusal: Refusal, now: float) -> Refusal:
+        """Return the refusal to respond with, given what the host knows."""
+        if refusal.kind not in refusals.SETTINGS_KINDS:
+            return refusal
+        if self._dependencies.gate.is_up_to_date(now):
+            return refusal
+        return refusals.outdated_refusal(refusal)
 
     def _check_quarantine(self, request: ActiveRequest, now: float) -> None:
         arrived = request.arrived
@@ -312,7 +345,8 @@
             if request.last_failure is not None:
                 return refusals.outcome_refusal(request.last_failure, request.ran)
             return refusals.DEADLINE_PASSED
-        return self._admission.recheck_key(request, now)
+        refusal = self._admission.recheck_key(request, now)
+        return None if refusal is None else self._final_refusal(refusal, now)
 
     def _build_assignment(
         self,
--- a/src/catkinspan/coordination/requests/dependencies.py
+++ b/src/catkinspan/coordination/requests/dependencies.py
@@ -19,6 +19,12 @@
     def is_ready(self, now: float) -> bool:
         """Return whether the host has a configuration."""
 
+    def is_up_to_date(self, now: float) -> bool:
+        """Return whether the settings in force were recently known to be the newest."""
+
+    def is_catching_up(self, now: float) -> bool:
+        """Return whether newer settings are known to exist."""
+
     def is_isolated(self, now: float) -> bool:
         """Return whether keyed requests must be refused."""
 
--- a/src/catkinspan/coordination/requests/errors.py
+++ b/src/catkinspan/coordination/requests/errors.py
@@ -25,6 +25,7 @@
     KEY_UNKNOWN = "key_unknown"
     KEY_WITHDRAWN = "key_withdrawn"
     NOT_READY = "not_ready"
+    SETTINGS_OUTDATED = "settings_outdated"
     ISOLATED = "isolated"
     OVERLOADED = "overloaded"
     RATE_EXCEEDED = "rate_exceeded"
--- a/src/catkinspan/coordination/requests/records.py
+++ b/src/catkinspan/coordination/requests/records.py
@@ -1,18 +1,12 @@
 """Per-request state of a host."""
 
-from datetime import timedelta
 from enum import Enum, auto
 
-from attrs import define, evolve, field, frozen
+from attrs import define, field
 
 from catkinspan.coordination.outcomes import AttemptOutcome, OutcomeKind
 from catkinspan.coordination.quarantine.models import Fingerprint
-from catkinspan.coordination.requests.const import (
-    MAX_HOLD_DEADLINE_SHARE,
-    MAX_HOLD_SECONDS,
-    MAX_HOLD_SECONDS_WITHOUT_DEADLINE,
-    MAX_UNCOUNTED_CONNECT_ERRORS,
-)
+from catkinspan.coordination.requests.const import MAX_UNCOUNTED_CONNECT_ERRORS
 from catkinspan.coordination.requests.errors import Ran
 from catkinspan.coordination.requests.models import NO_BODY_DIGEST, RequestArrived
 from catkinspan.state.ids import (
@@ -103,33 +97,6 @@
         return None if target is None else target.total_seconds()
 
 
-@frozen
-class HeldRequest:
-    """A request held until the host has a configuration."""
-
-    arrived: RequestArrived
-    arrived_at: float
-    hold_until: float
-
-    @classmethod
-    def of(cls, arrived: RequestArrived, now: float) -> "HeldRequest":
-        """Return a request held from now on."""
-        wait = MAX_HOLD_SECONDS_WITHOUT_DEADLINE
-        if arrived.deadline is not None:
-            share = MAX_HOLD_DEADLINE_SHARE * arrived.deadline.total_seconds()
-            wait = min(MAX_HOLD_SECONDS, share)
-        return cls(arrived, now, now + wait)
-
-    def with_remaining_time(self, now: float) -> RequestArrived:
-        """Return the request with its deadline reduced by the time held."""
-        deadline = self.arrived.deadline
-        if deadline is None:
-            return self.arrived
-        return evolve(
-            self.arrived, deadline=deadline - timedelta(seconds=now - self.arrived_at)
-        )
-
-
 def cancelled_outcome(request: ActiveRequest, attempt: int) -> AttemptOutcome:
     """Return the outcome of an attempt whose caller disconnected."""
     return AttemptOutcome(
--- a/src/catkinspan/coordination/requests/refusals.py
+++ b/src/catkinspan/coordination/requests/refusals.py
@@ -26,6 +26,18 @@
     "try again, through another host if possible",
     retry_after=_DEFAULT_RETRY_AFTER_SECONDS,
 )
+_OUTDATED_RETRY_AFTER_SECONDS = 0.3
+SETTINGS_KINDS = frozenset(
+    {
+        RefusalKind.ROUTE_NOT_FOUND,
+        RefusalKind.METHOD_NOT_ALLOWED,
+        RefusalKind.KEY_MISSING,
+        RefusalKind.KEY_UNKNOWN,
+        RefusalKind.KEY_WITHDRAWN,
+    }
+)
+"""Refusals that newer settings may turn into an admission."""
+
 ISOLATED = Refusal(
     RefusalKind.ISOLATED,
     "the host cannot learn of withdrawn keys",
@@ -144,6 +156,21 @@
     )
 
 
+def outdated_refusal(refusal: Refusal) -> Refusal:
+    """Return the refusal of a request that newer settings may allow.
+
+    A caller takes a status such as 401 or 404 as final, so a host that may lack the
+    newest settings does not send one.
+    """
+    return Refusal(
+        RefusalKind.SETTINGS_OUTDATED,
+        "the host may not have the newest settings",
+        "try again, through another host if possible",
+        retry_after=_OUTDATED_RETRY_AFTER_SECONDS,
+        evidence=f"{refusal.kind} {refusal.evidence}".rstrip(),
+    )
+
+
 def quarantine_refusal(error: Quarantined) -> Refusal:
     """Return the refusal of a request that crashed upstreams."""
     return Refusal(
--- a/src/catkinspan/protocol/http/responses.py
+++ b/src/catkinspan/protocol/http/responses.py
@@ -23,6 +23,7 @@
     RefusalKind.KEY_UNKNOWN: 401,
     RefusalKind.KEY_WITHDRAWN: 401,
     RefusalKind.NOT_READY: 503,
+    RefusalKind.SETTINGS_OUTDATED: 503,
     RefusalKind.ISOLATED: 503,
     RefusalKind.OVERLOADED: 503,
     RefusalKind.RATE_EXCEEDED: 429,
