--- a/src/catkinspan/coordination/requests/refusals.py
+++ b/src/catkinspan/coordination/requests/refusals.py
@@ -3,7 +3,9 @@
 from collections.abc import Mapping
 
 from catkinspan.coordination.balancing.models import NoServerAvailable, NoServerReason
+from catkinspan.coordination.keys.coordinator import digest_of
 from catkinspan.coordination.keys.errors import KeyRefusal, KeyRefusalKind
+from catkinspan.coordination.keys.models import digest_prefix
 from catkinspan.coordination.outcomes import OutcomeKind
 from catkinspan.coordination.quarantine.errors import Quarantined
 from catkinspan.coordination.requests.errors import Ran, Refusal, RefusalKind
@@ -24,6 +26,18 @@
     "try again, through another host if possible",
     retry_after=_DEFAULT_RETRY_AFTER_SECONDS,
 )
+_OUTDATED_RETRY_AFTER_SECONDS = 0.3
+SETTINGS_KINDS = frozenset(
+    {
+        RefusalKind.ROUTE_NOT_FOUND,
+        RefusalKind.METHOD_NOT_ALLOWED,
+        RefusalKind.KEY_MISSING,
+        RefusalKind.KEY_UNKNOWN,
+        RefusalKind.KEY_WITHDRAWN,
+    }
+)
+"""Refusals that newer settings may turn into an admission."""
+
 ISOLATED = Refusal(
     RefusalKind.ISOLATED,
     "the host cannot learn of withdrawn keys",
@@ -132,9 +146,29 @@
     return Refusal(kind, str(error), error.remedy)
 
 
-def key_refusal(error: KeyRefusal) -> Refusal:
-    """Return the refusal of a request without a valid key."""
-    return Refusal(_KEY_KINDS[error.kind], error.message, error.remedy)
+def key_refusal(error: KeyRefusal, key: str | None) -> Refusal:
+    """Return the refusal of a request without a valid key; never contains the key."""
+    return Refusal(
+        _KEY_KINDS[error.kind],
+        error.message,
+        error.remedy,
+        evidence=f"key {digest_prefix(digest_of(key))}" if key else "",
+    )
+
+
+def outdated_refusal(refusal: Refusal) -> Refusal:
+    """Return the refusal of a request that newer settings may allow.
+
+    A caller takes a status such as 401 or 404 as final, so a host that may lack the
+    newest settings does not send one.
+    """
+    return Refusal(
+        RefusalKind.SETTINGS_OUTDATED,
+        "the host may not have the newest settings",
+        "try again, through another host if possible",
+        retry_after=_OUTDATED_RETRY_AFTER_SECONDS,
+        evidence=f"{refusal.kind} {refusal.evidence}".rstrip(),
+    )
 
 
 def quarantine_refusal(error: Quarantined) -> Refusal:
