Let a request end at its deadline while its server sends

What callers saw: a request whose server sent without end, or did not read a long request body, got no answer at its deadline, until the server stopped or the caller left.

Cause: three waits of an attempt knew no deadline.

Change: an expired deadline admits only the messages that had arrived by then. Posts wait until the deadline at most (`async_post_until`). The socket posts `SocketDrained`, so that an attempt waits for space, a response and the deadline at once. A connection with unsent bytes is not pooled. An incomplete response at the deadline is a TIMEOUT and no longer TRUNCATED, which counted as a crash in the quarantine although the server was alive.

--- a/src/catkinspan/coordination/outcomes.py
+++ b/src/catkinspan/coordination/outcomes.py
@@ -18,7 +18,8 @@
     """The connection was closed before the response head was complete."""
 
     TIMEOUT = "timeout"
-    """No response head arrived within the attempt timeout."""
+    """No response head arrived within the attempt timeout, or no complete response by
+    the deadline."""
 
     SHED = "shed"
     """The upstream refused the request and stated that it did not run."""
@@ -30,7 +31,7 @@
     """A 5xx response that does not state that the request did not run."""
 
     TRUNCATED = "truncated"
-    """The response body ended before its announced length or final chunk."""
+    """The connection ended before the announced length or the final chunk."""
 
     CROSSED = "crossed"
     """The response carried the id of another request."""
--- a/src/catkinspan/transport/mailbox.py
+++ b/src/catkinspan/transport/mailbox.py
@@ -20,17 +20,18 @@
         return f"inbox holds {self.limit} messages; send fewer or wait for replies"
 
 
-def _resolve(reader: "asyncio.Future[None]") -> None:
-    if not reader.done():
-        reader.set_result(None)
+def _resolve(waiter: "asyncio.Future[None]") -> None:
+    if not waiter.done():
+        waiter.set_result(None)
 
 
 class Mailbox(Generic[M]):
     """A bounded inbox that one task reads and others post to.
 
-    `post` raises `InboxFullError` at the limit. `async_post` waits for space instead,
-    which applies back-pressure to streams of data. `post_unbounded` ignores the limit
-    and is for replies, whose number is bounded by the requests that ask for them.
+    `post` raises `InboxFullError` at the limit. `async_post_until` waits for space
+    instead, which applies back-pressure to streams of data. `post_unbounded` ignores
+    the limit and is for replies, whose number is bounded by the requests that ask for
+    them.
     """
 
     def __init__(self, limit: int) -> None:
@@ -54,13 +55,24 @@
         if self._waiting_reader is not None and not self._waiting_reader.done():
             self._waiting_reader.set_result(None)
 
-    async def async_post(self, message: M) -> None:
-        """Wait until there is space, then add a message."""
+    async def async_post_until(self, message: M, deadline: float) -> bool:
+        """Wait until there is space, then add a message.
+
+        Return False if there is none by `deadline` on the event loop's clock.
+        """
+        loop = asyncio.get_running_loop()
         while len(self._messages) >= self._limit:
-            writer = asyncio.get_running_loop().create_future()
+            if loop.time() >= deadline:
+                return False
+            writer = loop.create_future()
             self._waiting_writers.append(writer)
-            await writer
+            timer = loop.call_at(deadline, _resolve, writer)
+            try:
+                await writer
+            finally:
+                timer.cancel()
         self.post_unbounded(message)
+        return True
 
     async def async_get(self) -> M:
         """Return the next message."""
--- a/src/catkinspan/transport/socket_port.py
+++ b/src/catkinspan/transport/socket_port.py
@@ -34,6 +34,13 @@
     """False if the connection was reset."""
 
 
+@frozen
+class SocketDrained:
+    """The buffer of a socket has space again, after `notify_when_drained`."""
+
+    port: "SocketPort"
+
+
 class SocketPort(asyncio.Protocol):
     """Posts `SocketData` and `SocketClosed` to the mailbox of the task that owns it.
 
@@ -53,6 +60,7 @@
         self._reading = True
         self._closed = False
         self._drain_waiter: asyncio.Future[None] | None = None
+        self._notifies_when_drained = False
 
     @property
     def is_closed(self) -> bool:
@@ -64,6 +72,13 @@
         """Return the received bytes that the owner has not acknowledged."""
         return self._unacknowledged_bytes
 
+    @property
+    def has_unsent_bytes(self) -> bool:
+        """Return whether written bytes have not been passed to the system yet."""
+        if self._transport is None or self._closed:
+            return False
+        return self._transport.get_write_buffer_size() > 0
+
     @property
     def peer_certificate(self) -> Mapping[str, Any] | None:
         """Return the verified certificate of the remote side, or None."""
@@ -110,6 +125,8 @@
     def resume_writing(self) -> None:
         """Wake waiting writers."""
         self._wake_writer()
+        if self._notifies_when_drained:
+            self.notify_when_drained()
 
     def acknowledge(self, size: int) -> None:
         """Acknowledge bytes, so that reading can resume."""
@@ -124,6 +141,12 @@
         if self._transport is not None and not self._closed:
             self._transport.write(data)
 
+    def notify_when_drained(self) -> None:
+        """Post one `SocketDrained` as soon as the socket's buffer has space."""
+        self._notifies_when_drained = self._drain_waiter is not None
+        if not self._notifies_when_drained:
+            self._mailbox.post_unbounded(SocketDrained(self))
+
     async def async_drain(self) -> None:
         """Wait until the socket's buffer has space."""
         if self._drain_waiter is not None:
--- a/src/catkinspan/transport/upstreams/attempt.py
+++ b/src/catkinspan/transport/upstreams/attempt.py
@@ -13,7 +13,7 @@
 from catkinspan.protocol.http.names import HttpNames
 from catkinspan.protocol.http.upstream import ResponseInfo, UpstreamRequest
 from catkinspan.transport.mailbox import Mailbox
-from catkinspan.transport.socket_port import SocketClosed, SocketData
+from catkinspan.transport.socket_port import SocketClosed, SocketData, SocketDrained
 from catkinspan.transport.upstreams.connection import (
     UpstreamConnection,
     async_open_connection,
@@ -140,6 +140,10 @@
         self._is_stale_response = False
         """Whether the response being read belongs to an earlier request."""
 
+        self._expired_deadline: float | None = None
+        self._messages_in_time = 0
+        """Messages in the inbox that had arrived when the deadline expired."""
+
     @property
     def inbox(self) -> Mailbox[Any]:
         """Return the inbox for `BodyChunk` messages."""
@@ -235,8 +239,7 @@
             elif self._is_stale_response and isinstance(event, h11.Data):
                 continue
             elif isinstance(event, h11.Data):
-                data = AttemptData(self._attempt, bytes(event.data))
-                await self._events.async_post(data)
+                await self._async_post(AttemptData(self._attempt, bytes(event.data)))
             elif isinstance(event, h11.EndOfMessage):
                 self._finish(connection)
                 return
@@ -270,10 +273,13 @@
         )
 
     async def _async_receive(self, connection: UpstreamConnection) -> None:
-        message = await self._inbox.async_get_until(self._receive_deadline())
+        deadline = self._receive_deadline()
+        if self._clock.monotonic() >= deadline:
+            self._take_message_in_time(deadline)
+        message = await self._inbox.async_get_until(deadline)
         match message:
             case None:
-                raise AttemptError(self._timeout_kind())
+                raise AttemptError(OutcomeKind.TIMEOUT)
             case SocketData(port, data):
                 port.acknowledge(len(data))
                 self._receive_data(connection, data)
@@ -282,7 +288,27 @@
                     raise AttemptError(self._connection_failure_kind())
                 self._receive_data(connection, b"")
             case BodyChunk():
-                await self._async_send_body(connection, message)
+                self._send_body(connection, message)
+            case SocketDrained():
+                self._events.post_unbounded(BodyChunkRequested(self._attempt))
+
+    def _take_message_in_time(self, deadline: float) -> None:
+        """Allow only the messages that had arrived when the deadline expired.
+
+        A server that sends without end keeps the inbox from ever being empty.
+        """
+        if self._expired_deadline != deadline:
+            self._expired_deadline = deadline
+            self._messages_in_time = len(self._inbox)
+        if self._messages_in_time == 0:
+            raise AttemptError(OutcomeKind.TIMEOUT)
+        self._messages_in_time -= 1
+
+    async def _async_post(self, event: AttemptEvent) -> None:
+        """Pass on a part of the response; waits while the caller reads slowly."""
+        deadline = self._spec.assigned.deadline
+        if not await self._events.async_post_until(event, deadline):
+            raise AttemptError(OutcomeKind.TIMEOUT)
 
     def _receive_data(self, connection: UpstreamConnection, data: bytes) -> None:
         try:
@@ -292,9 +318,7 @@
         except h11.RemoteProtocolError as error:
             raise AttemptError(self._connection_failure_kind()) from error
 
-    async def _async_send_body(
-        self, connection: UpstreamConnection, chunk: BodyChunk
-    ) -> None:
+    def _send_body(self, connection: UpstreamConnection, chunk: BodyChunk) -> None:
         if connection.port.is_closed:
             return
         if chunk.data:
@@ -304,8 +328,7 @@
             connection.port.write(connection.http.send(h11.EndOfMessage()) or b"")
             self._body_sent = True
             return
-        await connection.port.async_drain()
-        self._events.post_unbounded(BodyChunkRequested(self._attempt))
+        connection.port.notify_when_drained()
 
     async def _async_report_head(self, response: h11.Response) -> None:
         request = self._spec.request
@@ -324,7 +347,7 @@
             raise AttemptError(kind)
         self._server_error = response.status_code >= 500
         outcome = self._outcome(self._response_kind())
-        await self._events.async_post(AttemptHead(self._attempt, response, outcome))
+        await self._async_post(AttemptHead(self._attempt, response, outcome))
 
     def _read_next_response(self, connection: UpstreamConnection) -> None:
         """Read the response that follows one to an earlier request.
@@ -362,11 +385,6 @@
             return OutcomeKind.RESET
         return OutcomeKind.TRUNCATED
 
-    def _timeout_kind(self) -> OutcomeKind:
-        if self._head_latency is None:
-            return OutcomeKind.TIMEOUT
-        return OutcomeKind.TRUNCATED
-
     def _outcome(self, kind: OutcomeKind) -> AttemptOutcome:
         latency = self._head_latency
         if latency is None:
--- a/src/catkinspan/transport/upstreams/connection.py
+++ b/src/catkinspan/transport/upstreams/connection.py
@@ -57,8 +57,10 @@
 
     @property
     def is_clean(self) -> bool:
-        """Return whether the connection is open without unacknowledged bytes."""
-        return not self._port.is_closed and self._port.unacknowledged_bytes == 0
+        """Return whether the connection is open without unread or unsent bytes."""
+        port = self._port
+        is_idle = port.unacknowledged_bytes == 0 and not port.has_unsent_bytes
+        return is_idle and not port.is_closed
 
     def expect_another_response(self, method: bytes, received: bytes) -> None:
         """Prepare to read a second response to the request that was sent.
--- /dev/null
+++ b/tests/transport/upstreams/test_attempt.py
@@ -0,0 +1,119 @@
+"""Attempts that receive bytes without end, without a network."""
+
+import asyncio
+from typing import Any
+
+import pytest
+from attrs import define, field
+
+from catkinspan.coordination.outcomes import OutcomeKind
+from catkinspan.coordination.requests.models import Assigned
+from catkinspan.protocol.http.names import HttpNames
+from catkinspan.protocol.http.upstream import UpstreamRequest
+from catkinspan.state.ids import RequestId, RouteId, ServerId, ServiceId, WorkspaceId
+from catkinspan.state.tree import Address
+from catkinspan.testing.clock import VirtualClock
+from catkinspan.transport.mailbox import Mailbox
+from catkinspan.transport.socket_port import SocketPort
+from catkinspan.transport.upstreams.attempt import (
+    AttemptFailed,
+    AttemptSpec,
+    AttemptTask,
+)
+from catkinspan.transport.upstreams.connection import UpstreamConnection
+from catkinspan.transport.upstreams.pool import PoolMessage
+
+READ_BYTES = 256 * 1024
+EVENT_LIMIT = 16
+MAX_BUFFERED_BYTES = 1024 * 1024
+"""Limit of what a host holds of a response that its caller does not read."""
+
+MAX_BYTES_PER_TURN = 64 * 1024
+"""Limit of what is parsed before other tasks run."""
+
+DEADLINE_SECONDS = 1e9
+"""The clock of the test reaches it, that of the event loop does not."""
+
+TEST_TIMEOUT_SECONDS = 10.0
+SERVER = ServerId("server-1")
+
+
+@define
+class AttemptUnderTest:
+    """An attempt whose connection gets its bytes from the test."""
+
+    clock: VirtualClock = field(factory=VirtualClock)
+    events: Mailbox[Any] = field(factory=lambda: Mailbox(EVENT_LIMIT))
+    pool: Mailbox[PoolMessage] = field(factory=lambda: Mailbox(EVENT_LIMIT))
+
+    async def start(self) -> "tuple[asyncio.Task[None], SocketPort]":
+        clock = self.clock
+        deadline = clock.monotonic() + DEADLINE_SECONDS
+        spec = AttemptSpec(_assigned(deadline), _request(), b"", True, False)
+        attempt = AttemptTask(spec, self.events, self.pool, clock)
+        task = asyncio.create_task(attempt.async_run())
+        acquire: Any = await self.pool.async_get()
+        port = SocketPort(attempt.inbox)
+        acquire.reply.set_result(UpstreamConnection(SERVER, port))
+        await asyncio.sleep(0)
+        return task, port
+
+    def take_events(self) -> list[Any]:
+        return [self.events.get_nowait() for _ in range(len(self.events))]
+
+
+def _assigned(deadline: float) -> Assigned:
+    return Assigned(
+        request_id=RequestId("r1"),
+        attempt=1,
+        service=ServiceId("prints"),
+        route=RouteId("jobs"),
+        workspace=WorkspaceId("studio"),
+        server=SERVER,
+        address=Address("127.0.0.1", 1),
+        deadline=deadline,
+        attempt_timeout=60.0,
+        usual=0.1,
+        hold_bytes=READ_BYTES,
+        idempotent=False,
+        max_body_bytes=0,
+        connection_limit=1,
+    )
+
+
+def _request() -> UpstreamRequest:
+    headers = [(b"host", b"shop.example"), (b"x-request-id", b"r1")]
+    return UpstreamRequest("r1", b"POST", b"/jobs/1", headers, HttpNames())
+
+
+@pytest.mark.asyncio
+@pytest.mark.asyncio
+async def test_endless_bytes_do_not_hold_off_the_deadline() -> None:
+    """Guards against a deadline that counts only while the server is silent."""
+    under_test = AttemptUnderTest()
+    task, port = await under_test.start()
+    port.data_received(b"HTTP/1.1 200 OK\r\n\r\n")
+    for turn in range(100):
+        if turn == 10:
+            under_test.clock.advance(DEADLINE_SECONDS)
+        port.data_received(b"b" * 1024)
+        await asyncio.sleep(0)
+        if task.done():
+            break
+        under_test.take_events()
+    task.cancel()
+    (failed,) = (e for e in under_test.take_events() if isinstance(e, AttemptFailed))
+    assert failed.outcome.kind is OutcomeKind.TIMEOUT
+
+
+@pytest.mark.asyncio
+async def test_answer_received_by_the_deadline_is_delivered() -> None:
+    """Guards against a busy host that drops answers which arrived in time."""
+    under_test = AttemptUnderTest()
+    task, port = await under_test.start()
+    head = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n"
+    for part in (head, b"so", b"und"):
+        port.data_received(part)
+    under_test.clock.advance(DEADLINE_SECONDS)
+    await asyncio.wait_for(task, TEST_TIMEOUT_SECONDS)
+    assert under_test.take_events()[-1].outcome.kind is OutcomeKind.OK
