Give each running request a due time until it ends

Cause: `RequestCoordinator` kept a set of the requests that wait for a timer, and each branch of `_handle_timer` took them out of it. A request in its backoff still had the hedge time of its first attempt; a wake for another request between the two took the branch of the hedge, which does nothing in a backoff, and the request left the set. Nothing else looks at a request whose attempts have ended.

Change: `RequestTimers` holds one due time for each request. `tick` takes those that are due and sets their next time unless they have ended, so that no branch can lose one. A backoff clears the hedge time. A running request is due 0.2 s after its deadline at the latest and then refused with "may have run"; its attempts count as timed out in the servers' health.

--- a/src/catkinspan/coordination/requests/const.py
+++ b/src/catkinspan/coordination/requests/const.py
@@ -9,6 +9,9 @@
 
 MIN_HEDGE_DELAY_SECONDS = 0.02
 
+DEADLINE_GRACE_SECONDS = 0.2
+"""Time after the deadline within which a front end reports the end of its attempts."""
+
 MAX_UNCOUNTED_CONNECT_ERRORS = 4
 """Connect errors that do not count towards the route's `max_attempts`, since no server
 received the request."""
--- a/src/catkinspan/coordination/requests/coordinator.py
+++ b/src/catkinspan/coordination/requests/coordinator.py
@@ -42,9 +42,10 @@
     ActiveRequest,
     HeldRequest,
     Stage,
-    cancelled_outcome,
     may_have_run,
+    unreported_outcome,
 )
+from catkinspan.coordination.requests.timers import RequestTimers
 from catkinspan.coordination.retries.coordinator import backoff
 from catkinspan.state.ids import (
     ANONYMOUS_WORKSPACE,
@@ -78,8 +79,8 @@
         self._tree = SettingsTree()
         self._requests: dict[RequestId, ActiveRequest] = {}
         self._admission = Admission(dependencies, rng)
-        self._timed_requests: set[RequestId] = set()
-        """Requests that wait for a body, a backoff or a hedge delay."""
+        self._timers = RequestTimers()
+        """Each request has a due time until it has ended."""
 
         self._held: dict[RequestId, HeldRequest] = {}
         """Requests held until the host has a configuration, oldest first."""
@@ -123,7 +124,7 @@
             self._check_quarantine(request, now)
             return
         limit = request.route.policy.max_body_bytes
-        self._timed_requests.add(request.id)
+        self._timers.set(request.id, request.due_at)
         self._outbox.add_directive(BodyWanted(request.id, limit))
 
     def receive_body(self, received: BodyReceived, now: float) -> None:
@@ -131,7 +132,6 @@
         request = self._requests.get(received.request_id)
         if request is None or request.stage is not Stage.BODY:
             return
-        self._timed_requests.discard(request.id)
         request.body_digest = received.digest
         self._check_quarantine(request, now)
 
@@ -156,11 +156,7 @@
         request = self._requests.get(abandoned.request_id)
         if request is None:
             return
-        for attempt in request.running_attempts:
-            self._dependencies.health.record_outcome(
-                cancelled_outcome(request, attempt), now
-            )
-        request.running_attempts.clear()
+        self._end_attempts(request, OutcomeKind.CANCELLED, now)
         self._finish(request)
 
     def drop_request(self, request_id: RequestId) -> None:
@@ -171,27 +167,30 @@
             return
         request.running_attempts.clear()
         request.stage = Stage.ENDED
-        self._timed_requests.discard(request_id)
+        self._timers.remove(request_id)
         self._remove_if_idle(request)
 
     def tick(self, now: float) -> None:
         """Process held requests and expired timers."""
         if self._held:
             self._process_held(now)
-        for request_id in list(self._timed_requests):
-            self._handle_timer(self._requests.get(request_id), request_id, now)
+        for request_id in self._timers.take_due(now):
+            request = self._requests[request_id]
+            self._handle_timer(request, now)
+            if request.stage is not Stage.ENDED:
+                self._timers.set(request_id, request.due_at)
 
     def next_due(self) -> float:
         """Return the monotonic time at which `tick` must run next."""
-        requests = (self._requests.get(id_) for id_ in self._timed_requests)
-        due = [r.due_at for r in requests if r is not None]
-        due += [held.hold_until for held in self._held.values()]
-        return min(due, default=float("inf"))
+        held = [held.hold_until for held in self._held.values()]
+        return min([self._timers.next_due(), *held])
 
     def resume(self, gap: float) -> None:
         """Bring deadlines forward by a pause of this host; callers waited meanwhile."""
         for request in self._requests.values():
             request.deadline -= gap
+            if request.stage is not Stage.ENDED:
+                self._timers.set(request.id, request.due_at)
 
     # Admission
 
@@ -302,6 +301,7 @@
         )
         self._dependencies.health.record_start(started, request.target_latency, now)
         self._schedule_hedge(request, choice, expected_latency, now)
+        self._timers.set(request.id, request.due_at)
         self._outbox.add_directive(
             self._build_assignment(request, attempt, choice, expected_latency)
         )
@@ -373,27 +373,37 @@
         queue_rounds = 1 + choice.in_flight // max(1, choice.upstream.slots)
         wait = multiple * expected_latency * queue_rounds
         request.hedge_at = now + max(MIN_HEDGE_DELAY_SECONDS, wait)
-        self._timed_requests.add(request.id)
 
-    def _handle_timer(
-        self, request: ActiveRequest | None, request_id: RequestId, now: float
-    ) -> None:
-        if request is None:
-            self._timed_requests.discard(request_id)
-        elif request.stage is Stage.BODY:
-            if now >= request.deadline:
-                self._refuse(request, refusals.BODY_TOO_SLOW)
-        elif request.stage is Stage.BACKOFF and now >= request.backoff_until:
-            self._timed_requests.discard(request_id)
+    def _handle_timer(self, request: ActiveRequest, now: float) -> None:
+        """Continue a request that is due."""
+        if request.stage is Stage.BODY:
+            self._refuse(request, refusals.BODY_TOO_SLOW)
+        elif request.stage is Stage.BACKOFF:
             self._dispatch(request, now)
         elif request.hedge_at is not None and now >= request.hedge_at:
-            self._timed_requests.discard(request_id)
             request.hedge_at = None
             self._hedge(request, now)
+        else:
+            self._time_out(request, now)
+
+    def _time_out(self, request: ActiveRequest, now: float) -> None:
+        """Refuse a request whose attempts did not end at its deadline."""
+        self._end_attempts(request, OutcomeKind.TIMEOUT, now)
+        request.ran = Ran.MAYBE
+        self._refuse(
+            request, refusals.outcome_refusal(OutcomeKind.TIMEOUT, request.ran)
+        )
+
+    def _end_attempts(
+        self, request: ActiveRequest, kind: OutcomeKind, now: float
+    ) -> None:
+        """Record the end of the running attempts, which the front end cancels."""
+        for attempt in request.running_attempts:
+            outcome = unreported_outcome(request, attempt, kind)
+            self._dependencies.health.record_outcome(outcome, now)
+        request.running_attempts.clear()
 
     def _hedge(self, request: ActiveRequest, now: float) -> None:
-        if request.stage is not Stage.RUNNING:
-            return
         policy = request.route.policy
         if self._dependencies.retries.acquire_hedge(
             request.service,
@@ -477,8 +487,9 @@
             self._dispatch(request, now)
             return
         request.stage = Stage.BACKOFF
+        request.hedge_at = None
         request.backoff_until = now + backoff(request.attempts_made, self._rng)
-        self._timed_requests.add(request.id)
+        self._timers.set(request.id, request.due_at)
 
     # Completion
 
@@ -491,7 +502,7 @@
 
     def _finish(self, request: ActiveRequest) -> None:
         request.stage = Stage.ENDED
-        self._timed_requests.discard(request.id)
+        self._timers.remove(request.id)
         self._remove_if_idle(request)
 
     def _remove_if_idle(self, request: ActiveRequest) -> None:
--- a/src/catkinspan/coordination/requests/records.py
+++ b/src/catkinspan/coordination/requests/records.py
@@ -8,6 +8,7 @@
 from catkinspan.coordination.outcomes import AttemptOutcome, OutcomeKind
 from catkinspan.coordination.quarantine.models import Fingerprint
 from catkinspan.coordination.requests.const import (
+    DEADLINE_GRACE_SECONDS,
     MAX_HOLD_DEADLINE_SHARE,
     MAX_HOLD_SECONDS,
     MAX_HOLD_SECONDS_WITHOUT_DEADLINE,
@@ -94,7 +95,8 @@
             return self.deadline
         if self.stage is Stage.BACKOFF:
             return self.backoff_until
-        return float("inf") if self.hedge_at is None else self.hedge_at
+        overdue_at = self.deadline + DEADLINE_GRACE_SECONDS
+        return overdue_at if self.hedge_at is None else min(self.hedge_at, overdue_at)
 
     @property
     def target_latency(self) -> float | None:
@@ -130,15 +132,17 @@
         )
 
 
-def cancelled_outcome(request: ActiveRequest, attempt: int) -> AttemptOutcome:
-    """Return the outcome of an attempt whose caller disconnected."""
+def unreported_outcome(
+    request: ActiveRequest, attempt: int, kind: OutcomeKind
+) -> AttemptOutcome:
+    """Return the outcome of an attempt that ends without a report."""
     return AttemptOutcome(
         request_id=request.id,
         attempt=attempt,
         service=request.service,
         server=request.running_attempts[attempt],
         workspace=request.workspace,
-        kind=OutcomeKind.CANCELLED,
+        kind=kind,
         latency=0.0,
         bytes_written=True,
         request_class=request.route.id,
