--- a/src/catkinspan/coordination/requests/records.py
+++ b/src/catkinspan/coordination/requests/records.py
@@ -6,7 +6,10 @@
 
 from catkinspan.coordination.outcomes import AttemptOutcome, OutcomeKind
 from catkinspan.coordination.quarantine.models import Fingerprint
-from catkinspan.coordination.requests.const import MAX_UNCOUNTED_CONNECT_ERRORS
+from catkinspan.coordination.requests.const import (
+    DEADLINE_GRACE_SECONDS,
+    MAX_UNCOUNTED_CONNECT_ERRORS,
+)
 from catkinspan.coordination.requests.errors import Ran
 from catkinspan.coordination.requests.models import NO_BODY_DIGEST, RequestArrived
 from catkinspan.state.ids import (
@@ -88,7 +91,8 @@
             return self.deadline
         if self.stage is Stage.BACKOFF:
             return self.backoff_until
-        return float("inf") if self.hedge_at is None else self.hedge_at
+        overdue_at = self.deadline + DEADLINE_GRACE_SECONDS
+        return overdue_at if self.hedge_at is None else min(self.hedge_at, overdue_at)
 
     @property
     def target_latency(self) -> float | None:
@@ -97,15 +101,17 @@
         return None if target is None else target.total_seconds()
 
 
-def cancelled_outcome(request: ActiveRequest, attempt: int) -> AttemptOutcome:
-    """Return the outcome of an attempt whose caller disconnected."""
+def unreported_outcome(
+    request: ActiveRequest, attempt: int, kind: OutcomeKind
+) -> AttemptOutcome:
+    """Return the outcome of an attempt that ends without a report."""
     return AttemptOutcome(
         request_id=request.id,
         attempt=attempt,
         service=request.service,
         server=request.running_attempts[attempt],
         workspace=request.workspace,
-        kind=OutcomeKind.CANCELLED,
+        kind=kind,
         latency=0.0,
         bytes_written=True,
         request_class=request.route.id,
--- a/src/catkinspan/transport/upstreams/attempt.py
+++ b/src/catkinspan/transport/upstreams/attempt.py
@@ -13,7 +13,7 @@
 from catkinspan.protocol.http.names import HttpNames
 from catkinspan.protocol.http.upstream import ResponseInfo, UpstreamRequest
 from catkinspan.transport.mailbox import Mailbox
-from catkinspan.transport.socket_port import SocketClosed, SocketData
+from catkinspan.transport.socket_port import SocketClosed, SocketData, SocketDrained
 from catkinspan.transport.upstreams.connection import (
     UpstreamConnection,
     async_open_connection,
@@ -34,6 +34,7 @@
     PoolReply,
     ReleaseConnection,
 )
+from catkinspan.transport.upstreams.reader import ResponseReader
 
 
 @frozen
@@ -140,6 +141,10 @@
         self._is_stale_response = False
         """Whether the response being read belongs to an earlier request."""
 
+        self._expired_deadline: float | None = None
+        self._messages_in_time = 0
+        """Messages in the inbox that had arrived when the deadline expired."""
+
     @property
     def inbox(self) -> Mailbox[Any]:
         """Return the inbox for `BodyChunk` messages."""
@@ -157,7 +162,9 @@
             await self._async_exchange(self._connection)
         except AttemptError as error:
             self._report_failure(error.kind)
-        except h11.ProtocolError:
+        except h11.RemoteProtocolError:
+            self._report_failure(self._protocol_failure_kind())
+        except h11.LocalProtocolError:
             self._report_failure(self._connection_failure_kind())
         finally:
             self._close()
@@ -218,25 +225,22 @@
             raise
 
     async def _async_exchange(self, connection: UpstreamConnection) -> None:
+        reader = ResponseReader(connection)
         self._send_head(connection)
         if not self._spec.body_complete:
             self._events.post_unbounded(BodyChunkRequested(self._attempt))
         while True:
-            event = connection.http.next_event()
+            event = await reader.async_next_event()
             if event is h11.NEED_DATA:
-                await self._async_receive(connection)
-                continue
-            if isinstance(event, h11.InformationalResponse):
-                continue
-            if isinstance(event, h11.Response):
-                await self._async_report_head(event)
+                await self._async_receive(connection, reader)
+            elif isinstance(event, h11.Response):
+                await self._async_report_head(event, reader)
             elif isinstance(event, h11.EndOfMessage) and self._is_stale_response:
-                self._read_next_response(connection)
+                self._read_next_response(reader)
             elif self._is_stale_response and isinstance(event, h11.Data):
                 continue
             elif isinstance(event, h11.Data):
-                data = AttemptData(self._attempt, bytes(event.data))
-                await self._events.async_post(data)
+                await self._async_post(AttemptData(self._attempt, bytes(event.data)))
             elif isinstance(event, h11.EndOfMessage):
                 self._finish(connection)
                 return
@@ -269,32 +273,46 @@
             assigned.workspace,
         )
 
-    async def _async_receive(self, connection: UpstreamConnection) -> None:
-        message = await self._inbox.async_get_until(self._receive_deadline())
+    async def _async_receive(
+        self, connection: UpstreamConnection, reader: ResponseReader
+    ) -> None:
+        deadline = self._receive_deadline()
+        if self._clock.monotonic() >= deadline:
+            self._take_message_in_time(deadline)
+        message = await self._inbox.async_get_until(deadline)
         match message:
             case None:
-                raise AttemptError(self._timeout_kind())
-            case SocketData(port, data):
-                port.acknowledge(len(data))
-                self._receive_data(connection, data)
+                raise AttemptError(OutcomeKind.TIMEOUT)
+            case SocketData():
+                reader.receive(message)
             case SocketClosed(_, clean):
-                if not clean:
+                if not clean or connection.http.their_state is not h11.SEND_BODY:
                     raise AttemptError(self._connection_failure_kind())
-                self._receive_data(connection, b"")
+                connection.http.receive_data(b"")
             case BodyChunk():
-                await self._async_send_body(connection, message)
+                self._send_body(connection, message)
+            case SocketDrained():
+                self._events.post_unbounded(BodyChunkRequested(self._attempt))
 
-    def _receive_data(self, connection: UpstreamConnection, data: bytes) -> None:
-        try:
-            connection.http.receive_data(data)
-            if not data and connection.http.their_state is not h11.SEND_BODY:
-                raise AttemptError(self._connection_failure_kind())
-        except h11.RemoteProtocolError as error:
-            raise AttemptError(self._connection_failure_kind()) from error
+    def _take_message_in_time(self, deadline: float) -> None:
+        """Allow only the messages that had arrived when the deadline expired.
 
-    async def _async_send_body(
-        self, connection: UpstreamConnection, chunk: BodyChunk
-    ) -> None:
+        A server that sends without end keeps the inbox from ever being empty.
+        """
+        if self._expired_deadline != deadline:
+            self._expired_deadline = deadline
+            self._messages_in_time = len(self._inbox)
+        if self._messages_in_time == 0:
+            raise AttemptError(OutcomeKind.TIMEOUT)
+        self._messages_in_time -= 1
+
+    async def _async_post(self, event: AttemptEvent) -> None:
+        """Pass on a part of the response; waits while the caller reads slowly."""
+        deadline = self._spec.assigned.deadline
+        if not await self._events.async_post_until(event, deadline):
+            raise AttemptError(OutcomeKind.TIMEOUT)
+
+    def _send_body(self, connection: UpstreamConnection, chunk: BodyChunk) -> None:
         if connection.port.is_closed:
             return
         if chunk.data:
@@ -304,10 +322,11 @@
             connection.port.write(connection.http.send(h11.EndOfMessage()) or b"")
             self._body_sent = True
             return
-        await connection.port.async_drain()
-        self._events.post_unbounded(BodyChunkRequested(self._attempt))
+        connection.port.notify_when_drained()
 
-    async def _async_report_head(self, response: h11.Response) -> None:
+    async def _async_report_head(
+        self, response: h11.Response, reader: ResponseReader
+    ) -> None:
         request = self._spec.request
         info = ResponseInfo.from_headers(list(response.headers), request.names)
         if info.echoed_id not in (None, request.request_id):
@@ -315,6 +334,7 @@
                 raise AttemptError(OutcomeKind.CROSSED)
             self._is_stale_response = True
             return
+        reader.accept_response()
         self._head_latency = self._clock.monotonic() - self._started_at
         self._server_draining = info.draining
         self._server_closes = self._server_closes or info.closes_connection
@@ -324,17 +344,16 @@
             raise AttemptError(kind)
         self._server_error = response.status_code >= 500
         outcome = self._outcome(self._response_kind())
-        await self._events.async_post(AttemptHead(self._attempt, response, outcome))
+        await self._async_post(AttemptHead(self._attempt, response, outcome))
 
-    def _read_next_response(self, connection: UpstreamConnection) -> None:
+    def _read_next_response(self, reader: ResponseReader) -> None:
         """Read the response that follows one to an earlier request.
 
         The connection is closed afterwards, since later data on it cannot be trusted.
         """
         self._is_stale_response = False
         self._server_closes = True
-        rest, _ = connection.http.trailing_data
-        connection.expect_another_response(self._spec.request.method, rest)
+        reader.skip_response(self._spec.request.method)
 
     def _finish(self, connection: UpstreamConnection) -> None:
         reusable = (
@@ -362,10 +381,10 @@
             return OutcomeKind.RESET
         return OutcomeKind.TRUNCATED
 
-    def _timeout_kind(self) -> OutcomeKind:
-        if self._head_latency is None:
-            return OutcomeKind.TIMEOUT
-        return OutcomeKind.TRUNCATED
+    def _protocol_failure_kind(self) -> OutcomeKind:
+        if self._connection is not None and self._connection.http.trailing_data[1]:
+            return self._connection_failure_kind()
+        return OutcomeKind.INVALID
 
     def _outcome(self, kind: OutcomeKind) -> AttemptOutcome:
         latency = self._head_latency
