Divide the base of the retry budget among the hosts of the fleet

Each host was allowed 1.4 retries in 10 s beyond the ratio. The platform grants 56 to 60 whatever the number of hosts: 115 hosts were allowed 161, 1,100 hosts 1,540 (BUDGET). A host now has its part of 56, 1.4 at most, so that fleets of up to 40 hosts keep what they had.

test_base_retries_do_not_grow_with_the_fleet failed before for 115 hosts (230 retries, bound 129) and for 1,100 (2,200, bound 720).

--- a/src/catkinspan/coordination/retries/const.py
+++ b/src/catkinspan/coordination/retries/const.py
@@ -1,9 +1,12 @@
 """Constants of retry budgets and backoff."""
 
 BASE_RETRIES_PER_WINDOW = 1.4
-"""Retries allowed on each host per window in addition to the ratio, so that a service
-with little traffic can retry at all. The platform grants 56 to 60 retries per window to
-32 to 40 hosts."""
+"""Maximum of the retries allowed on each host per window in addition to the ratio, so
+that a service with little traffic can retry at all."""
+
+FLEET_BASE_RETRIES_PER_WINDOW = 56.0
+"""Retries that all hosts together are allowed per window in addition to the ratio. The
+platform grants 56 to 60 whatever the number of hosts."""
 
 WINDOW_SECONDS = 10
 """Sliding window over which retries are limited to a ratio of first attempts. Unused
--- a/src/catkinspan/coordination/retries/coordinator.py
+++ b/src/catkinspan/coordination/retries/coordinator.py
@@ -12,12 +12,14 @@
 from catkinspan.coordination.retries.const import (
     BASE_BACKOFF_SECONDS,
     BASE_RETRIES_PER_WINDOW,
+    FLEET_BASE_RETRIES_PER_WINDOW,
     MAX_BACKOFF_SECONDS,
     MIN_ATTEMPT_SECONDS,
     MIN_BUDGET_AFTER_HEDGE,
     WINDOW_SECONDS,
 )
 from catkinspan.coordination.retries.models import RetryBudget
+from catkinspan.state.hosts import FleetView
 from catkinspan.state.ids import ServiceId
 from catkinspan.state.policy import Policy
 from catkinspan.state.tree import SettingsTree
@@ -83,8 +85,8 @@
     """Limits retries and hedges to a ratio of the first attempts of each service.
 
     Each host limits its own retries, so that the limit holds for the fleet without
-    messages between hosts: `ratio * first attempts` in each window, plus
-    `BASE_RETRIES_PER_WINDOW` per host.
+    messages between hosts: `ratio * first attempts` in each window, plus its part of
+    `FLEET_BASE_RETRIES_PER_WINDOW`.
     """
 
     message_types: ClassVar[tuple[type[PeerMessage], ...]] = ()
@@ -93,6 +95,7 @@
         self._outbox = outbox
         self._budgets: dict[ServiceId, _Budget] = {}
         self._ratios: dict[ServiceId, float] = {}
+        self._base_retries = BASE_RETRIES_PER_WINDOW
 
     def apply_tree(self, tree: SettingsTree, now: float) -> None:
         """Apply the configured ratios, and drop the budgets of removed services."""
@@ -103,6 +106,13 @@
         for name, budget in self._budgets.items():
             budget.ratio = self._ratios[name]
 
+    def apply_view(self, view: FleetView, now: float) -> None:
+        """Divide the retries of the whole fleet among the known hosts."""
+        part = FLEET_BASE_RETRIES_PER_WINDOW / max(1, view.known_count)
+        self._base_retries = min(BASE_RETRIES_PER_WINDOW, part)
+        for budget in self._budgets.values():
+            budget.base_retries = self._base_retries if budget.ratio > 0 else 0.0
+
     def record_first_attempt(self, service: ServiceId, now: float) -> None:
         """Count the first attempt of a request."""
         self._budget_for(service).record_first_attempt(now)
@@ -152,7 +162,7 @@
         budget = self._budgets.get(service)
         if budget is None:
             ratio = self._ratios.get(service, Policy().retry_ratio)
-            base_retries = BASE_RETRIES_PER_WINDOW if ratio > 0 else 0.0
+            base_retries = self._base_retries if ratio > 0 else 0.0
             budget = self._budgets[service] = _Budget(ratio, base_retries)
         return budget
 
--- a/tests/coordination/retries/test_coordinator.py
+++ b/tests/coordination/retries/test_coordinator.py
@@ -12,7 +12,8 @@
     WINDOW_SECONDS,
 )
 from catkinspan.coordination.retries.coordinator import RetryCoordinator, backoff
-from catkinspan.state.ids import Revision, ServiceId
+from catkinspan.state.hosts import FleetView
+from catkinspan.state.ids import DataCentre, HostId, Revision, ServiceId
 from catkinspan.state.policy import Policy
 from catkinspan.state.tree import Service, SettingsTree
 
@@ -46,6 +47,20 @@
     assert allowed <= ratio * 20_000 + (BASE_RETRIES_PER_WINDOW * 40 if ratio else 0)
 
 
+@pytest.mark.parametrize("hosts", [40, 115, 1100])
+def test_base_retries_do_not_grow_with_the_fleet(hosts: int) -> None:
+    """Guards against a fleet that exceeds the platform's slack of 60 by its size."""
+    view = FleetView(HostId("a"), DataCentre("d"), known_count=hosts)
+    fleet = [make_coordinator(0.2) for _ in range(hosts)]
+    first_attempts, allowed = 3, 0
+    for host in fleet:
+        host.apply_view(view, 0.0)
+        for _ in range(first_attempts):
+            host.record_first_attempt(SERVICE, 0.0)
+        allowed += sum(retry(host) for _ in range(3))
+    assert allowed <= 0.2 * first_attempts * hosts + 60
+
+
 def test_low_traffic_can_retry_once() -> None:
     """Guards against a service with one request per minute that can never retry."""
     retries = make_coordinator()
