--- a/src/catkinspan/coordination/health/coordinator.py
+++ b/src/catkinspan/coordination/health/coordinator.py
@@ -218,7 +218,7 @@
             is_draining=server.upstream.leaving or now < server.draining_until,
             is_cold=now < server.cold_until,
             is_misdirected=now < server.misdirected_until,
-            state_age=None if state is None else self._subscriber.age(hubs, now),
+            state_age=self._subscriber.age(hubs, now),
         )
 
     def report(self, service: ServiceId, now: float) -> ServiceReport | None:
--- a/src/catkinspan/coordination/health/models.py
+++ b/src/catkinspan/coordination/health/models.py
@@ -92,7 +92,7 @@
     """Whether a different server answers at its address."""
 
     state_age: float | None = None
-    """Age in seconds of the hub's news that it rests on; None for own counts only."""
+    """Age in seconds of the latest news of a hub; None for own counts only."""
 
 
 class ServerStatus(StrEnum):
--- a/src/catkinspan/coordination/health/subscriber.py
+++ b/src/catkinspan/coordination/health/subscriber.py
@@ -149,8 +149,12 @@
         return None
 
     def age(self, hubs: Iterable[HostId], now: float) -> float | None:
-        """Return the age in seconds of the latest news of a hub, None without any."""
-        ages = [now - s.current_at for h in hubs if (s := self._streams.get(h))]
+        """Return the age in seconds of the latest news of a current hub, if any."""
+        ages = (
+            now - stream.current_at
+            for hub in hubs
+            if (stream := self._streams.get(hub)) and stream.is_current(now)
+        )
         return min(ages, default=None)
 
     def keep_only(self, hubs: Iterable[HostId]) -> None:
