Give the fake channel links with a bandwidth

Virtual time had links without a limit, so no test could show a hub whose link is full. Without links the channel behaves as before.

--- a/src/catkinspan/testing/channel.py
+++ b/src/catkinspan/testing/channel.py
@@ -1,8 +1,8 @@
 """A fake message channel between hosts, in virtual time.
 
 It delays, drops and duplicates messages with a seeded random source, blocks paths in
-one direction, and runs the ticks of each host. It is meant for focused tests of
-coordinators; it does not model sockets or processor time.
+one direction, and runs the ticks of each host. Links may have a limited bandwidth. It
+is meant for focused tests of coordinators; it does not model sockets or processor time.
 """
 
 import heapq
@@ -18,6 +18,7 @@
 from catkinspan.coordination.outbox import Outbox
 from catkinspan.state.ids import HostId
 from catkinspan.state.tree import Address
+from catkinspan.testing.links import HostLinks
 
 
 class ChannelNode(Protocol):
@@ -75,14 +76,16 @@
         on_send: Callable[[HostId, HostId, PeerMessage], None] | None = None,
         late_share: float = 0.0,
         late_delay: tuple[float, float] = (0.5, 10.0),
+        links: HostLinks | None = None,
     ) -> None:
         """Create a channel without hosts.
 
         `delay` is the range of the delay in seconds; `path_delay` returns it for each
         path instead. `loss`, `duplication` and `late_share` are shares of the
         messages; late messages take `late_delay`. `on_send` is called for each
-        message, lost ones included.
+        message, lost ones included. Without `links`, the bandwidth is unlimited.
         """
+        self._links = links
         self._late_share = late_share
         self._late_delay = late_delay
         self._rng = rng
@@ -216,6 +219,9 @@
             self._on_send(source, target, message)
         if (source, target) in self._cuts or self._rng.random() < self._loss:
             return
+        sent_at = self._leave(source, message)
+        if sent_at is None:
+            return
         copies = 2 if self._rng.random() < self._duplication else 1
         sender = Sender(source, incarnation)
         delay_of = self._path_delay
@@ -223,7 +229,21 @@
         for _ in range(copies):
             is_late = self._late_share > 0 and self._rng.random() < self._late_share
             delay = self._late_delay if is_late else path_delay_range
-            when = self.now + self._rng.uniform(*delay)
+            when = sent_at + self._rng.uniform(*delay)
+            self.call_at(when, lambda: self._receive(target, message, sender))
+
+    def _leave(self, source: HostId, message: PeerMessage) -> float | None:
+        """Return when a message has left its source; None if the link drops it."""
+        if self._links is None:
+            return self.now
+        return self._links.send(source, message, self.now)
+
+    def _receive(self, target: HostId, message: PeerMessage, sender: Sender) -> None:
+        if self._links is None:
+            self._deliver(target, message, sender)
+            return
+        when = self._links.receive(target, message, self.now)
+        if when is not None:
             self.call_at(when, lambda: self._deliver(target, message, sender))
 
     def _deliver(self, target: HostId, message: PeerMessage, sender: Sender) -> None:
--- a/src/catkinspan/testing/hosts.py
+++ b/src/catkinspan/testing/hosts.py
@@ -35,6 +35,7 @@
 from catkinspan.state.ids import NO_REVISION, HostId, RequestId, Revision
 from catkinspan.state.node import RateWindow
 from catkinspan.testing.channel import FakeChannel
+from catkinspan.testing.links import HostLinks
 
 READ_LATENCY_SECONDS = 0.005
 SERVICE_LATENCY_SECONDS = 0.01
@@ -260,8 +261,9 @@
         respond: ResponsePolicy = always_ok,
         max_requests: int = 2000,
         rate_window: RateWindow | None = None,
+        links: HostLinks | None = None,
     ) -> None:
-        self.channel = FakeChannel(rng)
+        self.channel = FakeChannel(rng, links=links)
         self.store = VirtualStore()
         self.store.put(documents)
         self.respond = respond
