Send crash reports through the hubs

What callers saw: nothing yet; this prepares hosts that know only hub candidates instead of all hosts of their data centre.

Cause: reports of crashing requests went to four random known hosts. That needs a list of all hosts on each host, and such lists fill the hubs' links.

Change: a host sends its reports to its hubs, a hub forwards those of others to its followers and to the other hubs, and each report is sent in three rounds as before. The rate limit counts reports instead of copies, since a hub has more receivers. A hub syncs a host that joins.

Tests: the fleet of the tests has hubs now. Two checks of the burst and of the budget run for a follower and for a hub. The one of the burst looked only at what one tick sent, which was nothing; it now counts all messages. The bound of copies for each host stays at 24 for two crashes.

--- a/src/catkinspan/coordination/quarantine/const.py
+++ b/src/catkinspan/coordination/quarantine/const.py
@@ -28,20 +28,18 @@
 MAX_SEEN_REPORTS = 8_192
 MAX_RECENT_CRASHES = 256
 
-GOSSIP_FANOUT = 4
-"""Peers that receive each report in one gossip round."""
-
-GOSSIP_ROUNDS = 3
-"""Rounds in which a host forwards a report: one immediately, then one per tick."""
+REPORT_ROUNDS = 3
+"""Times that each report is sent: once immediately, then once per tick, since datagrams
+may be lost."""
 
 MAX_REPORTS_PER_MESSAGE = 16
 MAX_QUEUED_REPORTS = 64
-REPORT_COPIES_PER_SECOND = 8.0
-"""Rate limit of the report copies that a host sends. 8 copies of about 215 bytes take
-1.7 KB/s of the 6 KB/s that a host may use for control traffic."""
+REPORTS_PER_SECOND = 0.7
+"""Rate limit of the reports that a host sends. A hub with 85 followers sends about
+215 bytes to each in each round: 38 KB/s, 3% of a link of 10 Mbit/s."""
 
-MAX_REPORT_COPY_BURST = 480.0
-"""Report copies that a host may send in a burst: 40 reports in all rounds."""
+MAX_REPORT_BURST = 40.0
+"""Reports that a host may send at once."""
 
 NOISY_SERVER_WINDOW_SECONDS = 30.0
 MAX_REPORTS_PER_SERVER = 10
@@ -49,9 +47,6 @@
 server that keeps resetting connections would use up the rate limit; it is handled by
 the health assessor instead."""
 
-SENDERS_PER_NEW_HOST = 2
-"""Hosts that send their crash reports to each newly started host."""
-
 MAX_REPORTS_FOR_NEW_HOST = 64
 DIGEST_BYTES = 16
 """Size of a fingerprint's digest."""
--- a/src/catkinspan/coordination/quarantine/coordinator.py
+++ b/src/catkinspan/coordination/quarantine/coordinator.py
@@ -13,22 +13,20 @@
 from catkinspan.coordination.quarantine.const import (
     CRASH_RETENTION_SECONDS,
     CRASHES_TO_QUARANTINE,
-    GOSSIP_FANOUT,
-    GOSSIP_ROUNDS,
     MAX_CLEARANCES,
     MAX_CRASHES_PER_FINGERPRINT,
     MAX_FINGERPRINTS,
     MAX_FINGERPRINTS_PER_WORKSPACE,
     MAX_QUARANTINE_SECONDS,
     MAX_QUEUED_REPORTS,
-    MAX_REPORT_COPY_BURST,
+    MAX_REPORT_BURST,
     MAX_REPORTS_FOR_NEW_HOST,
     MAX_REPORTS_PER_MESSAGE,
     MAX_SEEN_REPORTS,
     MIN_CLEARANCE_INTERVAL_SECONDS,
     QUARANTINE_SECONDS,
-    REPORT_COPIES_PER_SECOND,
-    SENDERS_PER_NEW_HOST,
+    REPORT_ROUNDS,
+    REPORTS_PER_SECOND,
 )
 from catkinspan.coordination.quarantine.errors import Quarantined
 from catkinspan.coordination.quarantine.incidents import IncidentLog
@@ -45,7 +43,6 @@
     RequestQuarantined,
     Success,
 )
-from catkinspan.coordination.rendezvous import ranked
 from catkinspan.state.hosts import FleetView
 from catkinspan.state.ids import HostId, ServerId, WorkspaceId
 
@@ -53,14 +50,15 @@
 @define
 class _QueuedItem:
     item: Crash | Success
-    rounds_left: int = GOSSIP_ROUNDS
+    rounds_left: int = REPORT_ROUNDS
 
 
 class QuarantineCoordinator(BaseCoordinator):
     """Refuses requests that crashed two upstream connections anywhere in the fleet.
 
     Every host receives all crash reports and decides by itself, so that there is no
-    role to fail over when a host fails.
+    role to fail over when a host fails. A host sends its own reports to its hubs; hubs
+    forward them to their followers and to the other hubs.
     """
 
     message_types: ClassVar[tuple[type[PeerMessage], ...]] = MESSAGES
@@ -72,6 +70,9 @@
         self._instance_id = rng.getrandbits(48)
         self._last_serial = 0
         self._peers: tuple[HostId, ...] = ()
+        self._forwards = False
+        """Whether this host forwards the reports of others, as a hub does."""
+
         self._incarnations: dict[HostId, int] = {}
         self._incident_log = IncidentLog()
         self._suspects: OrderedDict[Fingerprint, FingerprintState] = OrderedDict()
@@ -79,7 +80,7 @@
         self._seen_crashes: OrderedDict[CrashId, None] = OrderedDict()
         self._last_successes: OrderedDict[Fingerprint, float] = OrderedDict()
         self._new_item_count = 0
-        self._copy_tokens = MAX_REPORT_COPY_BURST
+        self._report_tokens = MAX_REPORT_BURST
         self._last_round_at = 0.0
         self._queue: deque[_QueuedItem] = deque(maxlen=MAX_QUEUED_REPORTS)
 
@@ -104,8 +105,9 @@
         """
         self._last_serial += 1
         crash_id = CrashId(self._self_id, self._instance_id, self._last_serial)
-        self._add_crash(Crash(crash_id, fingerprint, server, now), now)
-        self._send_gossip_round(now)
+        crash = Crash(crash_id, fingerprint, server, now)
+        self._add_crash(crash, now, is_own=True)
+        self._send_round(now)
 
     def record_success(self, fingerprint: Fingerprint, now: float) -> None:
         """Record a success of the request, which clears its earlier crashes.
@@ -114,19 +116,22 @@
         servers fail by themselves. It costs one lookup for a request without crashes.
         """
         if fingerprint in self._suspects:
-            self._apply_success(Success(fingerprint, now))
-            self._send_gossip_round(now)
+            self._apply_success(Success(fingerprint, now), is_own=True)
+            self._send_round(now)
 
     def apply_view(self, view: FleetView, now: float) -> None:
         """Apply the list of peers, and send crash reports to newly started ones."""
-        self._peers = tuple(host for host in view.usable if host != self._self_id)
+        reachable = {*view.hubs, *view.followers, *view.remote_hubs} - {self._self_id}
+        self._peers = tuple(sorted(reachable))
+        self._forwards = view.is_hub or bool(view.followers)
         for host in self._peers:
             incarnation = view.hosts[host].incarnation if host in view.hosts else 0
             if self._incarnations.get(host) == incarnation:
                 continue
             self._incarnations[host] = incarnation
-            self._sync_new_host(host, incarnation, now)
-        for host in self._incarnations.keys() - set(self._peers):
+            if self._forwards:
+                self._sync_new_host(host, now)
+        for host in self._incarnations.keys() - reachable:
             del self._incarnations[host]
 
     def handle(self, message: PeerMessage, sender: Sender, now: float) -> None:
@@ -136,25 +141,24 @@
         items_before = self._new_item_count
         for report in message.reports:
             at = now - report.age_ms / 1000
-            self._add_crash(
-                Crash(report.id, report.fingerprint, report.server, at), now
-            )
+            crash = Crash(report.id, report.fingerprint, report.server, at)
+            self._add_crash(crash, now, is_own=False)
         for clearance in message.clearances:
             at = now - clearance.age_ms / 1000
-            self._apply_success(Success(clearance.fingerprint, at))
+            self._apply_success(Success(clearance.fingerprint, at), is_own=False)
         if self._new_item_count != items_before:
-            self._send_gossip_round(now)
+            self._send_round(now)
 
     def tick(self, now: float) -> None:
         """Send queued reports, end due quarantines and drop expired crashes."""
-        self._send_gossip_round(now)
+        self._send_round(now)
         for fingerprint, suspect in list(self._suspects.items()):
             if suspect.quarantined_until and suspect.quarantined_until <= now:
                 self._end_quarantine(fingerprint, suspect)
             if suspect.crashes[-1].at + CRASH_RETENTION_SECONDS <= now:
                 self._remove(fingerprint)
 
-    def _add_crash(self, crash: Crash, now: float) -> None:
+    def _add_crash(self, crash: Crash, now: float, is_own: bool) -> None:
         if crash.id in self._seen_crashes or crash.at + CRASH_RETENTION_SECONDS <= now:
             return
         self._seen_crashes[crash.id] = None
@@ -162,7 +166,7 @@
             self._seen_crashes.popitem(last=False)
         self._incident_log.add(crash)
         if not self._incident_log.is_server_noisy(crash):
-            self._enqueue(crash)
+            self._enqueue(crash, is_own)
         if crash.at > self._last_successes.get(crash.fingerprint, float("-inf")):
             self._add_to_suspect(crash)
         for fingerprint in self._affected_suspects(crash, now):
@@ -184,7 +188,7 @@
         suspect = self._suspects.get(fingerprint)
         return suspect is not None and suspect.quarantined_until > now
 
-    def _apply_success(self, success: Success) -> None:
+    def _apply_success(self, success: Success, is_own: bool) -> None:
         """Drop the crashes of a request that precede its success."""
         fingerprint = success.fingerprint
         last_success_at = self._last_successes.get(fingerprint, float("-inf"))
@@ -194,14 +198,17 @@
         self._last_successes.move_to_end(fingerprint)
         if len(self._last_successes) > MAX_CLEARANCES:
             self._last_successes.popitem(last=False)
-        self._enqueue(success)
+        self._enqueue(success, is_own)
         suspect = self._suspects.get(fingerprint)
         if suspect is None:
             return
         suspect.crashes = [c for c in suspect.crashes if c.at > success.at]
         self._end_or_remove(fingerprint, suspect)
 
-    def _enqueue(self, item: Crash | Success) -> None:
+    def _enqueue(self, item: Crash | Success, is_own: bool) -> None:
+        """Queue an item for the peers; only hubs forward those of other hosts."""
+        if not (is_own or self._forwards):
+            return
         self._new_item_count += 1
         self._queue.append(_QueuedItem(item))
 
@@ -277,38 +284,34 @@
             QuarantineEnded(fingerprint.workspace, fingerprint.digest.hex())
         )
 
-    def _send_gossip_round(self, now: float) -> None:
-        """Send queued reports to a few random peers, within the rate limit."""
+    def _send_round(self, now: float) -> None:
+        """Send queued reports to all peers, within the rate limit."""
         if not self._queue or not self._peers:
             return
-        new_tokens = max(0.0, now - self._last_round_at) * REPORT_COPIES_PER_SECOND
-        self._copy_tokens = min(MAX_REPORT_COPY_BURST, self._copy_tokens + new_tokens)
+        new_tokens = max(0.0, now - self._last_round_at) * REPORTS_PER_SECOND
+        self._report_tokens = min(MAX_REPORT_BURST, self._report_tokens + new_tokens)
         self._last_round_at = now
-        fanout = min(GOSSIP_FANOUT, len(self._peers))
         count = min(
-            len(self._queue), MAX_REPORTS_PER_MESSAGE, int(self._copy_tokens / fanout)
+            len(self._queue),
+            MAX_REPORTS_PER_MESSAGE,
+            int(self._report_tokens * REPORT_ROUNDS),
         )
         if count == 0:
             return
-        self._copy_tokens -= count * fanout
+        self._report_tokens -= count / REPORT_ROUNDS
         batch = [self._queue.popleft() for _ in range(count)]
         items = [queued.item for queued in batch]
         reports = tuple(_report(i, now) for i in items if isinstance(i, Crash))
         cleared = tuple(_clearance(i, now) for i in items if isinstance(i, Success))
-        for host in self._rng.sample(self._peers, fanout):
-            self._outbox.send(host, CrashNews(reports, cleared))
+        news = CrashNews(reports, cleared)
+        for host in self._peers:
+            self._outbox.send(host, news)
         for queued in batch:
             queued.rounds_left -= 1
             if queued.rounds_left > 0:
                 self._queue.append(queued)
 
-    def _sync_new_host(self, host: HostId, incarnation: int, now: float) -> None:
-        if not self._suspects:
-            return
-        name = f"quarantine/{host}/{incarnation}"
-        candidates = tuple(p for p in (*self._peers, self._self_id) if p != host)
-        if self._self_id not in ranked(name, candidates, SENDERS_PER_NEW_HOST):
-            return
+    def _sync_new_host(self, host: HostId, now: float) -> None:
         crashes = [c for suspect in self._suspects.values() for c in suspect.crashes]
         reports = [_report(c, now) for c in crashes[-MAX_REPORTS_FOR_NEW_HOST:]]
         for first in range(0, len(reports), MAX_REPORTS_PER_MESSAGE):
