Bound the size of rosters and let hosts with wide links be hubs

Cause: a hub sent the list of all hosts of its data centre to each follower whenever the status of any host changed, up to five times a second: 229 KB in each round with 51 hosts, which is 9.2 Mbit/s of a link of 10 Mbit/s at five rounds. Heartbeats and changes waited behind these lists, hosts looked silent, and each silence caused more lists. Hub candidates of other data centres were refreshed every 3 s but counted as silent after 2 s, so this began at rest.

Change: only hubs know all hosts of their data centre, by their heartbeats. A roster lists the first hub candidates and the counts of each data centre, and fits into a datagram in a fleet of any size. Hosts ranked by link first, by the new setting link_mbps, are hubs. A hub that does not answer stays excluded until another host has heard from it. Seeds hear a host with a hub every 20 s instead of every 2 s, and hosts without a hub back off. A new hub uses the count of its predecessor until its followers report.

The expected bytes of a heartbeat in test_codec have the new field.

--- a/src/catkinspan/coordination/membership/const.py
+++ b/src/catkinspan/coordination/membership/const.py
@@ -5,60 +5,84 @@
 without interruption while a lost hub is being replaced."""
 
 HEARTBEAT_INTERVAL_SECONDS = 0.4
-"""Interval of heartbeats to hubs, and to seeds until a hub answers."""
+"""Interval of heartbeats to hubs."""
 
 SEED_HEARTBEAT_INTERVAL_SECONDS = 2.0
-"""Interval of heartbeats to seeds once a hub answers. They join two parts of a fleet
-that started without contact to each other."""
+"""Interval of a hub's heartbeats to seeds. They join two parts of a fleet that started
+without contact to each other."""
+
+FOLLOWER_SEED_INTERVAL_SECONDS = 20.0
+"""Interval of heartbeats to seeds of a host that has a hub. Its hub sends them more
+often, so that the seeds' load does not grow with the number of hosts."""
+
+FIRST_CONTACT_INTERVAL_SECONDS = 0.4
+"""First interval of heartbeats to seeds without a hub; it doubles with each attempt."""
+
+MAX_CONTACT_INTERVAL_SECONDS = 1.6
+CONTACT_JITTER = 0.25
+"""Largest relative deviation of an interval of heartbeats to seeds. It spreads the
+heartbeats of hosts that start at the same time."""
 
 HUB_SILENT_SECONDS = 0.9
 """Time without a message from a hub after which another host replaces it: two
 heartbeats and a round trip."""
 
 HUB_EXCLUSION_SECONDS = 2.0
-"""Time for which a hub that did not answer is excluded from the selection."""
+"""Shortest time for which a hub that did not answer is excluded from the selection. It
+stays excluded until another host has heard from it since."""
 
 HOST_SILENT_SECONDS = 2.0
-"""Time without information about a host after which it counts as silent."""
+"""Time without a heartbeat of a follower, or an answer of another data centre's hub,
+after which it counts as silent."""
 
 HOST_EXPIRY_SECONDS = 45.0
-"""Time without information about a host after which it is removed. Until then its
-share of the rates stays reserved, since it may be partitioned and still serve."""
+"""Time without a heartbeat after which a hub removes a follower. Until then its share
+of the rates stays reserved, since it may be partitioned and still serve."""
 
 LEFT_HOST_EXPIRY_SECONDS = 5.0
 """Time after which a host that announced that it leaves is removed."""
 
+CANDIDATE_EXPIRY_SECONDS = 5.0
+"""Time after which a host of the own data centre that no roster lists is removed, if
+it does not report here: several rosters."""
+
+REMOTE_HOST_EXPIRY_SECONDS = 15.0
+"""Time without information after which a host of another data centre is removed. It
+covers a full rotation of the data centres that rosters list."""
+
 ROSTER_INTERVAL_SECONDS = 1.0
-"""Interval of full rosters to followers when nothing changes."""
+"""Interval of rosters to followers. A roster has a bounded size, so a hub with 85
+followers sends 85 times that size in each interval."""
 
 MIN_ROSTER_INTERVAL_SECONDS = 0.2
-"""Shortest interval between rosters that report a change. It batches the changes when
-a whole fleet starts, instead of sending one roster for each host found."""
-
-BASE_ROSTER_HOSTS = 40
-"""Number of known hosts up to which full rosters are sent every
-`ROSTER_INTERVAL_SECONDS`; the interval grows in proportion above it."""
+"""Shortest interval between rosters. It batches the changes when a whole fleet starts,
+instead of sending one roster for each host found."""
 
 REMOTE_ROSTER_INTERVAL_SECONDS = 3.0
 """Interval of rosters to hubs of other data centres when nothing changes. It is longer
 because traffic between data centres is billed."""
 
+MIN_REMOTE_SIZE_INTERVAL_SECONDS = 1.0
+"""Shortest interval between rosters that report a new size to other data centres."""
+
 DATA_CENTRE_SILENT_SECONDS = 1.0
 """Time without a message from any hub of another data centre after which its hosts
 count as not alive. It covers two `Freshness` intervals."""
 
-REMOTE_HOST_EXPIRY_SECONDS = 8.0
-"""Time without information after which a host of another data centre is removed. Only
-its hub candidates are tracked; its other hosts are only counted."""
+HUB_CANDIDATES = 4
+"""Hub candidates of the receiver's data centre in a roster: two hubs, and two more that
+replace them if both are lost."""
 
-REMOTE_CANDIDATES = 4
-"""Hub candidates of another data centre listed in a roster. Hosts report only within
-their own data centre, so the others need not be known elsewhere."""
+REMOTE_DATA_CENTRES = 2
+"""Other data centres of which a roster lists hubs. Rosters list them in rotation, so
+that a roster fits into a datagram in a fleet of any size."""
 
 MAX_DATA_CENTRES = 64
 MAX_KNOWN_HOSTS = 2_000
-"""Limit for the hosts that a host tracks and for the entries that it reads from a
-roster."""
+"""Limit for the hosts that a host tracks."""
+
+MAX_ROSTER_ENTRIES = 64
+"""Entries that are read from a roster."""
 
 EXPIRY_CHECK_INTERVAL_SECONDS = 0.2
 """Interval at which all known hosts are checked for silence. The cost grows with the
--- a/src/catkinspan/coordination/membership/coordinator.py
+++ b/src/catkinspan/coordination/membership/coordinator.py
@@ -3,38 +3,40 @@
 from collections.abc import Iterable
 from typing import ClassVar
 
-from attrs import define, evolve
+from attrs import evolve
 
 from catkinspan.coordination.coordinator import BaseCoordinator
 from catkinspan.coordination.membership.const import (
-    BASE_ROSTER_HOSTS,
-    DATA_CENTRE_SILENT_SECONDS,
+    CONTACT_JITTER,
     EXPIRY_CHECK_INTERVAL_SECONDS,
+    FIRST_CONTACT_INTERVAL_SECONDS,
+    FOLLOWER_SEED_INTERVAL_SECONDS,
     HEARTBEAT_INTERVAL_SECONDS,
     HOST_EXPIRY_SECONDS,
     HOST_SILENT_SECONDS,
-    HUB_EXCLUSION_SECONDS,
+    HUB_CANDIDATES,
     HUB_SILENT_SECONDS,
     HUBS_PER_DATA_CENTRE,
-    LEFT_HOST_EXPIRY_SECONDS,
+    MAX_CONTACT_INTERVAL_SECONDS,
     MAX_DATA_CENTRES,
     MAX_KNOWN_HOSTS,
+    MAX_ROSTER_ENTRIES,
+    MIN_REMOTE_SIZE_INTERVAL_SECONDS,
     MIN_ROSTER_INTERVAL_SECONDS,
-    REMOTE_CANDIDATES,
-    REMOTE_HOST_EXPIRY_SECONDS,
     REMOTE_ROSTER_INTERVAL_SECONDS,
     ROSTER_INTERVAL_SECONDS,
     SEED_HEARTBEAT_INTERVAL_SECONDS,
 )
 from catkinspan.coordination.membership.models import (
-    DataCentreSize,
     Heartbeat,
     HostStatusChanged,
     HubsChanged,
     MembershipSnapshot,
     Roster,
-    RosterEntry,
 )
+from catkinspan.coordination.membership.peers import Peer, PeerTable
+from catkinspan.coordination.membership.rosters import RosterBuilder
+from catkinspan.coordination.membership.sizes import SizeCounter
 from catkinspan.coordination.models import PeerMessage, Sender
 from catkinspan.coordination.outbox import Outbox
 from catkinspan.coordination.rendezvous import weight
@@ -42,43 +44,18 @@
 from catkinspan.state.ids import DataCentre, HostId
 from catkinspan.state.tree import Address
 
-_RANKING_KEY = "hub"
-
-
-@define
-class _Peer:
-    """Another host and the times of the latest contact with it."""
-
-    record: HostRecord
-    last_seen_at: float
-    """Time of the latest information about the host from any source, in monotonic
-    seconds of this host."""
-
-    last_message_at: float = float("-inf")
-    """Time of the latest message from the host itself."""
-
-    unanswered_since: float | None = None
-    """Time of the first heartbeat to this host as a hub that is still unanswered."""
-
-    excluded_until: float = float("-inf")
-    """Time until which the host is not selected as a hub."""
-
-    follower_until: float = float("-inf")
-    """Time until which the host counts as a follower."""
-
-    hub_index: int = 0
-    """Index of this host among the follower's hubs; -1 once it stopped following."""
-
-    status: HostStatus = HostStatus.ALIVE
+_NEVER = float("-inf")
+_MAX_WEIGHT = 2.0**64
 
 
 class MembershipCoordinator(BaseCoordinator):
     """Discovers hosts through seeds and rosters, and selects the hubs.
 
-    A host sends heartbeats to the first two candidates of its data centre, ranked by
-    highest random weight among the hosts that are heard from. Any host that receives
-    them acts as a hub, so no consensus is needed: hosts that select different hubs are
-    still served, since hubs exchange what they know.
+    A host sends heartbeats to the first two candidates of its data centre: those with
+    the widest links, then by highest random weight. Any host that receives heartbeats
+    acts as a hub, so no consensus is needed: hosts that select different hubs are still
+    served, since hubs exchange what they know. Only hubs know all hosts of their data
+    centre; they announce the candidates and the number of hosts.
     """
 
     message_types: ClassVar[tuple[type[PeerMessage], ...]] = (Heartbeat, Roster)
@@ -86,29 +63,32 @@
     def __init__(
         self, record: HostRecord, seeds: Iterable[Address], outbox: Outbox
     ) -> None:
-        self._record = record
         self._seeds = tuple(a for a in seeds if a != record.peer_address)
         self._outbox = outbox
-        self._peers: dict[HostId, _Peer] = {}
-        self._data_centre_sizes: dict[DataCentre, tuple[DataCentreSize, float]] = {}
-        """Latest size of each other data centre, and the time of the count."""
-
+        self._table = PeerTable(record)
+        self._sizes = SizeCounter(self._table)
+        self._rosters = RosterBuilder(self._table, self._sizes)
         self._replaced_incarnations: dict[HostId, int] = {}
         """Latest replaced incarnation, by host."""
 
         self._hubs: tuple[HostId, ...] = (record.id,)
         self._view = self._build_view(0)
-        self._last_expiry_check_at = float("-inf")
-        self._last_heartbeat_at = float("-inf")
-        self._last_seed_heartbeat_at = float("-inf")
-        self._last_roster_at = float("-inf")
-        self._last_remote_roster_at = float("-inf")
-        self._has_unsent_changes = False
-        """Whether a host's status changed or a host expired since the last roster that
-        reported changes."""
-
-        self._exclusion_ends_at = float("inf")
-        """Time at which the hub excluded last may be selected again."""
+        self._last_expiry_check_at = _NEVER
+        self._last_heartbeat_at = _NEVER
+        self._next_seed_heartbeat_at = _NEVER
+        self._contact_attempts = 0
+        """Heartbeats to seeds since the last contact with a hub."""
+
+        self._last_roster_at = _NEVER
+        self._last_remote_roster_at = _NEVER
+        self._announced_candidates: list[HostId] = []
+        """Candidates in the last roster to followers."""
+
+        self._announced_remote: tuple[object, ...] = ()
+        """Candidates and receivers of the last roster to other data centres."""
+
+        self._announced_size: tuple[int, int] = (0, 0)
+        """Size in the last roster to other data centres."""
 
         self._view_outdated = True
         """Whether the view may have changed."""
@@ -121,33 +101,36 @@
     @property
     def record(self) -> HostRecord:
         """Return the record that this host announces."""
-        return self._record
+        return self._table.own
+
+    @property
+    def _is_hub(self) -> bool:
+        return self.record.id in self._hubs
 
     def replace_seeds(self, seeds: Iterable[Address]) -> None:
         """Replace the seeds and contact them on the next tick."""
-        self._seeds = tuple(a for a in seeds if a != self._record.peer_address)
-        self._last_seed_heartbeat_at = float("-inf")
+        self._seeds = tuple(a for a in seeds if a != self.record.peer_address)
+        self._next_seed_heartbeat_at = _NEVER
 
     def has_hub(self, now: float) -> bool:
         """Return whether another host of the data centre answers as a hub."""
+        peers = (self._table.get(hub) for hub in self._hubs)
         return any(
-            hub in self._peers
-            and now - self._peers[hub].last_message_at < HUB_SILENT_SECONDS
-            for hub in self._hubs
+            peer is not None and now - peer.last_message_at < HUB_SILENT_SECONDS
+            for peer in peers
         )
 
     def snapshot(self) -> MembershipSnapshot:
         """Return the state for operators' reports."""
-        hub_message_times = [
-            peer.last_message_at
-            for host, peer in self._peers.items()
-            if host in self._hubs
-        ]
-        latest = max(hub_message_times, default=float("-inf"))
+        peers = dict(self._table.items())
+        latest = max(
+            (peers[hub].last_message_at for hub in self._hubs if hub in peers),
+            default=_NEVER,
+        )
         return MembershipSnapshot(
             self._view,
-            {host: peer.last_seen_at for host, peer in self._peers.items()},
-            None if latest == float("-inf") else latest,
+            {host: peer.last_seen_at for host, peer in peers.items()},
+            None if latest == _NEVER else latest,
         )
 
     # Messages
@@ -158,11 +141,9 @@
 
     def record_message(self, sender: Sender, now: float) -> None:
         """Record that a message of any kind arrived from a known host."""
-        peer = self._peers.get(sender.host)
-        if peer is None or peer.record.incarnation != sender.incarnation:
-            return
-        peer.last_seen_at = peer.last_message_at = now
-        peer.unanswered_since = None
+        peer = self._table.get(sender.host)
+        if peer is not None and peer.record.incarnation == sender.incarnation:
+            peer.record_message(now)
 
     def handle(self, message: PeerMessage, sender: Sender, now: float) -> None:
         """Process a heartbeat or a roster."""
@@ -170,10 +151,10 @@
             case Heartbeat():
                 self._on_heartbeat(message, sender, now)
             case Roster(entries, sizes):
-                for entry in entries[:MAX_KNOWN_HOSTS]:
+                for entry in entries[:MAX_ROSTER_ENTRIES]:
                     self._merge_record(entry.record, now - entry.age_ms / 1000, now)
                 for size in sizes[:MAX_DATA_CENTRES]:
-                    self._merge_data_centre_size(size, now)
+                    self._view_outdated |= self._sizes.merge(size, now)
                 self.record_message(sender, now)
         if self._view_outdated:
             self._select_hubs(now)
@@ -183,73 +164,79 @@
         record = message.record
         if record.id != sender.host or record.incarnation != sender.incarnation:
             return
+        if self._is_without_news(message, now):
+            return
         is_new = self._merge_record(record, now, now)
-        peer = self._peers.get(record.id)
+        peer = self._table.get(record.id)
         if peer is None:
             return
-        peer.last_message_at = now
+        peer.record_message(now)
         if message.hub_index is not None:
-            self._view_outdated |= (
-                peer.follower_until <= now or peer.hub_index != message.hub_index
-            )
-            peer.follower_until = now + HOST_SILENT_SECONDS
-            peer.hub_index = message.hub_index
+            is_new |= not peer.reports_here
+            self._view_outdated |= peer.follow(message.hub_index, now)
+        elif message.hubs and self.record.id not in message.hubs:
+            self._view_outdated |= peer.reports_here
+            peer.stop_following()
+            is_new = set(message.hubs) != self._hubs_of(record.data_centre, now)
+        else:
+            is_new = False
         # Answer at once so that a new host discovers its data centre.
         if is_new or message.needs_roster:
-            self._outbox.send(record.id, self._roster_for(record.data_centre, now))
+            self._outbox.send(record.id, self._rosters.build(record.data_centre, now))
+
+    def _is_without_news(self, message: Heartbeat, now: float) -> bool:
+        """Return whether a heartbeat to a seed shows nothing that it does not know."""
+        record = message.record
+        if message.hub_index is not None or message.needs_roster or record.leaving:
+            return False
+        is_known = record.id in self._table
+        hubs = self._hubs_of(record.data_centre, now)
+        return not is_known and set(message.hubs) == hubs
+
+    def _hubs_of(self, data_centre: DataCentre, now: float) -> set[HostId]:
+        if data_centre == self.record.data_centre:
+            return set(self._hubs)
+        candidates = self._table.candidates(data_centre, now)
+        return {record.id for record in candidates[:HUBS_PER_DATA_CENTRE]}
 
     def _merge_record(
         self, record: HostRecord, last_seen_at: float, now: float
     ) -> bool:
         """Merge a received record; return whether its process was unknown."""
-        if record.id == self._record.id or now - last_seen_at > HOST_EXPIRY_SECONDS:
+        if record.id == self.record.id or now - last_seen_at > HOST_EXPIRY_SECONDS:
             return False
         if self._replaced_incarnations.get(record.id) == record.incarnation:
             return False
-        peer = self._peers.get(record.id)
+        peer = self._table.get(record.id)
         if peer is None:
-            if len(self._peers) >= MAX_KNOWN_HOSTS:
+            new_peer = Peer(record, last_seen_at)
+            is_outdated = self._table.is_expired(new_peer, self.has_hub(now), now)
+            if is_outdated or len(self._table) >= MAX_KNOWN_HOSTS:
                 return False
-            self._peers[record.id] = _Peer(record, last_seen_at)
-            self._change_status(record.id, now)
+            self._table.add(new_peer)
+            self._change_status(new_peer, now)
             return True
         if peer.record.incarnation != record.incarnation:
             if last_seen_at <= peer.last_seen_at:
                 return False
             self._replaced_incarnations[record.id] = peer.record.incarnation
-            self._peers[record.id] = _Peer(record, last_seen_at)
-            self._change_status(record.id, now)
+            new_peer = Peer(record, last_seen_at)
+            self._table.add(new_peer)
+            self._change_status(new_peer, now)
             return True
         if record.leaving and not peer.record.leaving:
             peer.record = record
-            self._change_status(record.id, now)
+            self._change_status(peer, now)
         peer.last_seen_at = max(peer.last_seen_at, last_seen_at)
         return False
 
-    def _merge_data_centre_size(self, size: DataCentreSize, now: float) -> None:
-        if size.data_centre == self._record.data_centre:
-            return
-        counted_at = now - size.age_ms / 1000
-        known = self._data_centre_sizes.get(size.data_centre)
-        if known is not None and known[1] >= counted_at:
-            return
-        self._view_outdated |= known is None or (
-            known[0].known_count,
-            known[0].alive_count,
-        ) != (
-            size.known_count,
-            size.alive_count,
-        )
-        self._data_centre_sizes[size.data_centre] = (size, counted_at)
-
-    def _change_status(self, host: HostId, now: float) -> None:
+    def _change_status(self, peer: Peer, now: float) -> None:
         """Update a host's status and emit the change."""
-        peer = self._peers[host]
-        peer.status = _status(peer, now)
-        self._has_unsent_changes = self._view_outdated = True
+        peer.status = peer.status_at(now)
+        self._view_outdated = True
         age_ms = max(0, round((now - peer.last_seen_at) * 1000))
-        known = len(self._peers) + 1
-        self._outbox.emit(HostStatusChanged(host, peer.status, age_ms, known))
+        known = len(self._table) + 1
+        self._outbox.emit(HostStatusChanged(peer.record.id, peer.status, age_ms, known))
 
     # Time
 
@@ -257,218 +244,176 @@
         """Send due messages and detect hosts that are silent."""
         if now - self._last_expiry_check_at >= EXPIRY_CHECK_INTERVAL_SECONDS:
             self._last_expiry_check_at = now
-            for host, peer in list(self._peers.items()):
-                self._update_peer(host, peer, now)
-            if self._count_hosts(now) != (
-                self._view.known_count,
-                self._view.alive_count,
-            ):
-                self._view_outdated = True
+            self._update_peers(now)
         self._select_hubs(now)
+        self._sizes.set_hub_role(self._is_hub, now)
         self._send_heartbeats(now)
+        self._send_seed_heartbeats(now)
         if self._view_outdated:
             self._update_view(now)
         self._send_rosters(now)
 
     def resume(self, gap: float, now: float) -> None:
         """Restart the silence timers, since no message could arrive while paused."""
-        for peer in self._peers.values():
+        for _, peer in self._table.items():
             peer.unanswered_since = None
             peer.last_seen_at = max(peer.last_seen_at, now - HOST_SILENT_SECONDS / 2)
 
     def drain(self, now: float) -> None:
         """Announce to followers and hubs that this host leaves."""
-        self._record = evolve(self._record, leaving=True)
+        self._table.own = evolve(self.record, leaving=True)
         self._view_outdated = True
-        self._last_heartbeat_at = float("-inf")
+        self._last_heartbeat_at = _NEVER
         self._select_hubs(now)
-        heartbeat = Heartbeat(self._record, hub_index=None)
+        heartbeat = Heartbeat(self.record, hub_index=None)
         for host in {*self._view.followers, *self._view.hubs, *self._view.remote_hubs}:
-            if host != self._record.id:
+            if host != self.record.id:
                 self._outbox.send(host, heartbeat)
         self._update_view(now)
 
-    def _update_peer(self, host: HostId, peer: _Peer, now: float) -> None:
-        age = now - peer.last_seen_at
-        limit = HOST_EXPIRY_SECONDS
-        if peer.record.data_centre != self._record.data_centre:
-            limit = REMOTE_HOST_EXPIRY_SECONDS
-        if peer.record.leaving:
-            limit = LEFT_HOST_EXPIRY_SECONDS
-        if age > limit:
-            del self._peers[host]
-            self._has_unsent_changes = self._view_outdated = True
-            return
-        if peer.hub_index >= 0 and peer.follower_until <= now:
-            peer.hub_index = -1
+    def _update_peers(self, now: float) -> None:
+        """Remove hosts that expired, and report those whose status changed."""
+        has_hub = self.has_hub(now)
+        for host, peer in list(self._table.items()):
+            if self._table.is_expired(peer, has_hub, now):
+                self._table.remove(host)
+                self._view_outdated = True
+                continue
+            if peer.hub_index >= 0 and peer.follower_until <= now:
+                peer.hub_index = -1
+                self._view_outdated = True
+                if not self._is_hub:
+                    peer.stop_following()
+            if peer.status_at(now) is not peer.status:
+                self._change_status(peer, now)
+        counts = (self._view.known_count, self._view.alive_count)
+        if self._sizes.count_fleet(now) != counts:
             self._view_outdated = True
-        if _status(peer, now) is not peer.status:
-            self._change_status(host, now)
 
     def _select_hubs(self, now: float) -> None:
         """Select the first candidates that are not excluded for lack of an answer."""
         for hub in self._hubs:
-            peer = self._peers.get(hub)
-            if peer is None or peer.unanswered_since is None:
-                continue
-            if now - peer.unanswered_since > HUB_SILENT_SECONDS:
-                peer.excluded_until = self._exclusion_ends_at = (
-                    now + HUB_EXCLUSION_SECONDS
-                )
-                peer.unanswered_since = None
-                self._view_outdated = True
-        if self._exclusion_ends_at <= now:
-            self._exclusion_ends_at = float("inf")
-            self._view_outdated = True
+            self._exclude_if_unanswered(hub, HUB_SILENT_SECONDS, now)
+        for hub in self._view.remote_hubs:
+            self._exclude_if_unanswered(hub, HOST_SILENT_SECONDS, now)
         if not self._view_outdated:
             return
-        selected = [
-            host
-            for host in self._candidates(self._record.data_centre, now)
-            if host == self._record.id or self._peers[host].excluded_until <= now
-        ][:HUBS_PER_DATA_CENTRE]
-        hubs = tuple(selected) or (self._record.id,)
+        candidates = self._table.candidates(self.record.data_centre, now)
+        selected = tuple(record.id for record in candidates[:HUBS_PER_DATA_CENTRE])
+        hubs = selected or (self.record.id,)
         if hubs == self._hubs:
             return
+        left_hubs = set(self._hubs) - set(hubs) - {self.record.id}
         self._hubs = hubs
-        self._view_outdated = True
-        self._last_heartbeat_at = float("-inf")
-        rank = self._own_rank(now)
-        self._outbox.emit(HubsChanged(hubs, rank))
-
-    def _candidates(self, data_centre: DataCentre, now: float) -> list[HostId]:
-        """Return the hosts of a data centre that may be hubs, best ranked first."""
-        hosts = [
-            host
-            for host, peer in self._peers.items()
-            if peer.record.data_centre == data_centre
-            and _status(peer, now) is HostStatus.ALIVE
-        ]
-        own = self._record
-        if own.data_centre == data_centre and not own.leaving:
-            hosts.append(own.id)
-        return sorted(hosts, key=lambda host: (-weight(_RANKING_KEY, host), host))
+        self._sizes.set_hub_role(self._is_hub, now)
+        self._last_heartbeat_at = _NEVER
+        for host in left_hubs:
+            if host in self._table:
+                self._outbox.send(host, Heartbeat(self.record, None, hubs=hubs))
+        self._outbox.emit(HubsChanged(hubs, self._own_rank(now)))
+
+    def _exclude_if_unanswered(self, host: HostId, limit: float, now: float) -> None:
+        peer = self._table.get(host)
+        if peer is not None and peer.exclude_if_unanswered(limit, now):
+            self._change_status(peer, now)
 
     def _own_rank(self, now: float) -> int:
-        candidates = self._candidates(self._record.data_centre, now)
-        own = self._record.id
-        return candidates.index(own) if own in candidates else len(candidates)
+        candidates = self._table.candidates(self.record.data_centre, now)
+        if self.record not in candidates:
+            return len(candidates)
+        return candidates.index(self.record)
 
     def _send_heartbeats(self, now: float) -> None:
-        if now - self._last_heartbeat_at >= HEARTBEAT_INTERVAL_SECONDS:
-            self._last_heartbeat_at = now
-            for index, hub in enumerate(self._hubs):
-                self._send_hub_heartbeat(hub, index, now)
-        has_no_hub = not self.has_hub(now)
-        interval = (
-            HEARTBEAT_INTERVAL_SECONDS
-            if has_no_hub
-            else SEED_HEARTBEAT_INTERVAL_SECONDS
-        )
-        if now - self._last_seed_heartbeat_at >= interval:
-            self._last_seed_heartbeat_at = now
-            for seed in self._seeds:
-                self._outbox.send(seed, Heartbeat(self._record, None, has_no_hub))
-
-    def _send_hub_heartbeat(self, hub: HostId, index: int, now: float) -> None:
-        peer = self._peers.get(hub)
-        if peer is None:
+        if now - self._last_heartbeat_at < HEARTBEAT_INTERVAL_SECONDS:
             return
-        if peer.unanswered_since is None:
+        self._last_heartbeat_at = now
+        for index, hub in enumerate(self._hubs):
+            self._expect_answer(hub, now)
+            if hub in self._table:
+                self._outbox.send(hub, Heartbeat(self.record, index))
+        for hub in self._view.remote_hubs:
+            self._expect_answer(hub, now)
+
+    def _expect_answer(self, hub: HostId, now: float) -> None:
+        peer = self._table.get(hub)
+        if peer is not None and peer.unanswered_since is None:
             peer.unanswered_since = now
-        self._outbox.send(hub, Heartbeat(self._record, index))
 
-    # Rosters
+    def _send_seed_heartbeats(self, now: float) -> None:
+        has_no_hub = not self.has_hub(now)
+        if not has_no_hub:
+            self._contact_attempts = 0
+        elif self._contact_attempts == 0:
+            self._next_seed_heartbeat_at = _NEVER
+        if now < self._next_seed_heartbeat_at:
+            return
+        heartbeat = Heartbeat(self.record, None, has_no_hub, self._hubs)
+        receivers: list[HostId | Address] = list(self._seeds)
+        if has_no_hub:
+            self._contact_attempts += 1
+            # A host that was cut off finds its data centre again without seeds.
+            own = self._table.in_data_centre(self.record.data_centre)
+            receivers += [peer.record.id for peer in own][:HUB_CANDIDATES]
+        for receiver in receivers:
+            self._outbox.send(receiver, heartbeat)
+        self._next_seed_heartbeat_at = now + self._seed_interval(has_no_hub)
+
+    def _seed_interval(self, has_no_hub: bool) -> float:
+        interval = FOLLOWER_SEED_INTERVAL_SECONDS
+        if has_no_hub:
+            doublings = min(self._contact_attempts - 1, 8)
+            interval = min(
+                MAX_CONTACT_INTERVAL_SECONDS,
+                FIRST_CONTACT_INTERVAL_SECONDS * 2.0**doublings,
+            )
+        elif self._is_hub:
+            interval = SEED_HEARTBEAT_INTERVAL_SECONDS
+        name = f"contact {self._contact_attempts}"
+        deviation = 2 * weight(name, self.record.id) / _MAX_WEIGHT - 1
+        return interval * (1 + CONTACT_JITTER * deviation)
 
     def _send_rosters(self, now: float) -> None:
         """Send rosters to followers and remote hubs on changes and periodically."""
-        changed = (
-            self._has_unsent_changes
-            and now - self._last_roster_at >= MIN_ROSTER_INTERVAL_SECONDS
-        )
-        if changed:
-            self._has_unsent_changes = False
-        # A roster grows with the data centre, so its interval grows as well.
-        interval = ROSTER_INTERVAL_SECONDS * max(
-            1.0, len(self._peers) / BASE_ROSTER_HOSTS
-        )
-        if changed or now - self._last_roster_at >= interval:
+        if not (self._view.followers or self._view.remote_hubs):
+            return
+        since = now - self._last_roster_at
+        if since < MIN_ROSTER_INTERVAL_SECONDS:
+            return
+        own = self.record.data_centre
+        candidates = [
+            record.id for record in self._table.candidates(own, now)[:HUB_CANDIDATES]
+        ]
+        is_changed = candidates != self._announced_candidates
+        if is_changed or since >= ROSTER_INTERVAL_SECONDS:
             self._last_roster_at = now
-            roster = self._roster_for(self._record.data_centre, now)
+            self._announced_candidates = candidates
+            roster = self._rosters.build(own, now)
             for host in self._view.followers:
                 self._outbox.send(host, roster)
-        if (
-            changed
-            or now - self._last_remote_roster_at >= REMOTE_ROSTER_INTERVAL_SECONDS
-        ):
+        if self._is_remote_roster_due(tuple(candidates), now):
             self._last_remote_roster_at = now
             for host in self._view.remote_hubs:
-                data_centre = self._peers[host].record.data_centre
-                self._outbox.send(host, self._roster_for(data_centre, now))
+                data_centre = self._view.hosts[host].data_centre
+                self._outbox.send(host, self._rosters.build(data_centre, now))
 
-    def _roster_for(self, data_centre: DataCentre, now: float) -> Roster:
-        """Return the hosts of a data centre and the hub candidates of the others."""
-        data_centres = {peer.record.data_centre for peer in self._peers.values()}
-        listed = {
-            host
-            for other in data_centres - {data_centre}
-            for host in self._candidates(other, now)[:REMOTE_CANDIDATES]
-        }
-        entries = [
-            RosterEntry(peer.record, max(0, round((now - peer.last_seen_at) * 1000)))
-            for host, peer in self._peers.items()
-            if peer.record.data_centre == data_centre or host in listed
-        ]
-        entries.append(RosterEntry(self._record, 0))
-        return Roster(tuple(entries), self._all_data_centre_sizes(now))
-
-    def _all_data_centre_sizes(self, now: float) -> tuple[DataCentreSize, ...]:
-        own = self._own_data_centre_size(now)
-        others = (
-            DataCentreSize(
-                size.data_centre,
-                size.known_count,
-                size.alive_count,
-                max(0, round((now - counted_at) * 1000)),
-            )
-            for size, counted_at in self._data_centre_sizes.values()
+    def _is_remote_roster_due(self, candidates: tuple[HostId, ...], now: float) -> bool:
+        since = now - self._last_remote_roster_at
+        if since < MIN_ROSTER_INTERVAL_SECONDS:
+            return False
+        hubs = (candidates[:HUBS_PER_DATA_CENTRE], self._view.remote_hubs)
+        size = self._sizes.own_size(now)
+        counts = (size.known_count, size.alive_count)
+        is_resized = (
+            counts != self._announced_size and since >= MIN_REMOTE_SIZE_INTERVAL_SECONDS
         )
-        return (own, *others)
-
-    def _own_data_centre_size(self, now: float) -> DataCentreSize:
-        data_centre = self._record.data_centre
-        peers = [p for p in self._peers.values() if p.record.data_centre == data_centre]
-        remaining = [peer for peer in peers if not peer.record.leaving]
-        alive = sum(_status(peer, now) is HostStatus.ALIVE for peer in remaining)
-        own = 0 if self._record.leaving else 1
-        return DataCentreSize(data_centre, len(remaining) + own, alive + own, 0)
-
-    def _count_hosts(self, now: float) -> tuple[int, int]:
-        """Return the number of known hosts and of hosts that are heard from."""
-        own = self._own_data_centre_size(now)
-        known, alive = own.known_count, own.alive_count
-        for data_centre, (size, counted_at) in list(self._data_centre_sizes.items()):
-            if now - counted_at > HOST_EXPIRY_SECONDS:
-                del self._data_centre_sizes[data_centre]
-                continue
-            known += size.known_count
-            if self._is_data_centre_alive(data_centre, now):
-                alive += size.alive_count
-        return max(1, known), max(1, alive)
-
-    def _is_data_centre_alive(self, data_centre: DataCentre, now: float) -> bool:
-        """Return whether a hub of another data centre sends messages.
-
-        A host that is not a hub receives none from there and relies on the counts of
-        its hubs, so the answer is always true for it.
-        """
-        if self._record.id not in self._hubs:
-            return True
-        return any(
-            peer.record.data_centre == data_centre
-            and now - peer.last_message_at <= DATA_CENTRE_SILENT_SECONDS
-            for peer in self._peers.values()
+        is_due = (
+            hubs != self._announced_remote
+            or is_resized
+            or since >= REMOTE_ROSTER_INTERVAL_SECONDS
         )
+        if is_due:
+            self._announced_remote, self._announced_size = hubs, counts
+        return is_due
 
     # View
 
@@ -479,19 +424,21 @@
             self._view = view
 
     def _build_view(self, now: float) -> FleetView:
-        own = self._record
-        known_count, alive_count = self._count_hosts(now)
-        hosts = {host: peer.record for host, peer in self._peers.items()}
+        own = self.record
+        known_count, alive_count = self._sizes.count_fleet(now)
+        hosts = {host: peer.record for host, peer in self._table.items()}
         hosts[own.id] = own
         alive = [
             host
-            for host, peer in self._peers.items()
-            if _status(peer, now) is HostStatus.ALIVE
+            for host, peer in self._table.items()
+            if peer.status_at(now) is HostStatus.ALIVE
         ]
-        followers = [
-            host for host, peer in self._peers.items() if peer.follower_until > now
-        ]
-        primary = [host for host in followers if self._peers[host].hub_index == 0]
+        followers = {
+            host: peer
+            for host, peer in self._table.items()
+            if peer.follower_until > now
+        }
+        primary = [host for host, peer in followers.items() if peer.hub_index == 0]
         remote = self._remote_hubs(now)
         return FleetView(
             self_id=own.id,
@@ -510,19 +457,11 @@
 
     def _remote_hubs(self, now: float) -> list[list[HostId]]:
         """Return the hubs of each other data centre if this host is a hub."""
-        if self._record.id not in self._hubs:
+        if not self._is_hub:
             return []
-        data_centres = {peer.record.data_centre for peer in self._peers.values()}
-        data_centres.discard(self._record.data_centre)
         return [
-            self._candidates(data_centre, now)[:HUBS_PER_DATA_CENTRE]
-            for data_centre in sorted(data_centres)
+            [record.id for record in self._table.candidates(data_centre, now)][
+                :HUBS_PER_DATA_CENTRE
+            ]
+            for data_centre in self._table.remote_data_centres()
         ]
-
-
-def _status(peer: _Peer, now: float) -> HostStatus:
-    if peer.record.leaving:
-        return HostStatus.LEAVING
-    if now - peer.last_seen_at > HOST_SILENT_SECONDS:
-        return HostStatus.SILENT
-    return HostStatus.ALIVE
--- a/src/catkinspan/coordination/membership/models.py
+++ b/src/catkinspan/coordination/membership/models.py
@@ -15,11 +15,14 @@
 
     record: HostRecord
     hub_index: int | None = 0
-    """Index of the receiver among the sender's hubs; None for a seed."""
+    """Index of the receiver among the sender's hubs; None if it is none of them."""
 
     needs_roster: bool = False
     """Whether the sender has no responding hub and requests a roster."""
 
+    hubs: tuple[HostId, ...] = ()
+    """Hubs of the sender, if the receiver may not be one of them."""
+
 
 @frozen
 class RosterEntry:
@@ -31,7 +34,7 @@
 
 @frozen
 class DataCentreSize:
-    """Number of hosts of a data centre as counted by its hub."""
+    """Number of hosts of a data centre as counted by its hubs."""
 
     data_centre: DataCentre
     known_count: int
@@ -43,7 +46,8 @@
 
 @frozen
 class Roster(PeerMessage):
-    """The hosts known to the sender, and the sizes of all data centres."""
+    """Hub candidates of the receiver's data centre, hubs of some others, and the sizes
+    of all data centres. Its size does not depend on the number of hosts."""
 
     entries: tuple[RosterEntry, ...]
     data_centres: tuple[DataCentreSize, ...] = ()
--- a/src/catkinspan/daemon/node.py
+++ b/src/catkinspan/daemon/node.py
@@ -303,7 +303,11 @@
     def _new_coordinator(self, incarnation: int) -> HostCoordinator:
         settings = self._settings
         record = HostRecord(
-            settings.host_id, settings.data_centre, settings.peer_address, incarnation
+            settings.host_id,
+            settings.data_centre,
+            settings.peer_address,
+            incarnation,
+            link_mbps=settings.link_mbps,
         )
         return HostCoordinator(
             record,
--- a/src/catkinspan/protocol/settings/node.py
+++ b/src/catkinspan/protocol/settings/node.py
@@ -27,6 +27,7 @@
 
 DEFAULT_OPERATORS = Address("127.0.0.1", 9900)
 _MAX_HTTP_LIMIT = 1 << 30
+_MAX_LINK_MBPS = 1e9
 
 
 def parse_node_settings(
@@ -69,6 +70,7 @@
         callers_tls=_read_tls(reader, "callers_tls"),
         upstreams_tls=_read_tls(reader, "upstreams_tls"),
         peers_tls=_read_tls(reader, "peers_tls"),
+        link_mbps=reader.number("link_mbps", 0.0, 0.0, _MAX_LINK_MBPS),
         rate_window=_read_rate_window(reader),
         seed=_read_seed(reader),
     )
--- a/src/catkinspan/state/hosts.py
+++ b/src/catkinspan/state/hosts.py
@@ -14,7 +14,7 @@
 
     ALIVE = "alive"
     SILENT = "silent"
-    """No host has received a message from it for `HOST_SILENT_SECONDS`."""
+    """It does not report to its hub, or does not answer as a hub."""
 
     LEAVING = "leaving"
 
@@ -30,6 +30,8 @@
     """Random number drawn at process start; a restarted host has a different one."""
 
     leaving: bool = False
+    link_mbps: float = 0.0
+    """Bandwidth of the host's network link in Mbit/s; 0 if it is not known."""
 
 
 @frozen
@@ -39,10 +41,11 @@
     self_id: HostId
     self_data_centre: DataCentre
     hosts: Mapping[HostId, HostRecord] = Factory(dict)
-    """All known hosts, including this host."""
+    """All known hosts, including this host. A hub knows its followers and the hubs of
+    the other data centres; another host knows some hub candidates."""
 
     usable: tuple[HostId, ...] = ()
-    """Sorted ids of hosts that are alive and not leaving, including this host."""
+    """Sorted ids of known hosts that are alive and not leaving, this host included."""
 
     hubs: tuple[HostId, ...] = ()
     """Hubs of this host's data centre, primary hub first; may include this host."""
@@ -60,7 +63,7 @@
     """For each other data centre, the primary hub of most of its hosts."""
 
     rank: int = 0
-    """Rank of this host among the hub candidates of its data centre."""
+    """Rank of this host among the hub candidates of its data centre that it knows."""
 
     known_count: int = 1
     """Number of hosts in the fleet that have not announced that they are leaving."""
--- a/src/catkinspan/state/node.py
+++ b/src/catkinspan/state/node.py
@@ -148,6 +148,12 @@
         "Files for traffic between hosts, see below; left out for plain TCP.",
         shown_default="left out",
     )
+    link_mbps: float = setting(
+        0.0,
+        "Mbit/s",
+        "Bandwidth of the host's network link; hosts with wide links become hubs.",
+        shown_default="left out",
+    )
     rate_window: RateWindow | None = setting(
         None,
         "",
--- a/tests/protocol/peers/test_codec.py
+++ b/tests/protocol/peers/test_codec.py
@@ -17,7 +17,11 @@
 from catkinspan.coordination.models import Sender
 from catkinspan.coordination.quarantine.models import CrashNews
 from catkinspan.coordination.rates.models import Levels, WorkspaceLevel
-from catkinspan.protocol.peers.codec import MAX_FRAME_MESSAGES, PeerCodec
+from catkinspan.protocol.peers.codec import (
+    MAX_FRAME_BYTES,
+    MAX_FRAME_MESSAGES,
+    PeerCodec,
+)
 from catkinspan.state.hosts import HostRecord
 from catkinspan.state.ids import DataCentre, HostId, Revision, ServerId, WorkspaceId
 from catkinspan.state.tree import Address
@@ -152,7 +156,7 @@
     sender = Sender(HostId("h"), 1)
     record = HostRecord(HostId("h"), DataCentre("d"), Address("127.0.0.1", 9), 4)
     data = codec.encode(sender, [Heartbeat(record)])
-    assert data == b'["h",1,[["Heartbeat",[["h","d",["127.0.0.1",9],4,false]]]]]'
+    assert data == b'["h",1,[["Heartbeat",[["h","d",["127.0.0.1",9],4,false,0.0]]]]]'
 
 
 def test_message_to_many_peers_is_encoded_once() -> None:
