Keep the number of the store's readers small

Each start read all documents again. A second reader took its own contact, which its hub reported back, for that of another host, and stopped and started again every 1.6 s. Large changes came from both hubs to each follower.

Change: Freshness and Changes name the host that reached the store. Hosts behind the candidates read only if no hub answers, or as one of about eight substitutes in the fleet, which change every 5 s. A new reader watches from the revision that it has. A starting host without a hub waits 1.5 s instead of 0.5 s. The primary hub alone sends large changes; a host that learns from another hub that it is behind pulls after 0.25 s, and asks the next hub if no answer comes. A hub does not repeat a large answer within 1 s. Hubs announce themselves before the store was reached too.

--- a/src/catkinspan/coordination/configuration/const.py
+++ b/src/catkinspan/coordination/configuration/const.py
@@ -7,6 +7,10 @@
 """Time after the start of a host before it reads the store itself, in which hubs may
 deliver the documents. A fleet that starts at once finds its hubs within this time."""
 
+LONE_READ_DELAY_SECONDS = 1.5
+"""Time after its start before a host reads the store that has not found another host of
+its data centre: the time in which seeds are contacted three times."""
+
 READ_TAKEOVER_SECONDS = 1.6
 """Age of the last contact from which the second candidate reads the store too: the
 longest wait of a watch and a round trip."""
@@ -16,10 +20,18 @@
 
 MAX_READING_CANDIDATES = 4
 """Candidates of a data centre that may read the store because the last contact is old.
-Other hosts read it only if no hub answers."""
+"""
 
 READ_WITHOUT_HUB_SECONDS = 2.5
-"""Age of the last contact from which a host without a hub reads the store itself."""
+"""Age of the last contact, and time without a message from a hub, from which any host
+reads the store itself."""
+
+SUBSTITUTE_READERS = 8
+"""Expected number of further hosts in the fleet that read the store if the candidates
+do not reach it. All hosts together would overload it when it comes back."""
+
+SUBSTITUTE_PERIOD_SECONDS = 5.0
+"""Time after which other hosts are the substitutes, as the store may refuse some."""
 
 OUTAGE_THRESHOLD_SECONDS = 2.0
 """Age of the last contact above which the store counts as unavailable."""
@@ -34,8 +46,26 @@
 MAX_PART_CHARS = 256 * 1024
 """Characters in one message of a full copy, unless a single document is larger."""
 
-PULL_RETRY_SECONDS = 0.4
-"""Time without an answer after which missing changes are requested again."""
+SMALL_CHANGE_CHARS = 800
+"""Size up to which changes are sent to all followers and hubs at once. Only the primary
+hub sends larger ones; other hosts learn of them by `Freshness` and pull them."""
+
+PULL_RETRY_SECONDS = 0.6
+"""Time without an answer after which missing changes are requested again from the same
+host; it doubles with each attempt."""
+
+OTHER_PULL_RETRY_SECONDS = 0.2
+"""Time without an answer after which missing changes are requested from another host.
+"""
+
+MAX_PULL_RETRY_SECONDS = 2.4
+PUSH_GRACE_SECONDS = 0.25
+"""Time in which changes that the standby hub announces may arrive from the primary
+one."""
+
+REPEATED_ANSWER_SECONDS = 1.0
+"""Shortest interval between two copies for one host. A copy can wait that long for a
+full link, and further ones would delay it more."""
 
 MAX_DOCUMENT_CHARS = 1024 * 1024
 """The store holds values of up to one megabyte."""
--- /dev/null
+++ b/src/catkinspan/coordination/configuration/contacts.py
@@ -0,0 +1,101 @@
+"""Contacts of the fleet with the store, and the choice of the hosts that read it."""
+
+from catkinspan.coordination.configuration.const import (
+    INITIAL_READ_DELAY_SECONDS,
+    LONE_READ_DELAY_SECONDS,
+    MAX_READING_CANDIDATES,
+    READ_TAKEOVER_SECONDS,
+    READ_TAKEOVER_STEP_SECONDS,
+    READ_WITHOUT_HUB_SECONDS,
+    SUBSTITUTE_PERIOD_SECONDS,
+    SUBSTITUTE_READERS,
+)
+from catkinspan.coordination.rendezvous import weight
+from catkinspan.state.hosts import FleetView
+from catkinspan.state.ids import HostId
+
+_NEVER = float("-inf")
+_MAX_WEIGHT = 2.0**64
+
+
+class StoreContacts:
+    """Latest contacts of this host and of others with the store."""
+
+    def __init__(self, self_id: HostId, now: float) -> None:
+        self._self_id = self_id
+        self._started_at = now
+        self._own_contact_at = _NEVER
+        self._peer_contact_at = _NEVER
+        self._peer_reader = self_id
+        self._hub_heard_at = now
+
+    @property
+    def latest_at(self) -> float:
+        """Return the time of the latest known contact; minus infinity without one."""
+        return max(self._own_contact_at, self._peer_contact_at)
+
+    @property
+    def was_reached(self) -> bool:
+        """Return whether this host or a peer ever reached the store."""
+        return self.latest_at > _NEVER
+
+    @property
+    def reader(self) -> HostId:
+        """Return the host of the latest contact."""
+        if self._own_contact_at >= self._peer_contact_at:
+            return self._self_id
+        return self._peer_reader
+
+    def age(self, now: float) -> float:
+        """Return the seconds since the latest contact, or since the start."""
+        return now - max(self.latest_at, self._started_at)
+
+    def record_own(self, now: float) -> None:
+        """Record that the store answered this host."""
+        self._own_contact_at = now
+
+    def record_peer(self, at: float, reader: HostId) -> bool:
+        """Record a contact that a peer reported; return whether it is news."""
+        if reader == self._self_id or at <= self._peer_contact_at:
+            return False
+        self._peer_contact_at, self._peer_reader = at, reader
+        return True
+
+    def record_hub(self, now: float) -> None:
+        """Record a message from a hub."""
+        self._hub_heard_at = now
+
+    def add_pause(self, gap: float) -> None:
+        """Add a pause, which the clock did not count, to the age of the contacts."""
+        self._own_contact_at -= gap
+        self._peer_contact_at -= gap
+
+    def should_read(self, view: FleetView | None, now: float) -> bool:
+        """Return whether this host reads the store.
+
+        The first hub candidate of each data centre does. If no other host reaches the
+        store, the next candidates read it too, one by one, then a few further hosts. A
+        host that hears no hub reads it as well.
+        """
+        if view is None:
+            return False
+        is_alone = view.hubs == (self._self_id,)
+        delay = LONE_READ_DELAY_SECONDS if is_alone else INITIAL_READ_DELAY_SECONDS
+        if now - self._started_at < delay:
+            return False
+        if view.rank == 0:
+            return True
+        age = now - max(self._peer_contact_at, self._started_at)
+        if view.rank < MAX_READING_CANDIDATES:
+            steps = READ_TAKEOVER_STEP_SECONDS * (view.rank - 1)
+            return age > READ_TAKEOVER_SECONDS + steps
+        if age <= READ_WITHOUT_HUB_SECONDS:
+            return False
+        if now - self._hub_heard_at > READ_WITHOUT_HUB_SECONDS:
+            return True
+        return self._is_substitute(view.known_count, age)
+
+    def _is_substitute(self, known_count: int, age: float) -> bool:
+        period = int(age / SUBSTITUTE_PERIOD_SECONDS)
+        position = weight(f"reader {period}", self._self_id) / _MAX_WEIGHT
+        return position * known_count < SUBSTITUTE_READERS
--- a/src/catkinspan/coordination/configuration/coordinator.py
+++ b/src/catkinspan/coordination/configuration/coordinator.py
@@ -8,18 +8,16 @@
 
 from catkinspan.coordination.configuration.const import (
     FRESHNESS_INTERVAL_SECONDS,
-    INITIAL_READ_DELAY_SECONDS,
     LAPSE_GRACE_SECONDS,
     MAX_PART_CHARS,
-    MAX_READING_CANDIDATES,
     MAX_RECENT_REVISIONS,
     OUTAGE_THRESHOLD_SECONDS,
-    PULL_RETRY_SECONDS,
-    READ_TAKEOVER_SECONDS,
-    READ_TAKEOVER_STEP_SECONDS,
-    READ_WITHOUT_HUB_SECONDS,
 )
-from catkinspan.coordination.configuration.difference import describe_differences
+from catkinspan.coordination.configuration.contacts import StoreContacts
+from catkinspan.coordination.configuration.difference import (
+    describe_differences,
+    describe_server_changes,
+)
 from catkinspan.coordination.configuration.models import (
     AppliedRevision,
     Changes,
@@ -34,20 +32,25 @@
     ParsedDocuments,
     Pull,
     ReadingChanged,
-    ServersChanged,
     ServersLapsed,
     StoreChanges,
     StoreContactLost,
     StoreContactRegained,
     StoreSnapshot,
 )
+from catkinspan.coordination.configuration.parts import (
+    is_small,
+    split_into_parts,
+    text_chars,
+)
+from catkinspan.coordination.configuration.pulls import PullSchedule, SentCopies
 from catkinspan.coordination.configuration.replica import Replica
 from catkinspan.coordination.coordinator import BaseCoordinator
 from catkinspan.coordination.models import PeerMessage, Sender
 from catkinspan.coordination.outbox import Outbox
 from catkinspan.state.hosts import FleetView
-from catkinspan.state.ids import NO_REVISION, HostId, Revision, ServerId
-from catkinspan.state.tree import SettingsTree, Upstream
+from catkinspan.state.ids import NO_REVISION, HostId, Revision
+from catkinspan.state.tree import SettingsTree
 
 STORE_SOURCE = "store"
 """Source named in events when this host reached the store itself."""
@@ -69,7 +72,7 @@
     forwards each change that is new to it to its followers and to the hubs of all data
     centres. Another host forwards to its hubs the changes that it read from the store.
     Hubs announce the age of the last known contact with the store; if it becomes too
-    old, the next candidates read the store as well, and finally a host without a hub.
+    old, the next candidates read the store as well, and finally a few other hosts.
     """
 
     message_types: ClassVar[tuple[type[PeerMessage], ...]] = (
@@ -88,11 +91,7 @@
         self._replica = Replica()
         self._tree = SettingsTree()
         self._view: FleetView | None = None
-        self._started_at = now
-        self._own_contact_at = float("-inf")
-        self._peer_contact_at = float("-inf")
-        """Time of the latest contact with the store that a peer reported."""
-
+        self._contacts = StoreContacts(self_id, now)
         self._outage_started_at: float | None = None
         """Time of the last contact before an outage; None while the store answers."""
 
@@ -101,7 +100,8 @@
         """Whether requests wait for the first configuration."""
 
         self._last_freshness_at = float("-inf")
-        self._last_pull_at = float("-inf")
+        self._pulls = PullSchedule()
+        self._sent_copies = SentCopies()
         self._partial_copies: dict[HostId, _PartialCopy] = {}
         self._lapsed_servers: dict[str, Document] = {}
         """Server entries removed around an outage that stay in use, by name."""
@@ -148,13 +148,7 @@
 
         Before the first contact, return the seconds since the start of the host.
         """
-        latest = max(self._own_contact_at, self._peer_contact_at, self._started_at)
-        return now - latest
-
-    @property
-    def _was_store_reached(self) -> bool:
-        """Return whether this host or a peer ever reached the store."""
-        return max(self._own_contact_at, self._peer_contact_at) > float("-inf")
+        return self._contacts.age(now)
 
     def snapshot(self, now: float) -> ConfigurationSnapshot:
         """Return the state for operators' reports."""
@@ -165,7 +159,7 @@
             tuple(self._recent_revisions),
             self._parsed.rejected,
             self._is_reader,
-            age if self._was_store_reached else None,
+            age if self._contacts.was_reached else None,
             self.is_ready(),
             len(self._replica.documents),
         )
@@ -193,8 +187,8 @@
 
     def record_store_contact(self, now: float) -> None:
         """Record that the store answered this host."""
-        self._check_outage_end(now, STORE_SOURCE, now)
-        self._own_contact_at = now
+        self._check_outage_end(now, self._contacts.latest_at, STORE_SOURCE, now)
+        self._contacts.record_own(now)
 
     # Peers
 
@@ -214,12 +208,11 @@
         if message.after_revision > self._replica.revision:
             self._request_changes(source, now)
             return
-        self._last_pull_at = float("-inf")
+        self._pulls.reset()
         # A removal may be the first sign that an outage of the store has ended, so the
         # contact is recorded before the removal is applied.
-        self._record_peer_contact(
-            now - message.store_contact_age_ms / 1000, source, now
-        )
+        contact_at = now - message.store_contact_age_ms / 1000
+        self._record_peer_contact(contact_at, message.reader or source, source, now)
         changed = self._replica.merge(message.documents, message.revision)
         self._apply_and_forward(changed, source, now)
 
@@ -234,47 +227,60 @@
             return
         partial.documents += part.documents
         partial.received_parts += 1
-        self._last_pull_at = now
+        self._pulls.record_progress(now)
         if part.is_last:
             del self._partial_copies[source]
-            self._last_pull_at = float("-inf")
+            self._pulls.reset()
             changed = self._replica.replace(partial.documents, partial.revision)
             self._apply_and_forward(changed, source, now)
 
     def _on_freshness(self, message: Freshness, source: HostId, now: float) -> None:
-        self._record_peer_contact(
-            now - message.store_contact_age_ms / 1000, source, now
-        )
-        if message.revision > self._replica.revision:
+        self._contacts.record_hub(now)
+        if message.store_contact_age_ms is not None:
+            contact_at = now - message.store_contact_age_ms / 1000
+            self._record_peer_contact(contact_at, message.reader or source, source, now)
+        if message.revision <= self._replica.revision:
+            return
+        is_first_copy = self._replica.revision == NO_REVISION
+        is_primary = self._view is None or source == self._view.hubs[0]
+        if is_first_copy or not self._pulls.may_wait_for_push(is_primary, now):
             self._request_changes(source, now)
 
-    def _record_peer_contact(self, at: float, source: HostId, now: float) -> None:
-        if at > self._peer_contact_at:
-            self._check_outage_end(at, source, now)
-            self._peer_contact_at = at
+    def _record_peer_contact(
+        self, at: float, reader: HostId, source: HostId, now: float
+    ) -> None:
+        latest_at = self._contacts.latest_at
+        if self._contacts.record_peer(at, reader):
+            self._check_outage_end(at, latest_at, source, now)
 
     def _request_changes(self, source: HostId, now: float) -> None:
-        if now - self._last_pull_at < PULL_RETRY_SECONDS:
-            return
-        self._last_pull_at = now
-        self._outbox.send(source, Pull(self._replica.revision))
+        if self._pulls.should_ask(source, now):
+            self._outbox.send(source, Pull(self._replica.revision))
 
     def _answer_pull(self, host: HostId, after: Revision, now: float) -> None:
         replica = self._replica
         if after >= replica.revision:
             return
         changes = replica.changes_after(after) if after > NO_REVISION else None
+        if changes is None or not is_small(changes):
+            if self._sent_copies.is_on_its_way(host, replica.revision, now):
+                return
+            self._sent_copies.record(host, replica.revision, now)
         if changes is not None:
-            age_ms = self._age_ms(now)
-            message = Changes(after, replica.revision, changes, age_ms)
-            self._outbox.send(host, message)
+            self._outbox.send(host, self._changes_message(after, changes, now))
             return
-        parts = _split_into_parts(replica.documents.values())
+        parts = split_into_parts(replica.documents.values())
         for index, documents in enumerate(parts):
             is_last = index == len(parts) - 1
             part = CopyPart(replica.revision, index, documents, is_last)
             self._outbox.send(host, part)
 
+    def _changes_message(
+        self, after: Revision, changes: tuple[Document, ...], now: float
+    ) -> Changes:
+        revision, age_ms = self._replica.revision, self._age_ms(now)
+        return Changes(after, revision, changes, age_ms, self._contacts.reader)
+
     def _apply_and_forward(
         self, changed: tuple[Document, ...], source: HostId | None, now: float
     ) -> None:
@@ -286,17 +292,31 @@
         if view is None:
             return
         receivers = {*view.followers, *view.remote_hubs, *view.hubs}
-        receivers -= {self._self_id, source}
         if source is not None and not view.is_hub:
-            receivers = set(view.followers) - {source}
+            receivers = set(view.followers)
+        receivers -= {self._self_id, source}
+        if is_small(changed):
+            self._push(changed, receivers, now)
+            return
+        # A hub sends large changes to its primary followers only. The other ones have
+        # another primary hub, and hubs pull what they lack.
+        hubs = receivers & {*view.remote_hubs, *view.hubs}
+        pushed = receivers & set(view.primary_followers)
+        if source is None and not view.is_hub:
+            pushed = hubs
+        if text_chars(changed) <= MAX_PART_CHARS:
+            self._push(changed, pushed, now)
+            for host in pushed:
+                self._sent_copies.record(host, self._replica.revision, now)
+            pushed, hubs = set(), hubs - pushed
+        for host in pushed | hubs:
+            self._outbox.send(host, self._freshness(now))
+
+    def _push(
+        self, changed: tuple[Document, ...], receivers: Iterable[HostId], now: float
+    ) -> None:
         first_revision = min(document.revision for document in changed)
-        after = Revision(first_revision - 1)
-        if sum(len(d.text or "") for d in changed) > MAX_PART_CHARS:
-            # Receivers see the newer revision and pull the copy in parts.
-            message: PeerMessage = Freshness(self._replica.revision, 0)
-        else:
-            age_ms = self._age_ms(now)
-            message = Changes(after, self._replica.revision, changed, age_ms)
+        message = self._changes_message(Revision(first_revision - 1), changed, now)
         for host in receivers:
             self._outbox.send(host, message)
 
@@ -309,7 +329,7 @@
             self._last_freshness_at = now
             self._send_freshness(now)
         age = self.contact_age(now)
-        is_lost = age > OUTAGE_THRESHOLD_SECONDS and self._was_store_reached
+        is_lost = age > OUTAGE_THRESHOLD_SECONDS and self._contacts.was_reached
         if is_lost and self._outage_started_at is None:
             self._outage_started_at = now - age
             self._outbox.emit(StoreContactLost(round(age, 3)))
@@ -319,22 +339,26 @@
 
     def resume(self, gap: float, now: float) -> None:
         """Request missed data again and add the pause to the age of the contact."""
-        self._last_pull_at = float("-inf")
+        self._pulls.reset()
         self._partial_copies.clear()
-        self._own_contact_at -= gap
-        self._peer_contact_at -= gap
+        self._contacts.add_pause(gap)
 
     def _age_ms(self, now: float) -> int:
         return max(0, round(self.contact_age(now) * 1000))
 
     def _send_freshness(self, now: float) -> None:
+        self._sent_copies.remove_old(now)
         view = self._view
-        if view is None or not self._was_store_reached:
+        if view is None:
             return
-        message = Freshness(self._replica.revision, self._age_ms(now))
+        message = self._freshness(now)
         for host in {*view.followers, *view.remote_hubs}:
             self._outbox.send(host, message)
 
+    def _freshness(self, now: float) -> Freshness:
+        age_ms = self._age_ms(now) if self._contacts.was_reached else None
+        return Freshness(self._replica.revision, age_ms, self._contacts.reader)
+
     def _update_reader_role(self, now: float) -> None:
         is_reader = self._should_read(now)
         if is_reader == self._is_reader:
@@ -346,22 +370,13 @@
     def _should_read(self, now: float) -> bool:
         if self._has_waiting_requests and not self.is_ready():
             return True
-        if self._view is None or now - self._started_at < INITIAL_READ_DELAY_SECONDS:
-            return False
-        rank = self._view.rank
-        if rank == 0:
-            return True
-        peer_contact_age = now - max(self._peer_contact_at, self._started_at)
-        if rank < MAX_READING_CANDIDATES:
-            return (
-                peer_contact_age
-                > READ_TAKEOVER_SECONDS + READ_TAKEOVER_STEP_SECONDS * (rank - 1)
-            )
-        return peer_contact_age > READ_WITHOUT_HUB_SECONDS
+        return self._contacts.should_read(self._view, now)
 
-    def _check_outage_end(self, at: float, source: str, now: float) -> None:
-        outage = at - max(self._own_contact_at, self._peer_contact_at)
-        if outage > OUTAGE_THRESHOLD_SECONDS and self._was_store_reached:
+    def _check_outage_end(
+        self, at: float, previous_at: float, source: str, now: float
+    ) -> None:
+        outage = at - previous_at
+        if OUTAGE_THRESHOLD_SECONDS < outage < float("inf"):
             self._lapse_grace_until = now + LAPSE_GRACE_SECONDS
         # A contact that is already old does not end an outage.
         if self._outage_started_at is not None and now - at < OUTAGE_THRESHOLD_SECONDS:
@@ -401,7 +416,11 @@
         if parsed.tree.revision < self._tree.revision:
             return
         previous, self._tree = self._tree, parsed.tree
-        self._report_servers(previous, source)
+        changed = describe_server_changes(
+            previous, self._tree, self._replica.revision, source
+        )
+        if changed is not None:
+            self._outbox.emit(changed)
         if previous.revision == parsed.tree.revision:
             return
         self._recent_revisions.append(
@@ -427,41 +446,3 @@
                 self._tree.revision, rejected.revision, source, rejected.faults
             )
         )
-
-    def _report_servers(self, previous: SettingsTree, source: str) -> None:
-        before, after = _servers_by_id(previous), _servers_by_id(self._tree)
-        leaving = [
-            name
-            for name, server in after.items()
-            if server.leaving and not (name in before and before[name].leaving)
-        ]
-        added, removed = after.keys() - before.keys(), before.keys() - after.keys()
-        if not (added or leaving or removed):
-            return
-        self._outbox.emit(
-            ServersChanged(
-                self._replica.revision,
-                source,
-                tuple(sorted(added)),
-                tuple(sorted(leaving)),
-                tuple(sorted(removed)),
-            )
-        )
-
-
-def _servers_by_id(tree: SettingsTree) -> dict[ServerId, Upstream]:
-    return {u.id: u for s in tree.services.values() for u in s.upstreams}
-
-
-def _split_into_parts(documents: Iterable[Document]) -> list[tuple[Document, ...]]:
-    """Split documents so that only a single document exceeds `MAX_PART_CHARS`."""
-    parts: list[list[Document]] = [[]]
-    size = 0
-    for document in documents:
-        length = len(document.text or "")
-        if parts[-1] and size + length > MAX_PART_CHARS:
-            parts.append([])
-            size = 0
-        parts[-1].append(document)
-        size += length
-    return [tuple(part) for part in parts]
--- a/src/catkinspan/coordination/configuration/difference.py
+++ b/src/catkinspan/coordination/configuration/difference.py
@@ -7,9 +7,10 @@
 import attrs
 
 from catkinspan.coordination.configuration.const import MAX_DIFFERENCES
-from catkinspan.state.ids import ServiceId
+from catkinspan.coordination.configuration.models import ServersChanged
+from catkinspan.state.ids import Revision, ServerId, ServiceId
 from catkinspan.state.policy import POLICY_FIELDS, Policy
-from catkinspan.state.tree import Route, Service, SettingsTree, Workspace
+from catkinspan.state.tree import Route, Service, SettingsTree, Upstream, Workspace
 
 
 def describe_differences(old: SettingsTree, new: SettingsTree) -> tuple[str, ...]:
@@ -132,3 +133,29 @@
     if isinstance(value, frozenset):
         return "{" + ", ".join(sorted(map(str, value))) + "}"
     return str(value)
+
+
+def describe_server_changes(
+    previous: SettingsTree, tree: SettingsTree, revision: Revision, source: str
+) -> ServersChanged | None:
+    """Return the servers that were added, leave or were removed; None without any."""
+    before, after = _servers_by_id(previous), _servers_by_id(tree)
+    leaving = [
+        name
+        for name, server in after.items()
+        if server.leaving and not (name in before and before[name].leaving)
+    ]
+    added, removed = after.keys() - before.keys(), before.keys() - after.keys()
+    if not (added or leaving or removed):
+        return None
+    return ServersChanged(
+        revision,
+        source,
+        tuple(sorted(added)),
+        tuple(sorted(leaving)),
+        tuple(sorted(removed)),
+    )
+
+
+def _servers_by_id(tree: SettingsTree) -> dict[ServerId, Upstream]:
+    return {u.id: u for s in tree.services.values() for u in s.upstreams}
--- a/src/catkinspan/coordination/configuration/models.py
+++ b/src/catkinspan/coordination/configuration/models.py
@@ -10,7 +10,7 @@
     SettingsFault,
 )
 from catkinspan.coordination.models import Event, Millis, PeerMessage
-from catkinspan.state.ids import Revision, ServerId
+from catkinspan.state.ids import NO_HOST, HostId, Revision, ServerId
 from catkinspan.state.tree import SettingsTree
 
 
@@ -81,6 +81,9 @@
     store_contact_age_ms: Millis = 0
     """Time since any host last reached the store, as in `Freshness`."""
 
+    reader: HostId = NO_HOST
+    """Host that reached the store, as in `Freshness`."""
+
 
 @frozen
 class CopyPart(PeerMessage):
@@ -104,8 +107,12 @@
     """Reports how recent the sender's copy is."""
 
     revision: Revision
-    store_contact_age_ms: Millis
-    """Time since any host last reached the store."""
+    store_contact_age_ms: Millis | None
+    """Time since any host last reached the store; None if no contact is known."""
+
+    reader: HostId = NO_HOST
+    """Host that reached the store. A reader ignores its own contact when it decides
+    whether another host reads the store."""
 
 
 @frozen
--- a/src/catkinspan/coordination/host/coordinator.py
+++ b/src/catkinspan/coordination/host/coordinator.py
@@ -36,7 +36,7 @@
 from catkinspan.coordination.retries.coordinator import RetryCoordinator
 from catkinspan.coordination.routing.coordinator import RoutingCoordinator
 from catkinspan.state.hosts import FleetView, HostRecord
-from catkinspan.state.ids import HostId
+from catkinspan.state.ids import NO_REVISION, HostId, Revision
 from catkinspan.state.node import RateWindow
 from catkinspan.state.tree import Address, SettingsTree
 
@@ -48,6 +48,8 @@
     """Directive to start or stop reading and watching the store."""
 
     active: bool
+    after: Revision = NO_REVISION
+    """Revision up to which the changes are known, so that only later ones are read."""
 
 
 class HostCoordinator:
@@ -278,7 +280,8 @@
     def _update_reader_role(self, now: float) -> None:
         if self.configuration.is_reader != self._is_reader:
             self._is_reader = self.configuration.is_reader
-            self._outbox.add_directive(ReaderRole(self._is_reader))
+            after = self.configuration.store_revision
+            self._outbox.add_directive(ReaderRole(self._is_reader, after))
 
 
 def handled_messages(
--- a/src/catkinspan/daemon/host_task.py
+++ b/src/catkinspan/daemon/host_task.py
@@ -287,8 +287,10 @@
             case CloseKeyConnections(digests):
                 for mailbox in self._connections:
                     mailbox.post_unbounded(KeysWithdrawn(digests))
-            case ReaderRole(active):
-                self._reader.post_unbounded(StartReading() if active else StopReading())
+            case ReaderRole(active, after):
+                self._reader.post_unbounded(
+                    StartReading(after) if active else StopReading()
+                )
 
     def _log_directive(self, directive: RequestDirective) -> None:
         now = self._clock.monotonic()
--- a/src/catkinspan/state/ids.py
+++ b/src/catkinspan/state/ids.py
@@ -12,6 +12,7 @@
 RequestId = NewType("RequestId", str)
 Revision = NewType("Revision", int)
 
+NO_HOST = HostId("")
 NO_REVISION = Revision(0)
 ANONYMOUS_WORKSPACE = WorkspaceId("")
 """Workspace id of requests on open routes, which need no key."""
--- a/src/catkinspan/testing/hosts.py
+++ b/src/catkinspan/testing/hosts.py
@@ -77,6 +77,7 @@
     """Whether the calls of all hosts get no answer."""
 
     call_count: int = 0
+    full_read_count: int = 0
 
     def put(self, changes: Mapping[str, str | None]) -> None:
         """Write documents; remove those whose text is None."""
@@ -135,8 +136,8 @@
     def _process_outbox(self, now: float) -> None:
         for directive in self.coordinator.outbox.take_directives():
             match directive:
-                case ReaderRole(active):
-                    self._set_reader_role(active)
+                case ReaderRole(active, after):
+                    self._set_reader_role(active, after)
                 case BodyWanted(request_id):
                     received = BodyReceived(request_id, b"body")
                     self.coordinator.handle_request(received, now)
@@ -188,11 +189,11 @@
         self._process_outbox(now)
         channel.flush(self._host)
 
-    def _set_reader_role(self, active: bool) -> None:
+    def _set_reader_role(self, active: bool, after: Revision) -> None:
         became_reader = active and not self._is_reader
         self._is_reader = active
         if became_reader:
-            self._read_revision = None
+            self._read_revision = after if after > NO_REVISION else None
             self._schedule_read(READ_LATENCY_SECONDS)
 
     def _schedule_read(self, seconds: float) -> None:
@@ -213,6 +214,7 @@
             return
         now = attached.local_time(channel.now)
         if self._read_revision is None:
+            store.full_read_count += 1
             snapshot = StoreSnapshot(store.revision, tuple(store.documents.values()))
             self.coordinator.apply_store_snapshot(snapshot, now)
         else:
--- a/src/catkinspan/transport/store/reader.py
+++ b/src/catkinspan/transport/store/reader.py
@@ -8,7 +8,7 @@
 from loguru import logger
 
 from catkinspan.coordination.configuration.models import StoreChanges, StoreSnapshot
-from catkinspan.state.ids import Revision
+from catkinspan.state.ids import NO_REVISION, Revision
 from catkinspan.transport.mailbox import Mailbox
 
 RETRY_MIN_SECONDS = 0.15
@@ -46,6 +46,9 @@
 class StartReading:
     """Tells the reader to read and watch the store."""
 
+    after: Revision = NO_REVISION
+    """Revision after which to watch; without one, all documents are read first."""
+
 
 @frozen
 class StopReading:
@@ -61,7 +64,7 @@
 
 
 class StoreReader:
-    """Reads all documents once, then watches for changes."""
+    """Reads all documents if none are known, then watches for changes."""
 
     def __init__(
         self,
@@ -90,8 +93,9 @@
 
     def _apply(self, message: ReaderMessage) -> None:
         self._active = isinstance(message, StartReading)
-        if not self._active:
-            self._revision = None
+        self._revision = None
+        if isinstance(message, StartReading) and message.after > NO_REVISION:
+            self._revision = message.after
 
     async def _async_poll(self) -> None:
         try:
--- a/tests/coordination/configuration/test_fleet.py
+++ b/tests/coordination/configuration/test_fleet.py
@@ -2,13 +2,18 @@
 
 import pytest
 
+from catkinspan.coordination.configuration.const import (
+    MAX_READING_CANDIDATES,
+    SUBSTITUTE_READERS,
+)
 from catkinspan.coordination.configuration.models import (
+    ReadingChanged,
     ServersLapsed,
     StoreContactLost,
     StoreContactRegained,
 )
 from catkinspan.state.ids import HostId
-from catkinspan.testing.hosts import VirtualFleet
+from catkinspan.testing.hosts import READ_RETRY_SECONDS, VirtualFleet
 from tests.platform.entries import configuration, platform_fleet, server_entry
 from tests.virtual_fleet import small_settings_tree, store_documents, virtual_fleet
 
@@ -162,3 +167,69 @@
         regained = [e for e in host.events if isinstance(e, StoreContactRegained)]
         assert (len(lost), len(regained)) == (1, 1)
         assert regained[0].outage_seconds >= 4.0
+
+
+def test_outage_of_the_store_leaves_few_readers() -> None:
+    """Guards against a fleet whose hosts all read a store that does not answer."""
+    fleet = virtual_fleet(60)
+    fleet.channel.run(4.0)
+    fleet.store.is_down = True
+    fleet.channel.run(12.0)
+    before = fleet.store.call_count
+    fleet.channel.run(22.0)
+    readers = [h for h in fleet.hosts.values() if h.coordinator.configuration.is_reader]
+    limit = 3 * MAX_READING_CANDIDATES + 2 * SUBSTITUTE_READERS
+    assert 3 <= len(readers) <= limit
+    assert fleet.store.call_count - before <= limit * 10.0 / READ_RETRY_SECONDS
+
+
+def test_one_host_replaces_a_reader_that_the_store_refuses() -> None:
+    """Guards against a second reader that starts and stops all the time because it
+    takes its own contact, which its hub reports back, for that of another host."""
+    fleet = virtual_fleet(12, data_centres=("north",))
+    fleet.channel.run(4.0)
+    first = next(iter(fleet.hosts.values())).coordinator.view.hubs[0]
+    fleet.store.unreachable_from = {first}
+    fleet.channel.run(8.0)
+    for host in fleet.hosts.values():
+        host.events.clear()
+    fleet.channel.run(20.0)
+    events = [event for host in fleet.hosts.values() for event in host.events]
+    assert not [event for event in events if isinstance(event, ReadingChanged)]
+
+
+def test_new_reader_watches_from_its_own_revision() -> None:
+    """Guards against a read of all documents by each host that takes over."""
+    fleet = virtual_fleet(12)
+    fleet.channel.run(6.0)
+    before = fleet.store.full_read_count
+    for host in {h.coordinator.view.hubs[0] for h in fleet.hosts.values()}:
+        fleet.crash_host(host)
+    fleet.channel.run(12.0)
+    fleet.store.put(store_documents(small_settings_tree(rate=7.0)))
+    fleet.channel.run(13.0)
+    assert len(revisions(fleet)) == 1
+    assert fleet.store.full_read_count == before
+
+
+def test_host_without_a_hub_reads_the_store() -> None:
+    fleet = virtual_fleet(12)
+    fleet.channel.run(6.0)
+    alone = next(h for h in fleet.hosts if not fleet.hosts[h].coordinator.view.is_hub)
+    fleet.channel.partition([alone], [host for host in fleet.hosts if host != alone])
+    fleet.channel.run(10.0)
+    fleet.store.put(store_documents(small_settings_tree(rate=7.0)))
+    fleet.channel.run(10.5)
+    assert len(revisions(fleet)) == 1
+
+
+def test_lost_push_of_a_large_change_is_pulled_from_the_other_hub() -> None:
+    """Guards against a host that waits for the changes of a hub it does not hear."""
+    fleet = virtual_fleet(12)
+    fleet.channel.run(6.0)
+    host = next(h for h in fleet.hosts if not fleet.hosts[h].coordinator.view.is_hub)
+    primary = fleet.hosts[host].coordinator.view.hubs[0]
+    fleet.channel.cut(primary, host)
+    fleet.store.put(store_documents(small_settings_tree(servers=60, rate=7.0)))
+    fleet.channel.run(7.0)
+    assert len(revisions(fleet)) == 1
--- a/tests/virtual_fleet.py
+++ b/tests/virtual_fleet.py
@@ -129,13 +129,14 @@
     respond: ResponsePolicy = always_ok,
     rate_window: RateWindow | None = None,
     edit_tree: Callable[[dict[str, Any]], None] | None = None,
+    data_centres: tuple[str, ...] = DATA_CENTRES,
 ) -> VirtualFleet:
-    """Start a fleet in three data centres and run it for `READY_SECONDS`."""
+    """Start a fleet in its data centres and run it for `READY_SECONDS`."""
     settings = tree or small_settings_tree()
     if edit_tree is not None:
         edit_tree(settings)
     fleet = VirtualFleet(
-        host_records(hosts),
+        host_records(hosts, data_centres),
         store_documents(settings),
         TreeDocuments,
         Random(seed),
