End serve without a traceback when the peers port is taken

Cause: `catkinspan serve` stops the node after a failed start, and the stop waited for grpclib's server, which raises if it was never started.

Change: `PeerServer.async_stop` does nothing before a start succeeded.

--- a/src/catkinspan/transport/peers/server.py
+++ b/src/catkinspan/transport/peers/server.py
@@ -79,12 +79,16 @@
         self._tls = tls
         service = _LinkService(on_frame, tls is not None, clock)
         self._server = Server([service], codec=RawCodec())
+        self._is_listening = False
 
     async def async_start(self, address: Address) -> None:
         """Start to listen; raises OSError if the address is in use."""
         await self._server.start(address.ip, address.port, ssl=self._tls)
+        self._is_listening = True
 
     async def async_stop(self) -> None:
-        """Close the listener and its streams."""
+        """Close the listener and its streams, if it was started."""
+        if not self._is_listening:
+            return
         self._server.close()
         await self._server.wait_closed()
