--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -11,6 +11,7 @@
 from attrs import define, field
 from tests.virtual_fleet import Traffic, small_settings_tree, virtual_fleet
 
+from catkinspan.coordination.health.coordinator import HealthCoordinator
 from catkinspan.coordination.host.coordinator import PEER_MESSAGES
 from catkinspan.coordination.models import PeerMessage, Sender
 from catkinspan.coordination.outcomes import OutcomeKind
@@ -31,14 +32,18 @@
 
     codec: PeerCodec = field(factory=lambda: PeerCodec(PEER_MESSAGES))
     bytes_by_host: Counter[HostId] = field(factory=Counter)
+    health_bytes_by_host: Counter[HostId] = field(factory=Counter)
+    """Bytes of the messages on servers."""
+
     messages: int = 0
 
     def add(self, source: HostId, target: HostId, message: PeerMessage) -> None:
         """Add one message to the counts."""
         self.messages += 1
-        self.bytes_by_host[source] += len(
-            self.codec.encode(Sender(source, 1), [message])
-        )
+        size = len(self.codec.encode(Sender(source, 1), [message]))
+        self.bytes_by_host[source] += size
+        if isinstance(message, HealthCoordinator.message_types):
+            self.health_bytes_by_host[source] += size
 
 
 def respond(attempt: VirtualAttempt, rng: Random) -> tuple[OutcomeKind, float]:
@@ -64,8 +69,9 @@
         sent_bytes[len(sent_bytes) // 2] / MEASURED_SECONDS,
         sent_bytes[-1] / MEASURED_SECONDS,
     )
+    health = max(traffic.health_bytes_by_host.values(), default=0) / MEASURED_SECONDS
     return (
-        f"| {hosts} | {rate:g} | {median:,.0f} | {highest:,.0f} | "
+        f"| {hosts} | {rate:g} | {median:,.0f} | {highest:,.0f} | {health:,.0f} | "
         f"{traffic.messages / MEASURED_SECONDS / hosts:.1f} | "
         f"{cpu_seconds / MEASURED_SECONDS / hosts * 1000:.1f} | "
         f"{(fleet.store.call_count - calls_before) / MEASURED_SECONDS:.1f} |"
@@ -74,7 +80,10 @@
 
 def main() -> None:
     """Print the table for docs/CAPACITY.md."""
-    print("| hosts | requests/s a host | B/s median | B/s most | messages/s | ms/s |")
+    print(
+        "| hosts | requests/s a host | B/s median | B/s most | B/s on servers "
+        "| messages/s | ms/s | store calls/s |"
+    )
     for rate in REQUESTS_PER_SECOND_PER_HOST:
         for hosts in FLEET_SIZES:
             print(measure_row(hosts, rate), flush=True)
