--- a/tests/coordination/health/test_fleet.py
+++ b/tests/coordination/health/test_fleet.py
@@ -7,6 +7,7 @@
 from catkinspan.coordination.health.const import FAILURE_FACTOR
 from catkinspan.coordination.health.risk import RiskEstimate
 from catkinspan.coordination.outcomes import OutcomeKind
+from catkinspan.state.ids import ServerId
 from catkinspan.testing.hosts import ResponsePolicy, VirtualAttempt
 from tests.virtual_fleet import Traffic, small_settings_tree, virtual_fleet
 
@@ -135,3 +136,22 @@
     traffic.run(18.0, 60, method="POST")
     assert len(sent_to(traffic, "server-1", 11.0, 13.0)) >= 8
     assert len(sent_to(traffic, "server-1", 15.0, 17.0)) <= 2
+
+
+def test_new_hub_brings_the_states_of_servers_within_two_seconds() -> None:
+    """Guards against followers that wait for states which a new hub has sent before."""
+    fleet = virtual_fleet(
+        24, small_settings_tree(settings=SETTINGS), 1, hanging("server-1", 0.0, 60.0)
+    )
+    traffic = Traffic(fleet, Random(1))
+    traffic.run(8.0, 60)
+    north = next(iter(fleet.hosts))
+    hub = fleet.hosts[north].coordinator.view.hubs[0]
+    fleet.crash_host(hub)
+    traffic.run(10.0, 60)
+    followers = [
+        host.coordinator.health.server_view(ServerId("server-1"), fleet.channel.now)
+        for host in fleet.hosts.values()
+    ]
+    assert all(view.state_age is not None for view in followers)
+    assert min(view.risk for view in followers) >= 0.2
