--- a/src/catkinspan/coordination/reports/hosts.py
+++ b/src/catkinspan/coordination/reports/hosts.py
@@ -9,7 +9,11 @@
 
 
 def hosts_report(facts: HostFacts, clock_reading: ClockReading) -> HostsReport:
-    """Return the hosts known to the answering host."""
+    """Return the hosts known to the answering host.
+
+    A hub knows its followers and the hubs of other data centres, another host only some
+    hub candidates. The counts are those of the fleet.
+    """
     view = facts.membership.view
     lines = [
         _host_line(record, facts, clock_reading)
@@ -19,7 +23,7 @@
         report_header(facts, clock_reading),
         round(view.alive_share, 3),
         facts.isolated,
-        len(view.usable),
+        view.alive_count,
         view.rank,
         len(view.followers),
         tuple(lines),
