Go on with the own use of a rate while no hub is heard

Cause: without levels a host admitted rate / known hosts, from a bucket of one token. A workspace of 2.5 requests a second reaches about 55 of 135 hosts, so its requests meet the shares of hosts that have none left.

A host without levels for 0.45 s now admits in each window of 5 s what it admitted before, with a margin for the variation of a count, and at least its share of what the fleet may admit in a window. The limit is frozen when the levels are lost. A workspace that was short of tokens keeps its use without a margin. Hubs reserve 1.35 shares for a silent host, and a host that hears no other does not take its own levels for those of the fleet. Refusals without levels are 503 rate_unknown, with Retry-After 0.3, instead of 429.

The tests of the refusals fail on the code before.

--- a/src/catkinspan/coordination/metrics/endings.py
+++ b/src/catkinspan/coordination/metrics/endings.py
@@ -40,6 +40,7 @@
             RefusalKind.NOT_READY,
             RefusalKind.SETTINGS_OUTDATED,
             RefusalKind.ISOLATED,
+            RefusalKind.RATE_UNKNOWN,
         }
     ),
     ResultCategory.REQUEST: frozenset(
--- a/src/catkinspan/coordination/rates/const.py
+++ b/src/catkinspan/coordination/rates/const.py
@@ -1,13 +1,35 @@
 """Constants of the rate limits."""
 
 HUB_REPORT_MAX_AGE_SECONDS = 1.0
-"""Age up to which the levels of a hub are used; beyond it the host admits only its
-share of the rate. A remote hub is not counted after the same time without a report."""
+"""Age of the last report of a remote hub beyond which another one is counted."""
+
+LEVELS_MAX_AGE_SECONDS = 0.45
+"""Age up to which a host uses the levels of a hub: two reports. Beyond it the host goes
+on with its own recent use. Until then it admits a workspace that is not short without
+limit, so a longer time would exceed the bound if a burst comes with the loss."""
+
+OWN_USE_WINDOW_SECONDS = 5.0
+"""Window in which a host without levels limits its admissions."""
+
+OWN_USE_AVERAGING_SECONDS = 30.0
+"""Time constant of a host's own use. A client that sends a request every few seconds
+stays in it."""
+
+OWN_USE_MIN_SECONDS = 5.0
+"""Shortest time over which the own use is averaged."""
+
+OWN_USE_DEVIATIONS = 1.65
+"""Standard deviations above the mean up to which the requests of a window are admitted.
+The sum over the hosts that serve a workspace must stay below the bound of its rate."""
 
 ASSUMED_FLEET_HOSTS = 64
 """Fleet size assumed by a host that knows of no other host. The store lists no
 hosts, and a fleet that restarts at once must not admit a full burst on each host."""
 
+SILENT_HOST_WEIGHT = 1.35
+"""Weight of a silent host in the division of each rate, relative to a host that is
+heard from. It goes on with its own use, which may be more than an even share."""
+
 LOW_LEVEL_SHARE = 0.5
 """Share of the burst below which a hub sends the level of a workspace. A workspace that
 it does not list is admitted without limit: what all hosts admit until the next report
--- a/src/catkinspan/coordination/rates/coordinator.py
+++ b/src/catkinspan/coordination/rates/coordinator.py
@@ -15,7 +15,8 @@
 from catkinspan.coordination.rates.bucket import TokenBucket
 from catkinspan.coordination.rates.const import (
     ASSUMED_FLEET_HOSTS,
-    HUB_REPORT_MAX_AGE_SECONDS,
+    LEVELS_MAX_AGE_SECONDS,
+    OWN_USE_WINDOW_SECONDS,
     REPORT_AFTER_USE_SECONDS,
 )
 from catkinspan.coordination.rates.ledger import UsageLedger
@@ -28,6 +29,7 @@
     WorkspaceUsage,
     ZoneUse,
 )
+from catkinspan.coordination.rates.own_use import OwnUse
 from catkinspan.coordination.rates.policy import BucketLimits, RatePolicy
 from catkinspan.state.hosts import FleetView
 from catkinspan.state.ids import HostId, WorkspaceId
@@ -38,8 +40,14 @@
 class _WorkspaceState:
     """State of a workspace in use on this host."""
 
+    limits: BucketLimits
+    """Limits of the fleet's bucket."""
+
     bucket: TokenBucket
-    """Bucket for this host's share of the rate, used without recent levels of a hub."""
+    """Bucket for this host's share of the rate, used without recent levels of a hub for
+    a workspace that the host did not serve before."""
+
+    own_use: OwnUse
 
     admitted: int = 0
     refused: int = 0
@@ -109,10 +117,18 @@
         hosts = self._fleet_size()
         for name, state in self._states.items():
             limits = self._policy.limits(self._workspaces[name])
+            if limits.rate < state.limits.rate:
+                state.own_use.reduce(limits.rate / state.limits.rate)
+            state.limits = limits
             rate, capacity = limits.rate / hosts, max(1.0, limits.capacity / hosts)
             if (state.bucket.rate, state.bucket.capacity) != (rate, capacity):
                 state.bucket.set_limits(rate, capacity, now)
 
+    @staticmethod
+    def _is_cut_off(view: FleetView) -> bool:
+        """Return whether the host hears no other, so its own levels tell it nothing."""
+        return view.alive_count <= 1 < view.known_count
+
     def _fleet_size(self) -> int:
         if self._view is None or self._view.known_count <= 1:
             return ASSUMED_FLEET_HOSTS
@@ -127,36 +143,56 @@
             return False
         state = self._states.get(workspace)
         if state is None:
-            hosts, limits = self._fleet_size(), self._policy.limits(settings)
-            bucket = self._new_local_bucket(limits, hosts, now)
-            state = self._states[workspace] = _WorkspaceState(bucket)
+            limits = self._policy.limits(settings)
+            bucket = self._new_local_bucket(limits, now)
+            state = _WorkspaceState(limits, bucket, OwnUse(now))
+            self._states[workspace] = state
         state.last_used_at = now
         admitted = not settings.is_limited or self._is_admitted(state, now)
         if admitted:
             state.admitted += 1
+            state.own_use.record(now)
         else:
             state.refused += 1
         return admitted
 
-    def _new_local_bucket(
-        self, limits: BucketLimits, hosts: int, now: float
-    ) -> TokenBucket:
-        """Return a bucket for this host's share of a new workspace's rate.
+    def _new_local_bucket(self, limits: BucketLimits, now: float) -> TokenBucket:
+        """Return an empty bucket for this host's share of a workspace's rate."""
+        hosts = self._fleet_size()
+        capacity = max(1.0, limits.capacity / hosts)
+        return TokenBucket(limits.rate / hosts, capacity, 0.0, now)
 
-        A capacity below one token is the probability of starting with one: a whole
-        token on each host of a fleet that has just started would be several bursts.
-        """
-        capacity = limits.capacity / hosts
-        level = capacity if capacity >= 1.0 else float(self._rng.random() < capacity)
-        return TokenBucket(limits.rate / hosts, max(1.0, capacity), level, now)
+    def _window_share(self, limits: BucketLimits) -> float:
+        """Return this host's share of what the fleet may admit in one window."""
+        available = limits.rate * OWN_USE_WINDOW_SECONDS + limits.capacity
+        return available / self._fleet_size()
 
     def _is_admitted(self, state: _WorkspaceState, now: float) -> bool:
-        if now - self._levels_received_at > HUB_REPORT_MAX_AGE_SECONDS:
-            return state.bucket.try_take(now)
+        if not self._has_levels(now):
+            return self._is_admitted_without_levels(state, now)
         if state.hub_level is None:
             return True
         return self._rng.random() < state.hub_level.admit_share
 
+    def _has_levels(self, now: float) -> bool:
+        return now - self._levels_received_at <= LEVELS_MAX_AGE_SECONDS
+
+    def _is_admitted_without_levels(self, state: _WorkspaceState, now: float) -> bool:
+        own_use, is_short = state.own_use, state.hub_level is not None
+        share = self._window_share(state.limits)
+        limit = own_use.limit(share, is_short, self._rng, now)
+        if own_use.count(now) < limit:
+            return True
+        return limit == 0 and state.bucket.try_take(now)
+
+    def is_over_rate(self, workspace: WorkspaceId) -> bool:
+        """Return whether a hub reported that a workspace is short of tokens.
+
+        Otherwise a refusal has its cause in what the host does not know.
+        """
+        state = self._states.get(workspace)
+        return state is not None and state.hub_level is not None
+
     def retry_after(self, workspace: WorkspaceId) -> float:
         """Return the estimated seconds until a token is available."""
         settings = self._workspaces.get(workspace)
@@ -172,12 +208,9 @@
         if state is None:
             return "unknown workspace"
         age = now - self._levels_received_at
-        if age > HUB_REPORT_MAX_AGE_SECONDS:
-            bucket = state.bucket
-            hosts = self._fleet_size()
-            return (
-                f"local bucket {bucket.level:.1f}/{bucket.capacity:.1f} ({hosts} hosts)"
-            )
+        if age > LEVELS_MAX_AGE_SECONDS:
+            count, limit = state.own_use.count(now), state.own_use.frozen_limit
+            return f"no levels for {age:.1f} s, own use {count} of {limit} in a window"
         if state.hub_level is None:
             return f"enough tokens, reported {age:.2f} s ago"
         return (
@@ -190,7 +223,7 @@
         workspaces = {}
         age = now - self._levels_received_at
         for name, state in self._states.items():
-            level = state.hub_level if age <= HUB_REPORT_MAX_AGE_SECONDS else None
+            level = state.hub_level if age <= LEVELS_MAX_AGE_SECONDS else None
             workspaces[name] = WorkspaceRates(
                 name,
                 state.admitted,
@@ -202,7 +235,7 @@
 
     def levels_hub(self, now: float) -> HostId | None:
         """Return the hub whose levels are in use; None without recent levels."""
-        if now - self._levels_received_at > HUB_REPORT_MAX_AGE_SECONDS:
+        if now - self._levels_received_at > LEVELS_MAX_AGE_SECONDS:
             return None
         return self._levels_hub
 
@@ -242,6 +275,7 @@
         levels_by_workspace = {level.workspace: level for level in levels}
         for name, state in self._states.items():
             state.hub_level = levels_by_workspace.get(name)
+            state.own_use.thaw()
 
     def tick(self, now: float) -> None:
         """Report usage and, as a hub, send levels and the totals of the data centre."""
@@ -257,7 +291,8 @@
         for host in hosts:
             self._outbox.send(host, levels)
         if self._view.hubs[0] == self._self_id:
-            self._apply_levels(self._self_id, levels.levels, now)
+            if not self._is_cut_off(self._view):
+                self._apply_levels(self._self_id, levels.levels, now)
             self._report_to_remote_hubs(now)
         self._ledger.forget_idle(now)
 
--- a/src/catkinspan/coordination/rates/ledger.py
+++ b/src/catkinspan/coordination/rates/ledger.py
@@ -13,6 +13,7 @@
     LEVEL_HORIZON_SECONDS,
     LOW_LEVEL_SHARE,
     REPORT_AFTER_USE_SECONDS,
+    SILENT_HOST_WEIGHT,
 )
 from catkinspan.coordination.rates.models import WorkspaceLevel, WorkspaceUsage
 from catkinspan.coordination.rates.policy import RatePolicy
@@ -71,10 +72,11 @@
         self._update_buckets(now)
 
     def apply_alive_share(self, share: float, now: float) -> None:
-        """Reduce each rate to the share of the fleet's hosts that are heard from.
+        """Reduce each rate to what the hosts that are heard from may use.
 
-        The other hosts may be partitioned and admit their own share.
+        The other hosts may be partitioned and go on with their own use.
         """
+        share /= share + SILENT_HOST_WEIGHT * (1.0 - share)
         if share == self._share:
             return
         self._share = share
--- a/src/catkinspan/coordination/requests/coordinator.py
+++ b/src/catkinspan/coordination/requests/coordinator.py
@@ -263,15 +263,19 @@
         if request.workspace != ANONYMOUS_WORKSPACE:
             rates = self._dependencies.rates
             if not rates.admit(request.workspace, now):
-                workspace = self._tree.workspaces.get(request.workspace)
-                workspace = workspace or Workspace(request.workspace, (), 0.0, 1.0)
-                wait = rates.retry_after(request.workspace)
-                evidence = rates.evidence(request.workspace, now)
-                self._refuse(request, refusals.rate_refusal(workspace, wait, evidence))
+                self._refuse(request, self._rate_refusal(request.workspace, now))
                 return
         self._dependencies.retries.record_first_attempt(request.service, now)
         self._dispatch(request, now)
 
+    def _rate_refusal(self, id_: WorkspaceId, now: float) -> Refusal:
+        rates = self._dependencies.rates
+        evidence = rates.evidence(id_, now)
+        if not rates.is_over_rate(id_):
+            return refusals.unknown_rate_refusal(evidence)
+        workspace = self._tree.workspaces.get(id_) or Workspace(id_, (), 0.0, 1.0)
+        return refusals.rate_refusal(workspace, rates.retry_after(id_), evidence)
+
     # Servers and attempts
 
     def _dispatch(self, request: ActiveRequest, now: float) -> None:
--- a/src/catkinspan/coordination/requests/errors.py
+++ b/src/catkinspan/coordination/requests/errors.py
@@ -29,6 +29,7 @@
     ISOLATED = "isolated"
     OVERLOADED = "overloaded"
     RATE_EXCEEDED = "rate_exceeded"
+    RATE_UNKNOWN = "rate_unknown"
     QUARANTINED = "quarantined"
     NO_CAPACITY = "no_capacity"
     UPSTREAM_UNREACHABLE = "upstream_unreachable"
--- a/src/catkinspan/coordination/requests/refusals.py
+++ b/src/catkinspan/coordination/requests/refusals.py
@@ -26,7 +26,9 @@
     "try again, through another host if possible",
     retry_after=_DEFAULT_RETRY_AFTER_SECONDS,
 )
-_OUTDATED_RETRY_AFTER_SECONDS = 0.3
+_UNKNOWING_RETRY_AFTER_SECONDS = 0.3
+"""`Retry-After` of a host that lacks knowledge which other hosts are likely to have."""
+
 SETTINGS_KINDS = frozenset(
     {
         RefusalKind.ROUTE_NOT_FOUND,
@@ -166,7 +168,7 @@
         RefusalKind.SETTINGS_OUTDATED,
         "the host may not have the newest settings",
         "try again, through another host if possible",
-        retry_after=_OUTDATED_RETRY_AFTER_SECONDS,
+        retry_after=_UNKNOWING_RETRY_AFTER_SECONDS,
         evidence=f"{refusal.kind} {refusal.evidence}".rstrip(),
     )
 
@@ -192,6 +194,17 @@
     )
 
 
+def unknown_rate_refusal(evidence: str) -> Refusal:
+    """Return the refusal of a host that does not know the fleet's use of a rate."""
+    return Refusal(
+        RefusalKind.RATE_UNKNOWN,
+        "the host does not know the use of the workspace's rate at other hosts",
+        "try again, through another host if possible",
+        retry_after=_UNKNOWING_RETRY_AFTER_SECONDS,
+        evidence=evidence,
+    )
+
+
 def server_refusal(refused: NoServerAvailable) -> Refusal:
     """Return the refusal of a request that no server can take."""
     return Refusal(
--- a/src/catkinspan/protocol/http/responses.py
+++ b/src/catkinspan/protocol/http/responses.py
@@ -27,6 +27,7 @@
     RefusalKind.ISOLATED: 503,
     RefusalKind.OVERLOADED: 503,
     RefusalKind.RATE_EXCEEDED: 429,
+    RefusalKind.RATE_UNKNOWN: 503,
     RefusalKind.QUARANTINED: 503,
     RefusalKind.NO_CAPACITY: 503,
     RefusalKind.UPSTREAM_UNREACHABLE: 502,
--- a/tests/coordination/requests/test_outdated.py
+++ b/tests/coordination/requests/test_outdated.py
@@ -16,9 +16,15 @@
 """Time after which a change must be in force everywhere (the platform's bound)."""
 
 
-def _send(fleet: VirtualFleet, host: HostId, key: str, path: str = "/jobs/1") -> None:
+def _send(
+    fleet: VirtualFleet,
+    host: HostId,
+    key: str,
+    path: str = "/jobs/1",
+    request_id: str = "r1",
+) -> None:
     request = RequestArrived(
-        RequestId("r1"),
+        RequestId(request_id),
         "GET",
         "shop.example",
         path,
@@ -133,3 +139,15 @@
     _send(fleet, follower, "key-1")
     fleet.channel.run(fleet.channel.now + 0.5)
     assert _refusal_kind(fleet, follower) is RefusalKind.SETTINGS_OUTDATED
+
+
+def test_host_without_hub_does_not_claim_that_a_rate_is_exceeded() -> None:
+    """Guards against 429, which blames the caller, at a host that hears no hub."""
+    fleet = virtual_fleet(12, small_settings_tree(rate=2.0, burst=2.0))
+    host = _cut_off_follower(fleet)
+    fleet.channel.run(fleet.channel.now + APPLY_SECONDS)
+    for number in range(20):
+        _send(fleet, host, "key-0", request_id=f"r{number}")
+    refusals = fleet.hosts[host].refusals.values()
+    assert {refusal.kind for refusal in refusals} == {RefusalKind.RATE_UNKNOWN}
+    assert all(refusal.retry_after is not None for refusal in refusals)
