--- a/src/catkinspan/coordination/configuration/coordinator.py
+++ b/src/catkinspan/coordination/configuration/coordinator.py
@@ -19,9 +19,11 @@
     describe_differences,
     describe_server_changes,
 )
+from catkinspan.coordination.configuration.echoes import ClockEchoes
 from catkinspan.coordination.configuration.models import (
     AppliedRevision,
     Changes,
+    ClockStamp,
     ConfigurationAccepted,
     ConfigurationRejected,
     ConfigurationSnapshot,
@@ -81,6 +83,7 @@
         CopyPart,
         Pull,
         Freshness,
+        ClockStamp,
     )
 
     def __init__(
@@ -94,6 +97,7 @@
         self._view: FleetView | None = None
         self._contacts = StoreContacts(self_id, now)
         self._completeness = CopyCompleteness()
+        self._echoes = ClockEchoes(now)
         self._outage_started_at: float | None = None
         """Time of the last contact before an outage; None while the store answers."""
 
@@ -170,8 +174,7 @@
         return self._completeness.is_catching_up(self._replica.revision)
 
     def _update_completeness(self) -> None:
-        contact_at = self._contacts.latest_at
-        self._completeness.update(self._replica.revision, contact_at)
+        self._completeness.update(self._replica.revision)
 
     def snapshot(self, now: float) -> ConfigurationSnapshot:
         """Return the state for operators' reports."""
@@ -212,6 +215,7 @@
         """Record that the store answered this host."""
         self._check_outage_end(now, self._contacts.latest_at, STORE_SOURCE, now)
         self._contacts.record_own(now)
+        self._completeness.record_contact(now)
         self._update_completeness()
 
     # Peers
@@ -227,6 +231,8 @@
                 self._answer_pull(sender.host, after, now)
             case Freshness():
                 self._on_freshness(message, sender.host, now)
+            case ClockStamp():
+                self._echoes.record(sender.host, message, now)
 
     def _on_changes(self, message: Changes, source: HostId, now: float) -> None:
         self._completeness.record_announcement(message.revision)
@@ -264,8 +270,12 @@
         self._completeness.record_announcement(message.revision)
         self._contacts.record_hub(now)
         if message.store_contact_age_ms is not None:
-            contact_at = now - message.store_contact_age_ms / 1000
-            self._record_peer_contact(contact_at, message.reader or source, source, now)
+            age = message.store_contact_age_ms / 1000
+            sent_at = self._echoes.earliest_send_time(message, now)
+            self._completeness.record_contact(sent_at - age)
+            self._update_completeness()
+            reader = message.reader or source
+            self._record_peer_contact(now - age, reader, source, now)
         if message.revision <= self._replica.revision:
             return
         is_first_copy = self._replica.revision == NO_REVISION
@@ -279,7 +289,6 @@
         latest_at = self._contacts.latest_at
         if self._contacts.record_peer(at, reader):
             self._check_outage_end(at, latest_at, source, now)
-            self._update_completeness()
 
     def _request_changes(self, source: HostId, now: float) -> None:
         if self._pulls.should_ask(source, now):
@@ -339,7 +348,7 @@
                 self._sent_copies.record(host, self._replica.revision, now)
             pushed, hubs = set(), hubs - pushed
         for host in pushed | hubs:
-            self._outbox.send(host, self._freshness(now))
+            self._outbox.send(host, self._freshness_for(host, now))
 
     def _push(
         self, changed: tuple[Document, ...], receivers: Iterable[HostId], now: float
@@ -372,6 +381,7 @@
         self._partial_copies.clear()
         self._contacts.add_pause(gap)
         self._completeness.add_pause(gap)
+        self._echoes.reset(now)
 
     def _age_ms(self, now: float) -> int:
         return max(0, round(self.contact_age(now) * 1000))
@@ -381,15 +391,21 @@
         view = self._view
         if view is None:
             return
-        message = self._freshness(now)
-        for host in {*view.followers, *view.remote_hubs}:
-            self._outbox.send(host, message)
+        stamp = self._echoes.own_stamp(now)
+        for host in {*view.hubs, *view.remote_hubs} - {self._self_id}:
+            self._outbox.send(host, stamp)
+        receivers = {*view.followers, *view.remote_hubs}
+        self._echoes.keep_only(receivers)
+        for host in receivers:
+            self._outbox.send(host, self._freshness_for(host, now))
 
-    def _freshness(self, now: float) -> Freshness:
-        age_ms = self._age_ms(now) if self._contacts.was_reached else None
+    def _freshness_for(self, host: HostId, now: float) -> Freshness:
+        age_ms = self._completeness.contact_age_ms(now)
         # A host that lacks a revision it has heard of does not vouch for its copy.
         revision = max(self._replica.revision, self._completeness.announced)
-        return Freshness(revision, age_ms, self._contacts.reader)
+        echo_ms, echo_age_ms = self._echoes.echo_for(host, now)
+        reader = self._contacts.reader
+        return Freshness(revision, age_ms, reader, echo_ms, echo_age_ms)
 
     def _update_reader_role(self, now: float) -> None:
         is_reader = self._should_read(now)
