Do not count hosts by a predecessor's count when none is heard

A host that was cut off became its own hub after 0.9 s and used the count of its predecessor for two seconds, so it took its own levels for those of the fleet and admitted every workspace without limit.

--- a/src/catkinspan/coordination/membership/sizes.py
+++ b/src/catkinspan/coordination/membership/sizes.py
@@ -4,6 +4,7 @@
     DATA_CENTRE_SILENT_SECONDS,
     HOST_EXPIRY_SECONDS,
     HOST_SILENT_SECONDS,
+    HUB_SILENT_SECONDS,
     MAX_DATA_CENTRES,
 )
 from catkinspan.coordination.membership.models import DataCentreSize
@@ -104,9 +105,21 @@
         return max(1, known), max(1, alive)
 
     def _is_settled(self, now: float) -> bool:
-        """Return whether all hosts had time to report to this host as a hub."""
+        """Return whether this host counts by the reports that it gets as a hub.
+
+        A new hub gives the others time to report, unless it hears no host at all: it
+        then may be cut off, and the count of its predecessor does not hold for it.
+        """
         since = self._hub_since
-        return since is not None and now - since >= HOST_SILENT_SECONDS
+        if since is None:
+            return False
+        return now - since >= HOST_SILENT_SECONDS or not self._hears_any_host(now)
+
+    def _hears_any_host(self, now: float) -> bool:
+        return any(
+            now - peer.last_message_at <= HUB_SILENT_SECONDS
+            for _, peer in self._table.items()
+        )
 
     def _count(self, now: float) -> tuple[int, int]:
         peers = [
