Do not take news that waited before a link for recent

Between 14.57 s and 17.6 s hosts with an older version gave 102 answers with 404, those to routes that never existed included. They counted their last contact with the store as 0.2 s to 2.6 s old, 78 times as less than 2 s.

Cause: the age of a contact is told relative to the time at which the message is sent, and the receiver counts it from the arrival. Before a congested link messages wait for seconds, and so old news look recent; hubs pass them on.

Hosts now send their clock to those that tell them about the store, who return it in Freshness with the time since its arrival. So the receiver knows a time after which the message was certainly sent, and counts from there. Hubs tell only such confirmed ages on. The detection of an outage and the choice of readers are unchanged.

The new test fails on the code before: route_not_found instead of settings_outdated.

--- a/src/catkinspan/coordination/configuration/const.py
+++ b/src/catkinspan/coordination/configuration/const.py
@@ -3,6 +3,9 @@
 FRESHNESS_INTERVAL_SECONDS = 0.4
 """Interval at which hubs send the age of their last contact with the store."""
 
+MAX_TOLD_AGE_SECONDS = 1_000_000.0
+"""Age that a hub tells before its first contact with the store."""
+
 INITIAL_READ_DELAY_SECONDS = 0.5
 """Time after the start of a host before it reads the store itself, in which hubs may
 deliver the documents. A fleet that starts at once finds its hubs within this time."""
--- a/src/catkinspan/coordination/configuration/coordinator.py
+++ b/src/catkinspan/coordination/configuration/coordinator.py
@@ -2,6 +2,7 @@
 
 from collections import deque
 from collections.abc import Iterable, Mapping
+from math import ceil, floor
 from typing import ClassVar
 
 from attrs import define, field
@@ -13,6 +14,7 @@
     MAX_PART_CHARS,
     MAX_READING_CANDIDATES,
     MAX_RECENT_REVISIONS,
+    MAX_TOLD_AGE_SECONDS,
     OUTAGE_THRESHOLD_SECONDS,
     PULL_RETRY_SECONDS,
     READ_TAKEOVER_SECONDS,
@@ -23,6 +25,7 @@
 from catkinspan.coordination.configuration.models import (
     AppliedRevision,
     Changes,
+    ClockStamp,
     ConfigurationAccepted,
     ConfigurationRejected,
     ConfigurationSnapshot,
@@ -77,6 +80,7 @@
         CopyPart,
         Pull,
         Freshness,
+        ClockStamp,
     )
 
     def __init__(
@@ -96,6 +100,16 @@
         self._announced_revision = NO_REVISION
         """Newest store revision of which this host has heard."""
 
+        self._confirmed_contact_at = float("-inf")
+        """Time of the latest contact that a peer reported, less the delay of its
+        message."""
+
+        self._stamps: dict[HostId, tuple[int, float]] = {}
+        """Latest clock stamp of each host, and the time at which it arrived."""
+
+        self._min_echo_ms = 0
+        """Own clock stamps below it are from before a pause."""
+
         self._complete_at = float("-inf")
         """Time at which the replica was last known to have all changes."""
 
@@ -176,8 +190,11 @@
 
     def _update_completeness(self) -> None:
         if not self.is_catching_up():
-            contact_at = max(self._own_contact_at, self._peer_contact_at)
-            self._complete_at = max(self._complete_at, contact_at)
+            self._complete_at = max(self._complete_at, self._last_sure_contact_at)
+
+    @property
+    def _last_sure_contact_at(self) -> float:
+        return max(self._own_contact_at, self._confirmed_contact_at)
 
     @property
     def _was_store_reached(self) -> bool:
@@ -238,6 +255,8 @@
                 self._answer_pull(sender.host, after, now)
             case Freshness():
                 self._on_freshness(message, sender.host, now)
+            case ClockStamp(stamp_ms):
+                self._stamps[sender.host] = (stamp_ms, now)
 
     def _on_changes(self, message: Changes, source: HostId, now: float) -> None:
         self._record_announcement(message.revision)
@@ -274,9 +293,11 @@
 
     def _on_freshness(self, message: Freshness, source: HostId, now: float) -> None:
         self._record_announcement(message.revision)
-        self._record_peer_contact(
-            now - message.store_contact_age_ms / 1000, source, now
-        )
+        age = message.store_contact_age_ms / 1000
+        sent_at = self._earliest_send_time(message, now)
+        self._confirmed_contact_at = max(self._confirmed_contact_at, sent_at - age)
+        self._update_completeness()
+        self._record_peer_contact(now - age, source, now)
         if message.revision > self._replica.revision:
             self._request_changes(source, now)
 
@@ -284,7 +305,14 @@
         if at > self._peer_contact_at:
             self._check_outage_end(at, source, now)
             self._peer_contact_at = at
-            self._update_completeness()
+
+    def _earliest_send_time(self, message: Freshness, now: float) -> float:
+        """Return the time after which a message was certainly sent."""
+        if message.echo_ms is None or message.echo_ms < self._min_echo_ms:
+            return float("-inf")
+        sent_at = self._started_at + (message.echo_ms + message.echo_age_ms) / 1000
+        # A stamp of an earlier process of this host lies in the future.
+        return sent_at if sent_at <= now else float("-inf")
 
     def _record_announcement(self, revision: Revision) -> None:
         self._announced_revision = max(self._announced_revision, revision)
@@ -360,19 +388,38 @@
         self._partial_copies.clear()
         self._own_contact_at -= gap
         self._peer_contact_at -= gap
+        self._confirmed_contact_at -= gap
         self._complete_at -= gap
+        self._min_echo_ms = self._clock_ms(now)
 
     def _age_ms(self, now: float) -> int:
         return max(0, round(self.contact_age(now) * 1000))
 
+    def _sure_age_ms(self, now: float) -> int:
+        age = min(now - self._last_sure_contact_at, MAX_TOLD_AGE_SECONDS)
+        return max(0, ceil(age * 1000))
+
+    def _clock_ms(self, now: float) -> int:
+        return floor((now - self._started_at) * 1000)
+
     def _send_freshness(self, now: float) -> None:
         view = self._view
-        if view is None or not self._was_store_reached:
+        if view is None:
+            return
+        stamp = ClockStamp(self._clock_ms(now))
+        for host in {*view.hubs, *view.remote_hubs} - {self._self_id}:
+            self._outbox.send(host, stamp)
+        if not self._was_store_reached:
             return
         # A host that lacks a revision it has heard of does not vouch for its copy.
         revision = max(self._replica.revision, self._announced_revision)
-        message = Freshness(revision, self._age_ms(now))
-        for host in {*view.followers, *view.remote_hubs}:
+        age_ms = self._sure_age_ms(now)
+        receivers = {*view.followers, *view.remote_hubs}
+        self._stamps = {h: s for h, s in self._stamps.items() if h in receivers}
+        for host in receivers:
+            stamp_ms, arrived_at = self._stamps.get(host, (None, now))
+            echo_age_ms = floor((now - arrived_at) * 1000)
+            message = Freshness(revision, age_ms, stamp_ms, echo_age_ms)
             self._outbox.send(host, message)
 
     def _update_reader_role(self, now: float) -> None:
--- a/src/catkinspan/coordination/configuration/models.py
+++ b/src/catkinspan/coordination/configuration/models.py
@@ -107,6 +107,23 @@
     store_contact_age_ms: Millis
     """Time since any host last reached the store."""
 
+    echo_ms: Millis | None = None
+    """Value of the receiver's last `ClockStamp`; None if the sender has none."""
+
+    echo_age_ms: Millis = 0
+    """Time since that stamp arrived at the sender."""
+
+
+@frozen
+class ClockStamp(PeerMessage):
+    """Clock of the sender, which the receiver returns in `Freshness`.
+
+    Messages may wait for seconds before a congested link. The echo tells the receiver
+    of `Freshness` how old it is at most.
+    """
+
+    stamp_ms: Millis
+
 
 @frozen
 class AppliedRevision:
--- a/src/catkinspan/testing/channel.py
+++ b/src/catkinspan/testing/channel.py
@@ -110,6 +110,12 @@
         """Call `on_send` for each message sent from now on."""
         self._on_send = on_send
 
+    def set_path_delay(
+        self, path_delay: Callable[[HostId, HostId], tuple[float, float]]
+    ) -> None:
+        """Use `path_delay` for the messages sent from now on."""
+        self._path_delay = path_delay
+
     def attach(
         self,
         host: HostId,
--- a/tests/coordination/requests/test_outdated.py
+++ b/tests/coordination/requests/test_outdated.py
@@ -141,6 +141,21 @@
     assert _refusal_kind(fleet, follower) is RefusalKind.SETTINGS_OUTDATED
 
 
+def test_news_that_waited_before_a_link_do_not_count_as_recent() -> None:
+    """Guards against 404 for a new route at a host whose news are seconds late."""
+    fleet = virtual_fleet(12)
+    host = next(h for h in fleet.hosts if not fleet.hosts[h].coordinator.view.is_hub)
+    fleet.channel.set_path_delay(
+        lambda source, target: (3.0, 3.1) if target == host else (0.001, 0.004)
+    )
+    fleet.store.unreachable_from = {host}
+    fleet.channel.run(fleet.channel.now + 4.0)
+    _publish_second_workspace_and_route(fleet)
+    fleet.channel.run(fleet.channel.now + APPLY_SECONDS)
+    _send(fleet, host, "key-0", "/proofs/1")
+    assert _refusal_kind(fleet, host) is RefusalKind.SETTINGS_OUTDATED
+
+
 def test_host_without_hub_does_not_claim_that_a_rate_is_exceeded() -> None:
     """Guards against 429, which blames the caller, at a host that hears no hub."""
     fleet = virtual_fleet(12, small_settings_tree(rate=2.0, burst=2.0))
