Log the confirmed age of the settings beside the age of the contact

Refusal lines now have copy_age_ms too, the time since the settings were last confirmed as the newest. The test of the line failed before: it had no such field.

--- a/src/catkinspan/daemon/host_task.py
+++ b/src/catkinspan/daemon/host_task.py
@@ -304,6 +304,7 @@
         return HostKnowledge(
             coordinator.tree.revision,
             coordinator.configuration.contact_age(now),
+            coordinator.configuration.copy_age(now),
             coordinator.rates.levels_hub(now),
         )
 
--- a/src/catkinspan/daemon/request_log.py
+++ b/src/catkinspan/daemon/request_log.py
@@ -1,5 +1,7 @@
 """Rate-limited log lines for the decisions on requests."""
 
+from math import isinf
+
 from attrs import define, frozen
 from loguru import logger
 
@@ -23,7 +25,10 @@
     """Revision of the settings in force."""
 
     store_age: float
-    """Seconds since the host or a peer last reached the store."""
+    """Seconds since the host or a peer last reached the store, as far as it heard."""
+
+    copy_age: float
+    """Seconds since the settings were last confirmed as the newest."""
 
     hub: HostId | None
     """Hub whose rate levels are in use; None without recent levels."""
@@ -105,6 +110,7 @@
             evidence=refusal.evidence,
             revision=known.revision,
             store_age_ms=round(known.store_age * 1000),
+            copy_age_ms=_to_ms(known.copy_age),
             hub=known.hub or "",
         ).info("request refused: {}", refusal)
 
@@ -137,3 +143,7 @@
                 "suppressed {} log lines about requests", suppressed
             )
         return True
+
+
+def _to_ms(seconds: float) -> int | None:
+    return None if isinf(seconds) else round(seconds * 1000)
--- a/tests/daemon/test_request_log.py
+++ b/tests/daemon/test_request_log.py
@@ -36,10 +36,11 @@
 
 def test_refusal_line_tells_what_the_host_knew(lines: list[dict[str, Any]]) -> None:
     """Guards against a 401 whose cause, a wrong key or old settings, is unknown."""
-    known = HostKnowledge(Revision(7), 0.25, HostId("hub-1"))
+    known = HostKnowledge(Revision(7), 0.25, 1.5, HostId("hub-1"))
     RequestLog().log_refusal(_refuse_wrong_key(), known, 3.0)
     extra = lines[-1]["extra"]
     assert extra["evidence"] == f"key {digest_of(WRONG_KEY).hex()[:12]}"
     assert (extra["revision"], extra["store_age_ms"]) == (7, 250)
+    assert extra["copy_age_ms"] == 1500
     assert extra["hub"] == "hub-1"
     assert WRONG_KEY not in str(lines)
