--- a/src/catkinspan/coordination/configuration/coordinator.py
+++ b/src/catkinspan/coordination/configuration/coordinator.py
@@ -2,11 +2,11 @@
 
 from collections import deque
 from collections.abc import Iterable, Mapping
-from math import ceil, floor
 from typing import ClassVar
 
 from attrs import define, field
 
+from catkinspan.coordination.configuration.confirmation import CopyConfirmation
 from catkinspan.coordination.configuration.const import (
     FRESHNESS_INTERVAL_SECONDS,
     INITIAL_READ_DELAY_SECONDS,
@@ -14,7 +14,6 @@
     MAX_PART_CHARS,
     MAX_READING_CANDIDATES,
     MAX_RECENT_REVISIONS,
-    MAX_TOLD_AGE_SECONDS,
     OUTAGE_THRESHOLD_SECONDS,
     PULL_RETRY_SECONDS,
     READ_TAKEOVER_SECONDS,
@@ -97,22 +96,7 @@
         self._peer_contact_at = float("-inf")
         """Time of the latest contact with the store that a peer reported."""
 
-        self._announced_revision = NO_REVISION
-        """Newest store revision of which this host has heard."""
-
-        self._confirmed_contact_at = float("-inf")
-        """Time of the latest contact that a peer reported, less the delay of its
-        message."""
-
-        self._stamps: dict[HostId, tuple[int, float]] = {}
-        """Latest clock stamp of each host, and the time at which it arrived."""
-
-        self._min_echo_ms = 0
-        """Own clock stamps below it are from before a pause."""
-
-        self._complete_at = float("-inf")
-        """Time at which the replica was last known to have all changes."""
-
+        self._confirmation = CopyConfirmation(now)
         self._outage_started_at: float | None = None
         """Time of the last contact before an outage; None while the store answers."""
 
@@ -176,7 +160,7 @@
 
         It is infinite before the first contact with the store.
         """
-        return now - self._complete_at
+        return self._confirmation.copy_age(now)
 
     def is_up_to_date(self, now: float) -> bool:
         """Return whether no newer change is known and the last contact is recent."""
@@ -186,15 +170,7 @@
 
     def is_catching_up(self) -> bool:
         """Return whether the store has changes that the replica lacks."""
-        return self._replica.revision < self._announced_revision
-
-    def _update_completeness(self) -> None:
-        if not self.is_catching_up():
-            self._complete_at = max(self._complete_at, self._last_sure_contact_at)
-
-    @property
-    def _last_sure_contact_at(self) -> float:
-        return max(self._own_contact_at, self._confirmed_contact_at)
+        return self._replica.revision < self._confirmation.announced_revision
 
     @property
     def _was_store_reached(self) -> bool:
@@ -240,7 +216,7 @@
         """Record that the store answered this host."""
         self._check_outage_end(now, STORE_SOURCE, now)
         self._own_contact_at = now
-        self._update_completeness()
+        self._confirmation.record_own_contact(self._replica.revision, now)
 
     # Peers
 
@@ -256,10 +232,10 @@
             case Freshness():
                 self._on_freshness(message, sender.host, now)
             case ClockStamp(stamp_ms):
-                self._stamps[sender.host] = (stamp_ms, now)
+                self._confirmation.record_stamp(sender.host, stamp_ms, now)
 
     def _on_changes(self, message: Changes, source: HostId, now: float) -> None:
-        self._record_announcement(message.revision)
+        self._confirmation.record_announcement(message.revision)
         if message.after_revision > self._replica.revision:
             self._request_changes(source, now)
             return
@@ -274,7 +250,7 @@
 
     def _on_copy_part(self, part: CopyPart, source: HostId, now: float) -> None:
         partial = self._partial_copies.get(source)
-        self._record_announcement(part.revision)
+        self._confirmation.record_announcement(part.revision)
         if part.index == 0:
             partial = self._partial_copies[source] = _PartialCopy(part.revision)
         if partial is None or part.revision != partial.revision:
@@ -292,11 +268,8 @@
             self._apply_and_forward(changed, source, now)
 
     def _on_freshness(self, message: Freshness, source: HostId, now: float) -> None:
-        self._record_announcement(message.revision)
+        self._confirmation.record_freshness(message, self._replica.revision, now)
         age = message.store_contact_age_ms / 1000
-        sent_at = self._earliest_send_time(message, now)
-        self._confirmed_contact_at = max(self._confirmed_contact_at, sent_at - age)
-        self._update_completeness()
         self._record_peer_contact(now - age, source, now)
         if message.revision > self._replica.revision:
             self._request_changes(source, now)
@@ -306,17 +279,6 @@
             self._check_outage_end(at, source, now)
             self._peer_contact_at = at
 
-    def _earliest_send_time(self, message: Freshness, now: float) -> float:
-        """Return the time after which a message was certainly sent."""
-        if message.echo_ms is None or message.echo_ms < self._min_echo_ms:
-            return float("-inf")
-        sent_at = self._started_at + (message.echo_ms + message.echo_age_ms) / 1000
-        # A stamp of an earlier process of this host lies in the future.
-        return sent_at if sent_at <= now else float("-inf")
-
-    def _record_announcement(self, revision: Revision) -> None:
-        self._announced_revision = max(self._announced_revision, revision)
-
     def _request_changes(self, source: HostId, now: float) -> None:
         if now - self._last_pull_at < PULL_RETRY_SECONDS:
             return
@@ -343,7 +305,7 @@
         self, changed: tuple[Document, ...], source: HostId | None, now: float
     ) -> None:
         """Apply changes and forward them to hosts that may not have them."""
-        self._update_completeness()
+        self._confirmation.record_replica(self._replica.revision)
         if not changed:
             return
         self._apply_documents(changed, source or STORE_SOURCE, now)
@@ -388,39 +350,29 @@
         self._partial_copies.clear()
         self._own_contact_at -= gap
         self._peer_contact_at -= gap
-        self._confirmed_contact_at -= gap
-        self._complete_at -= gap
-        self._min_echo_ms = self._clock_ms(now)
+        self._confirmation.resume(gap, now)
 
     def _age_ms(self, now: float) -> int:
         return max(0, round(self.contact_age(now) * 1000))
 
-    def _sure_age_ms(self, now: float) -> int:
-        age = min(now - self._last_sure_contact_at, MAX_TOLD_AGE_SECONDS)
-        return max(0, ceil(age * 1000))
-
-    def _clock_ms(self, now: float) -> int:
-        return floor((now - self._started_at) * 1000)
-
     def _send_freshness(self, now: float) -> None:
         view = self._view
         if view is None:
             return
-        stamp = ClockStamp(self._clock_ms(now))
+        confirmation = self._confirmation
+        stamp = ClockStamp(confirmation.clock_ms(now))
         for host in {*view.hubs, *view.remote_hubs} - {self._self_id}:
             self._outbox.send(host, stamp)
         if not self._was_store_reached:
             return
         # A host that lacks a revision it has heard of does not vouch for its copy.
-        revision = max(self._replica.revision, self._announced_revision)
-        age_ms = self._sure_age_ms(now)
+        revision = max(self._replica.revision, confirmation.announced_revision)
+        age_ms = confirmation.contact_age_ms(now)
         receivers = {*view.followers, *view.remote_hubs}
-        self._stamps = {h: s for h, s in self._stamps.items() if h in receivers}
+        confirmation.keep_stamps(receivers)
         for host in receivers:
-            stamp_ms, arrived_at = self._stamps.get(host, (None, now))
-            echo_age_ms = floor((now - arrived_at) * 1000)
-            message = Freshness(revision, age_ms, stamp_ms, echo_age_ms)
-            self._outbox.send(host, message)
+            echo = confirmation.echo_for(host, now)
+            self._outbox.send(host, Freshness(revision, age_ms, *echo))
 
     def _update_reader_role(self, now: float) -> None:
         is_reader = self._should_read(now)
