--- a/src/catkinspan/coordination/requests/coordinator.py
+++ b/src/catkinspan/coordination/requests/coordinator.py
@@ -19,16 +19,15 @@
 from catkinspan.coordination.quarantine.models import fingerprint
 from catkinspan.coordination.requests import refusals
 from catkinspan.coordination.requests.admission import Admission
+from catkinspan.coordination.requests.arrivals import Arrivals
 from catkinspan.coordination.requests.const import (
     HEDGE_LATENCY_MULTIPLE,
-    MAX_CATCH_UP_HOLD_SECONDS,
     MIN_HEDGE_DELAY_SECONDS,
     MIN_TRIAL_BUDGET,
     TRIAL_HEDGE_LATENCY_MULTIPLE,
 )
 from catkinspan.coordination.requests.dependencies import RequestDependencies
 from catkinspan.coordination.requests.errors import Ran, Refusal
-from catkinspan.coordination.requests.holding import HeldRequest, HeldRequests
 from catkinspan.coordination.requests.models import (
     Assigned,
     AttemptFinished,
@@ -82,11 +81,7 @@
         self._timed_requests: set[RequestId] = set()
         """Requests that wait for a body, a backoff or a hedge delay."""
 
-        self._held = HeldRequests()
-        """Requests held until the host has a configuration."""
-
-        self._held_outdated = HeldRequests()
-        """Requests held until the newest settings that are known of have arrived."""
+        self._arrivals = Arrivals(dependencies, self._admission, outbox)
 
     @property
     def running(self) -> int:
@@ -96,7 +91,7 @@
     @property
     def held_count(self) -> int:
         """Return the number of requests held until the host has a configuration."""
-        return len(self._held)
+        return self._arrivals.held_count
 
     def in_flight(self, workspace: WorkspaceId) -> int:
         """Return the number of a workspace's requests in flight."""
@@ -111,23 +106,16 @@
 
     def start_request(self, arrived: RequestArrived, now: float) -> None:
         """Admit a request, hold it until the host is ready, or refuse it."""
-        held_count = len(self._held) + len(self._held_outdated)
-        if len(self._requests) + held_count >= self._max_requests:
+        if len(self._requests) + self._arrivals.total_held >= self._max_requests:
             self._outbox.add_directive(Refused(arrived.request_id, refusals.OVERLOADED))
             return
-        if not self._dependencies.gate.is_ready(now):
-            self._held.add(HeldRequest.of(arrived, now))
-            return
-        self._admit(arrived, now, may_hold=True)
+        admitted = self._arrivals.admit(arrived, now)
+        if admitted is not None:
+            self._start(admitted, now)
 
-    def _admit(self, arrived: RequestArrived, now: float, may_hold: bool) -> None:
-        admitted = self._admission.admit(arrived, now)
-        if isinstance(admitted, Err):
-            self._refuse_unadmitted(arrived, admitted.err_value, now, may_hold)
-            return
-        request = admitted.ok_value
+    def _start(self, request: ActiveRequest, now: float) -> None:
         self._requests[request.id] = request
-        if arrived.content_length == 0:
+        if request.arrived.content_length == 0:
             self._check_quarantine(request, now)
             return
         limit = request.route.policy.max_body_bytes
@@ -160,7 +148,7 @@
 
     def abandon_request(self, abandoned: RequestAbandoned, now: float) -> None:
         """Finish a request whose caller disconnected or was disconnected."""
-        self._discard_held(abandoned.request_id)
+        self._arrivals.discard(abandoned.request_id)
         request = self._requests.get(abandoned.request_id)
         if request is None:
             return
@@ -173,7 +161,7 @@
 
     def drop_request(self, request_id: RequestId) -> None:
         """Drop a request whose processing raised an exception."""
-        self._discard_held(request_id)
+        self._arrivals.discard(request_id)
         request = self._requests.get(request_id)
         if request is None:
             return
@@ -184,7 +172,8 @@
 
     def tick(self, now: float) -> None:
         """Process held requests and expired timers."""
-        self._process_held(now)
+        for request in self._arrivals.release(now):
+            self._start(request, now)
         for request_id in list(self._timed_requests):
             self._handle_timer(self._requests.get(request_id), request_id, now)
 
@@ -192,7 +181,7 @@
         """Return the monotonic time at which `tick` must run next."""
         requests = (self._requests.get(id_) for id_ in self._timed_requests)
         due = [r.due_at for r in requests if r is not None]
-        return min([*due, self._held.next_due, self._held_outdated.next_due])
+        return min([*due, self._arrivals.next_due])
 
     def resume(self, gap: float) -> None:
         """Bring deadlines forward by a pause of this host; callers waited meanwhile."""
@@ -201,49 +190,6 @@
 
     # Admission
 
-    def _process_held(self, now: float) -> None:
-        """Start held requests if the host is ready, and refuse those held too long.
-
-        The time held counts towards the caller's deadline.
-        """
-        gate = self._dependencies.gate
-        is_ready = gate.is_ready(now)
-        for held in self._held.take(is_ready, now):
-            if is_ready:
-                self.start_request(held.with_remaining_time(now), now)
-            else:
-                request_id = held.arrived.request_id
-                self._outbox.add_directive(Refused(request_id, refusals.NOT_READY))
-        if not self._held_outdated:
-            return
-        for held in self._held_outdated.take(not gate.is_catching_up(now), now):
-            self._admit(held.with_remaining_time(now), now, may_hold=False)
-
-    def _discard_held(self, request_id: RequestId) -> None:
-        self._held.discard(request_id)
-        self._held_outdated.discard(request_id)
-
-    def _refuse_unadmitted(
-        self, arrived: RequestArrived, refusal: Refusal, now: float, may_hold: bool
-    ) -> None:
-        """Refuse a request, or hold it while newer settings may allow it."""
-        gate = self._dependencies.gate
-        is_final = refusal.kind not in refusals.SETTINGS_KINDS
-        if may_hold and not is_final and gate.is_catching_up(now):
-            held = HeldRequest.of(arrived, now, MAX_CATCH_UP_HOLD_SECONDS)
-            self._held_outdated.add(held)
-            return
-        refusal = self._final_refusal(refusal, now)
-        self._outbox.add_directive(Refused(arrived.request_id, refusal))
-
-    def _final_refusal(self, refusal: Refusal, now: float) -> Refusal:
-        """Return the refusal to respond with, given what the host knows."""
-        if refusal.kind not in refusals.SETTINGS_KINDS:
-            return refusal
-        if self._dependencies.gate.is_up_to_date(now):
-            return refusal
-        return refusals.outdated_refusal(refusal)
-
     def _check_quarantine(self, request: ActiveRequest, now: float) -> None:
         arrived = request.arrived
         request.fingerprint = fingerprint(
@@ -350,7 +296,7 @@
                 return refusals.outcome_refusal(request.last_failure, request.ran)
             return refusals.DEADLINE_PASSED
         refusal = self._admission.recheck_key(request, now)
-        return None if refusal is None else self._final_refusal(refusal, now)
+        return None if refusal is None else self._arrivals.final_refusal(refusal, now)
 
     def _build_assignment(
         self,
