--- a/src/catkinspan/daemon/request_log.py
+++ b/src/catkinspan/daemon/request_log.py
@@ -1,5 +1,7 @@
 """Rate-limited log lines for the decisions on requests."""
 
+from math import isinf
+
 from attrs import define, frozen
 from loguru import logger
 
@@ -23,7 +25,10 @@
     """Revision of the settings in force."""
 
     store_age: float
-    """Seconds since the host or a peer last reached the store."""
+    """Seconds since the host or a peer last reached the store, as far as it heard."""
+
+    copy_age: float
+    """Seconds since the settings were last confirmed as the newest."""
 
     hub: HostId | None
     """Hub whose rate levels are in use; None without recent levels."""
@@ -106,6 +111,7 @@
             evidence=refusal.evidence,
             revision=known.revision,
             store_age_ms=round(known.store_age * 1000),
+            copy_age_ms=_to_ms(known.copy_age),
             hub=known.hub or "",
         ).info("request refused: {}", refusal)
 
@@ -141,4 +147,6 @@
 
 
 def _to_ms(seconds: float | None) -> int | None:
-    return None if seconds is None else round(seconds * 1000)
+    if seconds is None or isinf(seconds):
+        return None
+    return round(seconds * 1000)
