--- a/src/catkinspan/daemon/host_task.py
+++ b/src/catkinspan/daemon/host_task.py
@@ -1,7 +1,8 @@
 """The task that owns a host's coordinators."""
 
 import asyncio
-from collections.abc import Callable
+from collections import Counter
+from collections.abc import Callable, Mapping
 from typing import Any
 
 from loguru import logger
@@ -98,6 +99,7 @@
         self._replies: dict[RequestId, Mailbox[Any]] = {}
         self._connections: set[Mailbox[Any]] = set()
         self._links: dict[Peer, tuple[PeerLink, asyncio.Task[None]]] = {}
+        self._sent_bytes_by_message: Counter[str] = Counter()
         self._drain_begun = False
         self._drain_announced = False
 
@@ -116,6 +118,11 @@
         """Return the bytes sent on the open links."""
         return sum(link.sent_bytes for link, _ in self._links.values())
 
+    @property
+    def sent_bytes_by_message(self) -> Mapping[str, int]:
+        """Return the encoded bytes of the messages to peers, by kind."""
+        return self._sent_bytes_by_message
+
     async def async_run(self) -> None:
         """Handle the messages of the inbox until cancelled."""
         next_tick = self._clock.monotonic()
@@ -316,6 +323,7 @@
         size = 0
         for message in messages:
             length = self._codec.size(message)
+            self._sent_bytes_by_message[type(message).__name__] += length
             if self._datagrams is None or length > MAX_DATAGRAM_BYTES:
                 self._get_link(peer, address).post(message)
                 continue
--- a/src/catkinspan/daemon/node.py
+++ b/src/catkinspan/daemon/node.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import secrets
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from random import Random
 from typing import TYPE_CHECKING, Any, TypeVar
 
@@ -298,6 +298,12 @@
         )
         return stream_bytes + (self._datagrams.sent_bytes if self._datagrams else 0)
 
+    async def async_peer_message_bytes(self) -> Mapping[str, int]:
+        """Return the bytes of the messages to peers, by the name of the kind."""
+        return await self.async_query(
+            lambda _, now: dict(self._host_task.sent_bytes_by_message)
+        )
+
     # Wiring
 
     def _new_coordinator(self, incarnation: int) -> HostCoordinator:
--- a/src/catkinspan/protocol/operators/prometheus.py
+++ b/src/catkinspan/protocol/operators/prometheus.py
@@ -50,6 +50,7 @@
     services: tuple[ServiceLine, ...]
     config: ConfigReport
     peer_bytes: int
+    peer_message_bytes: Mapping[str, int]
     dropped_frames: int
 
 
@@ -216,6 +217,12 @@
         "Bytes sent to peers, on links that are open now and as datagrams.",
         value=data.peer_bytes,
     )
+    yield _counter_metric(
+        "peer_message_bytes",
+        "Encoded bytes of the messages to peers.",
+        "message",
+        data.peer_message_bytes,
+    )
     yield CounterMetricFamily(
         "catkinspan_dropped_frames", "Peer frames dropped.", data.dropped_frames
     )
--- a/src/catkinspan/transport/operators/listener.py
+++ b/src/catkinspan/transport/operators/listener.py
@@ -225,6 +225,7 @@
             status.services,
             config_report(facts, clock_reading),
             await self._host.async_peer_sent_bytes(),
+            await self._host.async_peer_message_bytes(),
             self._host.dropped_frames,
         )
         headers = {"Content-Type": CONTENT_TYPE}
--- a/src/catkinspan/transport/operators/messages.py
+++ b/src/catkinspan/transport/operators/messages.py
@@ -1,6 +1,6 @@
 """Queries from the operators' listener to the host task."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Protocol, TypeVar
 
 from attrs import frozen
@@ -45,3 +45,6 @@
 
     async def async_peer_sent_bytes(self) -> int:
         """Return the number of bytes sent on the open peer links."""
+
+    async def async_peer_message_bytes(self) -> Mapping[str, int]:
+        """Return the bytes of the messages to peers, by the name of the kind."""
--- a/tests/daemon/operators/test_listener.py
+++ b/tests/daemon/operators/test_listener.py
@@ -125,3 +125,4 @@
     assert samples[("catkinspan_request_seconds", "0.99", "catalogue", "studio")] > 0
     assert samples[("catkinspan_service_state", "catalogue")] == 0
     assert samples[("catkinspan_revision",)] == 1
+    assert samples[("catkinspan_peer_message_bytes_total", "Heartbeat")] > 0
--- a/tests/transport/peers/test_datagrams.py
+++ b/tests/transport/peers/test_datagrams.py
@@ -89,6 +89,8 @@
     small, large = Heartbeat(_record()), _large_message()
     host._send(PEER, [small, large, small])
     assert link.posted == [large]
+    assert host.sent_bytes_by_message["CopyPart"] > MAX_DATAGRAM_BYTES
+    assert 0 < host.sent_bytes_by_message["Heartbeat"] < MAX_DATAGRAM_BYTES
     assert len(datagrams) == 1
     assert len(datagrams.get_nowait().frame) <= MAX_DATAGRAM_BYTES
 
