Keep hosts in contact when all hub candidates fail at once

With both hubs, the other two candidates and the three seeds among them, 17 hosts of one data centre stayed alone, 19 hosts read the store, until the killed ones came back; a host knew no others. In the first 2 s of a fleet, and after its restart, hosts counted 4 to 29 of 135 hosts, so that each would have admitted a large part of a rate.

Change: rosters name three further hosts in rotation by their addresses, and a host without a hub contacts the last 16. A new hub counts what it hears at once, if that is more than its predecessor's count; a roster goes out at once when the size changes by a tenth; only hubs report sizes.

The contacts to seeds have a file of their own.

--- a/src/catkinspan/coordination/membership/const.py
+++ b/src/catkinspan/coordination/membership/const.py
@@ -73,6 +73,16 @@
 """Hub candidates of the receiver's data centre in a roster: two hubs, and two more that
 replace them if both are lost."""
 
+ROSTER_CONTACTS = 3
+"""Addresses of further hosts of the own data centre in a roster."""
+
+MAX_CONTACTS = 16
+"""Latest such addresses that a host keeps. If half of the hosts fail at once, one of
+them is still up with near certainty."""
+
+MATERIAL_SIZE_CHANGE = 0.1
+"""Relative change of the number of hosts that a hub announces at once."""
+
 REMOTE_DATA_CENTRES = 2
 """Other data centres of which a roster lists hubs. Rosters list them in rotation, so
 that a roster fits into a datagram in a fleet of any size."""
--- a/src/catkinspan/coordination/membership/coordinator.py
+++ b/src/catkinspan/coordination/membership/coordinator.py
@@ -7,25 +7,22 @@
 
 from catkinspan.coordination.coordinator import BaseCoordinator
 from catkinspan.coordination.membership.const import (
-    CONTACT_JITTER,
     EXPIRY_CHECK_INTERVAL_SECONDS,
-    FIRST_CONTACT_INTERVAL_SECONDS,
-    FOLLOWER_SEED_INTERVAL_SECONDS,
     HEARTBEAT_INTERVAL_SECONDS,
     HOST_EXPIRY_SECONDS,
     HOST_SILENT_SECONDS,
     HUB_CANDIDATES,
     HUB_SILENT_SECONDS,
     HUBS_PER_DATA_CENTRE,
-    MAX_CONTACT_INTERVAL_SECONDS,
+    MATERIAL_SIZE_CHANGE,
     MAX_DATA_CENTRES,
     MAX_KNOWN_HOSTS,
     MAX_ROSTER_ENTRIES,
     MIN_REMOTE_SIZE_INTERVAL_SECONDS,
     MIN_ROSTER_INTERVAL_SECONDS,
     REMOTE_ROSTER_INTERVAL_SECONDS,
+    ROSTER_CONTACTS,
     ROSTER_INTERVAL_SECONDS,
-    SEED_HEARTBEAT_INTERVAL_SECONDS,
 )
 from catkinspan.coordination.membership.models import (
     Heartbeat,
@@ -36,16 +33,15 @@
 )
 from catkinspan.coordination.membership.peers import Peer, PeerTable
 from catkinspan.coordination.membership.rosters import RosterBuilder
+from catkinspan.coordination.membership.seeds import SeedContacts
 from catkinspan.coordination.membership.sizes import SizeCounter
 from catkinspan.coordination.models import PeerMessage, Sender
 from catkinspan.coordination.outbox import Outbox
-from catkinspan.coordination.rendezvous import weight
 from catkinspan.state.hosts import FleetView, HostRecord, HostStatus
 from catkinspan.state.ids import DataCentre, HostId
 from catkinspan.state.tree import Address
 
 _NEVER = float("-inf")
-_MAX_WEIGHT = 2.0**64
 
 
 class MembershipCoordinator(BaseCoordinator):
@@ -63,7 +59,7 @@
     def __init__(
         self, record: HostRecord, seeds: Iterable[Address], outbox: Outbox
     ) -> None:
-        self._seeds = tuple(a for a in seeds if a != record.peer_address)
+        self._seeds = SeedContacts(record, seeds)
         self._outbox = outbox
         self._table = PeerTable(record)
         self._sizes = SizeCounter(self._table)
@@ -75,15 +71,14 @@
         self._view = self._build_view(0)
         self._last_expiry_check_at = _NEVER
         self._last_heartbeat_at = _NEVER
-        self._next_seed_heartbeat_at = _NEVER
-        self._contact_attempts = 0
-        """Heartbeats to seeds since the last contact with a hub."""
-
         self._last_roster_at = _NEVER
         self._last_remote_roster_at = _NEVER
         self._announced_candidates: list[HostId] = []
         """Candidates in the last roster to followers."""
 
+        self._announced_known = 0
+        """Number of known hosts of the data centre in that roster."""
+
         self._announced_remote: tuple[object, ...] = ()
         """Candidates and receivers of the last roster to other data centres."""
 
@@ -109,8 +104,7 @@
 
     def replace_seeds(self, seeds: Iterable[Address]) -> None:
         """Replace the seeds and contact them on the next tick."""
-        self._seeds = tuple(a for a in seeds if a != self.record.peer_address)
-        self._next_seed_heartbeat_at = _NEVER
+        self._seeds.replace(seeds)
 
     def has_hub(self, now: float) -> bool:
         """Return whether another host of the data centre answers as a hub."""
@@ -150,11 +144,12 @@
         match message:
             case Heartbeat():
                 self._on_heartbeat(message, sender, now)
-            case Roster(entries, sizes):
+            case Roster(entries, sizes, contacts):
                 for entry in entries[:MAX_ROSTER_ENTRIES]:
                     self._merge_record(entry.record, now - entry.age_ms / 1000, now)
                 for size in sizes[:MAX_DATA_CENTRES]:
                     self._view_outdated |= self._sizes.merge(size, now)
+                self._seeds.keep(contacts[:ROSTER_CONTACTS])
                 self.record_message(sender, now)
         if self._view_outdated:
             self._select_hubs(now)
@@ -340,37 +335,15 @@
             peer.unanswered_since = now
 
     def _send_seed_heartbeats(self, now: float) -> None:
-        has_no_hub = not self.has_hub(now)
-        if not has_no_hub:
-            self._contact_attempts = 0
-        elif self._contact_attempts == 0:
-            self._next_seed_heartbeat_at = _NEVER
-        if now < self._next_seed_heartbeat_at:
-            return
-        heartbeat = Heartbeat(self.record, None, has_no_hub, self._hubs)
-        receivers: list[HostId | Address] = list(self._seeds)
-        if has_no_hub:
-            self._contact_attempts += 1
-            # A host that was cut off finds its data centre again without seeds.
+        has_hub = self.has_hub(now)
+        due: list[HostId | Address] = []
+        due += self._seeds.take_due(has_hub, self._is_hub, now)
+        if due and not has_hub:
             own = self._table.in_data_centre(self.record.data_centre)
-            receivers += [peer.record.id for peer in own][:HUB_CANDIDATES]
-        for receiver in receivers:
+            due += [peer.record.id for peer in own][:HUB_CANDIDATES]
+        for receiver in due:
+            heartbeat = Heartbeat(self.record, None, not has_hub, self._hubs)
             self._outbox.send(receiver, heartbeat)
-        self._next_seed_heartbeat_at = now + self._seed_interval(has_no_hub)
-
-    def _seed_interval(self, has_no_hub: bool) -> float:
-        interval = FOLLOWER_SEED_INTERVAL_SECONDS
-        if has_no_hub:
-            doublings = min(self._contact_attempts - 1, 8)
-            interval = min(
-                MAX_CONTACT_INTERVAL_SECONDS,
-                FIRST_CONTACT_INTERVAL_SECONDS * 2.0**doublings,
-            )
-        elif self._is_hub:
-            interval = SEED_HEARTBEAT_INTERVAL_SECONDS
-        name = f"contact {self._contact_attempts}"
-        deviation = 2 * weight(name, self.record.id) / _MAX_WEIGHT - 1
-        return interval * (1 + CONTACT_JITTER * deviation)
 
     def _send_rosters(self, now: float) -> None:
         """Send rosters to followers and remote hubs on changes and periodically."""
@@ -383,10 +356,15 @@
         candidates = [
             record.id for record in self._table.candidates(own, now)[:HUB_CANDIDATES]
         ]
-        is_changed = candidates != self._announced_candidates
+        known = self._sizes.own_size(now).known_count
+        growth = abs(known - self._announced_known)
+        is_changed = (
+            candidates != self._announced_candidates
+            or growth > MATERIAL_SIZE_CHANGE * self._announced_known
+        )
         if is_changed or since >= ROSTER_INTERVAL_SECONDS:
             self._last_roster_at = now
-            self._announced_candidates = candidates
+            self._announced_candidates, self._announced_known = candidates, known
             roster = self._rosters.build(own, now)
             for host in self._view.followers:
                 self._outbox.send(host, roster)
--- a/src/catkinspan/coordination/membership/models.py
+++ b/src/catkinspan/coordination/membership/models.py
@@ -7,6 +7,7 @@
 from catkinspan.coordination.models import Event, Millis, PeerMessage
 from catkinspan.state.hosts import FleetView, HostRecord, HostStatus
 from catkinspan.state.ids import DataCentre, HostId
+from catkinspan.state.tree import Address
 
 
 @frozen
@@ -51,6 +52,9 @@
 
     entries: tuple[RosterEntry, ...]
     data_centres: tuple[DataCentreSize, ...] = ()
+    contacts: tuple[Address, ...] = ()
+    """Addresses of further hosts of the receiver's data centre, in rotation. A host
+    that loses all hub candidates at once finds the others through them."""
 
 
 @frozen
--- a/src/catkinspan/coordination/membership/rosters.py
+++ b/src/catkinspan/coordination/membership/rosters.py
@@ -4,12 +4,14 @@
     HUB_CANDIDATES,
     HUBS_PER_DATA_CENTRE,
     REMOTE_DATA_CENTRES,
+    ROSTER_CONTACTS,
 )
 from catkinspan.coordination.membership.models import Roster, RosterEntry
 from catkinspan.coordination.membership.peers import PeerTable
 from catkinspan.coordination.membership.sizes import SizeCounter
 from catkinspan.state.hosts import HostRecord
 from catkinspan.state.ids import DataCentre
+from catkinspan.state.tree import Address
 
 
 class RosterBuilder:
@@ -40,7 +42,17 @@
         for name in listed:
             records += self._table.candidates(name, now)[:HUBS_PER_DATA_CENTRE]
         entries = tuple(self._entry(record, now) for record in records)
-        return Roster(entries, self._sizes.all_sizes(now))
+        contacts = self._contacts() if receiver == own else ()
+        return Roster(entries, self._sizes.all_sizes(now), contacts)
+
+    def _contacts(self) -> tuple[Address, ...]:
+        addresses = [
+            peer.record.peer_address
+            for peer in self._table.in_data_centre(self._table.own.data_centre)
+            if peer.reports_here and not peer.record.leaving
+        ]
+        start = self._rotation * ROSTER_CONTACTS % max(1, len(addresses))
+        return tuple([*addresses[start:], *addresses[:start]][:ROSTER_CONTACTS])
 
     def _entry(self, record: HostRecord, now: float) -> RosterEntry:
         peer = self._table.get(record.id)
--- a/src/catkinspan/coordination/membership/sizes.py
+++ b/src/catkinspan/coordination/membership/sizes.py
@@ -51,8 +51,9 @@
     """Counts the hosts of the fleet.
 
     A hub counts the hosts of its data centre by their heartbeats; the other hosts use
-    its count. A new hub uses the count of its predecessor until its followers have had
-    time to report to it, and reserves the share of those that do not report.
+    its count. A new hub uses the count of its predecessor, if it is larger, until its
+    followers have had time to report to it, and reserves the share of those that do not
+    report.
     """
 
     def __init__(self, table: PeerTable) -> None:
@@ -78,9 +79,12 @@
         """Return the size of this host's data centre."""
         data_centre = self._table.own.data_centre
         reported = self._reported.get(data_centre, now)
-        if not self._is_settled(now) and reported is not None:
+        if self._hub_since is None and reported is not None:
             return reported
         known, alive = self._count(now)
+        if not self._is_settled(now) and reported is not None:
+            known = max(known, reported.known_count)
+            alive = max(alive, reported.alive_count)
         inherited = self._inherited
         if inherited is not None and self._hub_since is not None:
             age = inherited.age_ms / 1000 + now - self._hub_since
@@ -89,9 +93,13 @@
         return DataCentreSize(data_centre, known, alive, 0)
 
     def all_sizes(self, now: float) -> tuple[DataCentreSize, ...]:
-        """Return the sizes of all data centres, the own one first."""
+        """Return the sizes of all data centres, as hubs counted them."""
         data_centre = self._table.own.data_centre
-        return (self.own_size(now), *self._reported.others(data_centre, now))
+        own: DataCentreSize | None = self._reported.get(data_centre, now)
+        if self._hub_since is not None:
+            own = self.own_size(now)
+        others = self._reported.others(data_centre, now)
+        return tuple(others) if own is None else (own, *others)
 
     def count_fleet(self, now: float) -> tuple[int, int]:
         """Return the number of known hosts and of hosts that are heard from."""
--- a/tests/coordination/membership/test_hub_changes.py
+++ b/tests/coordination/membership/test_hub_changes.py
@@ -176,3 +176,30 @@
     hubs = agreed_hubs(fleet)
     assert len([source for source in contacts if source in hubs]) <= 6 * 3 * 7
     assert len([source for source in contacts if source not in hubs]) <= 54 * 3
+
+
+def test_hosts_join_after_the_loss_of_all_candidates_and_seeds() -> None:
+    """Guards against hosts that each stay alone because all hosts that they know of
+    failed at the same time."""
+    fleet = new_fleet(host_records(60), seconds=20.0)
+    seeds = {HostId("host-0"), HostId("host-1"), HostId("host-2")}
+    ordinary = [
+        node.coordinator.view
+        for host, node in fleet.hosts.items()
+        if not node.coordinator.view.is_hub and host not in seeds
+    ]
+    known = {host for view in ordinary for host in {*view.usable} - {view.self_id}}
+    assert len(known | seeds) <= 20
+    for host in known | seeds:
+        fleet.crash_host(host)
+    fleet.channel.run(26.0)
+    agreed_hubs(fleet)
+
+
+@pytest.mark.parametrize("seed", [1, 2])
+def test_hosts_of_a_starting_fleet_soon_know_its_size(seed: int) -> None:
+    """Guards against hosts that each admit a large part of a rate because they know
+    only a few others yet."""
+    fleet = new_fleet(host_records(60), seed, seconds=1.5)
+    known = [node.coordinator.view.known_count for node in fleet.hosts.values()]
+    assert min(known) >= 0.9 * 60
