Name the fleet's evidence as the reason of an avoided server again

An avoided server counted as found by own evidence whenever this host's estimate was the higher one, also if the fleet's risk alone was enough. The log line tells again whether the hub's risk reaches the bound.

--- a/src/catkinspan/coordination/health/coordinator.py
+++ b/src/catkinspan/coordination/health/coordinator.py
@@ -33,7 +33,7 @@
 )
 from catkinspan.coordination.health.observer import Observer
 from catkinspan.coordination.health.publisher import StatePublisher
-from catkinspan.coordination.health.subscriber import StateSubscriber
+from catkinspan.coordination.health.subscriber import ReceivedState, StateSubscriber
 from catkinspan.coordination.models import PeerMessage, Sender
 from catkinspan.coordination.outbox import Outbox
 from catkinspan.coordination.outcomes import (
@@ -200,10 +200,7 @@
         if server is None:
             return ServerView(running, own_risk)
         in_flight, risk = running, own_risk
-        hubs = () if self._view is None else self._view.hubs
-        state = None
-        if self._server_by_digest.get(server.digest) == server_id:
-            state = self._subscriber.state(server.digest, hubs, now)
+        state = self._fleet_state(server_id, server, now)
         if state is not None:
             others = state.in_flight - state.own_in_flight_included
             in_flight = running + max(0, others)
@@ -218,9 +215,20 @@
             is_draining=server.upstream.leaving or now < server.draining_until,
             is_cold=now < server.cold_until,
             is_misdirected=now < server.misdirected_until,
-            state_age=self._subscriber.age(hubs, now),
+            state_age=self._subscriber.age(self._hubs, now),
         )
 
+    @property
+    def _hubs(self) -> tuple[HostId, ...]:
+        return () if self._view is None else self._view.hubs
+
+    def _fleet_state(
+        self, server_id: ServerId, server: _Server, now: float
+    ) -> ReceivedState | None:
+        if self._server_by_digest.get(server.digest) != server_id:
+            return None
+        return self._subscriber.state(server.digest, self._hubs, now)
+
     def report(self, service: ServiceId, now: float) -> ServiceReport | None:
         """Return the health of a service, None for an unknown one."""
         names = self._services.get(service)
@@ -267,8 +275,7 @@
                     self._outbox.send(sender.host, answer)
 
     def _apply_states(self, message: ServerStates, sender: Sender, now: float) -> None:
-        hubs = self._view.hubs if self._view is not None else ()
-        if sender.host not in hubs:
+        if sender.host not in self._hubs:
             return
         servers = {
             state.server: server
@@ -292,7 +299,8 @@
             server.avoided_since = now
             self._avoided.add(server_id)
             own = self._observer.attempts_at(server_id, now)
-            is_own = own.estimate.risk >= view.risk or view.state_age is None
+            state = self._fleet_state(server_id, server, now)
+            is_fleet = state is not None and state.risk_at(now) >= AVOIDED_RISK
             self._outbox.emit(
                 ServerAvoided(
                     server.service,
@@ -300,7 +308,7 @@
                     round(view.risk, 3),
                     round(own.estimate.risk, 3),
                     own.overdue,
-                    "own" if is_own else "fleet",
+                    "fleet" if is_fleet else "own",
                 )
             )
         elif server.avoided_since is not None and view.risk <= RECOVERED_RISK:
--- a/src/catkinspan/coordination/health/models.py
+++ b/src/catkinspan/coordination/health/models.py
@@ -122,7 +122,7 @@
     """In-flight requests of this host at the server that take longer than expected."""
 
     hub_report_age: float | None
-    """Seconds since the hub's last report on the server; None without one."""
+    """Age in seconds of the latest news of a hub; None if no hub is current."""
 
 
 @frozen
