Keep the parts of a copy of the settings in a slow link's queue

A part that waited for over a second was dropped, which made the whole copy useless and had it requested again: more load on a link that is already full.

--- a/src/catkinspan/coordination/configuration/models.py
+++ b/src/catkinspan/coordination/configuration/models.py
@@ -1,7 +1,7 @@
 """Documents of the store, their parser interface, messages and events."""
 
 from collections.abc import Mapping
-from typing import Protocol
+from typing import ClassVar, Protocol
 
 from attrs import frozen
 
@@ -89,6 +89,9 @@
 class CopyPart(PeerMessage):
     """One part of a full copy of the store; parts arrive in order."""
 
+    # A copy with a missing part is of no use and is requested again.
+    expires_in_queue: ClassVar[bool] = False
+
     revision: Revision
     index: int
     documents: tuple[Document, ...]
--- a/src/catkinspan/coordination/models.py
+++ b/src/catkinspan/coordination/models.py
@@ -1,7 +1,7 @@
 """Base classes of peer messages and events, shared by all coordinators."""
 
 from datetime import datetime
-from typing import Annotated
+from typing import Annotated, ClassVar
 
 from attrs import field, frozen
 
@@ -41,6 +41,10 @@
     declares them by annotating its type with `Bounds`.
     """
 
+    expires_in_queue: ClassVar[bool] = True
+    """Whether the sender drops the message once it has waited for long, since the next
+    report replaces it."""
+
 
 @frozen
 class Sender:
--- a/src/catkinspan/transport/peers/link.py
+++ b/src/catkinspan/transport/peers/link.py
@@ -214,7 +214,8 @@
 
     def _is_current(self, queued: _QueuedMessage) -> bool:
         """Return whether a message may still be sent; count it as dropped if not."""
-        if self._clock.monotonic() - queued.queued_at <= MAX_LINK_QUEUE_SECONDS:
+        age = self._clock.monotonic() - queued.queued_at
+        if age <= MAX_LINK_QUEUE_SECONDS or not queued.message.expires_in_queue:
             return True
         self._dropped_messages += 1
         return False
