Compare a few random servers instead of all in each choice

Callers got 504 and 503 while half of the sound servers got nothing (FLOOR), also with states of servers that were 0.06 s old. All hosts compare the servers by the same report, and while few have a low risk, one of them is the best for everyone.

A choice now compares eight random servers of the own data centre and eight others (Mitzenmacher, 2000), and all of them before it refuses a request for lack of room. test_hosts_with_the_same_old_report_do_not_choose_the_same_server failed before: 200 of 200 hosts chose one of 50 servers.

--- a/src/catkinspan/coordination/balancing/balancer.py
+++ b/src/catkinspan/coordination/balancing/balancer.py
@@ -14,6 +14,7 @@
     FULL_LOAD_COST,
     IDEMPOTENT_FAILURE_COST,
     MAX_AFFINITY_COST,
+    MAX_COMPARED_SERVERS,
     MAX_RANDOM_COST,
     MIN_TRIAL_RISK,
     REMOTE_DATA_CENTRE_COST,
@@ -94,9 +95,11 @@
         trial = self._select_trial(request, candidates)
         if trial is not None:
             return Ok(_build_choice(trial, candidates, is_trial=True))
-        chosen = min(candidates, key=lambda c: self._cost(c, request))
-        wait = chosen.queue_rounds * request.expected_latency
-        if wait + request.expected_latency / 2 > request.remaining_seconds:
+        chosen = self._cheapest(self._sample(candidates), request)
+        if not _is_in_time(chosen, request):
+            chosen = self._cheapest(candidates, request)
+        if not _is_in_time(chosen, request):
+            wait = _expected_wait(chosen, request)
             return Err(NoServerAvailable(NoServerReason.FULL, wait))
         return Ok(_build_choice(chosen, candidates, is_trial=False))
 
@@ -115,6 +118,25 @@
         untried = [c for c in preferred if c.upstream.id not in request.tried_servers]
         return untried or preferred
 
+    def _sample(self, candidates: Sequence[_Candidate]) -> list[_Candidate]:
+        """Return random servers of the own data centre and of the others.
+
+        Comparing few servers keeps hosts with the same old reports from choosing the
+        same server (Mitzenmacher, "How useful is old information?", 2000).
+        """
+        own: list[_Candidate] = []
+        others: list[_Candidate] = []
+        for candidate in candidates:
+            is_own = candidate.upstream.data_centre == self._data_centre
+            (own if is_own else others).append(candidate)
+        return [
+            candidate
+            for group in (own, others)
+            for candidate in self._rng.sample(
+                group, min(len(group), MAX_COMPARED_SERVERS)
+            )
+        ]
+
     def _select_trial(
         self, request: ServerRequest, candidates: Sequence[_Candidate]
     ) -> _Candidate | None:
@@ -130,6 +152,11 @@
         ]
         return self._rng.choice(high_risk) if high_risk else None
 
+    def _cheapest(
+        self, candidates: Sequence[_Candidate], request: ServerRequest
+    ) -> _Candidate:
+        return min(candidates, key=lambda candidate: self._cost(candidate, request))
+
     def _cost(self, candidate: _Candidate, request: ServerRequest) -> float:
         upstream, view = candidate.upstream, candidate.view
         failure_cost = IDEMPOTENT_FAILURE_COST if request.idempotent else FAILURE_COST
@@ -146,6 +173,15 @@
         return cost + MAX_RANDOM_COST * self._rng.random()
 
 
+def _expected_wait(candidate: _Candidate, request: ServerRequest) -> float:
+    return candidate.queue_rounds * request.expected_latency
+
+
+def _is_in_time(candidate: _Candidate, request: ServerRequest) -> bool:
+    needed = _expected_wait(candidate, request) + request.expected_latency / 2
+    return needed <= request.remaining_seconds
+
+
 def _build_choice(
     candidate: _Candidate, candidates: Sequence[_Candidate], is_trial: bool
 ) -> ServerChoice:
--- a/src/catkinspan/coordination/balancing/const.py
+++ b/src/catkinspan/coordination/balancing/const.py
@@ -33,6 +33,11 @@
 """Maximum random cost. Load reports arrive with a delay, and without a random cost all
 hosts would choose the same server."""
 
+MAX_COMPARED_SERVERS = 8
+"""Servers of the own data centre, and as many of the others, that a choice compares. If
+each host compared all servers, one with a good report would get the requests of the
+whole fleet until the next report."""
+
 TRIAL_SHARE = 0.35
 """Share of the eligible idempotent requests sent to a high-risk server, to find out
 whether it has recovered. A second server answers the request if it has not."""
--- a/tests/coordination/balancing/test_balancer.py
+++ b/tests/coordination/balancing/test_balancer.py
@@ -125,3 +125,28 @@
     )
     assert refused.unwrap_err().reason is NoServerReason.FULL
     assert refused.unwrap_err().expected_wait == pytest.approx(0.55)
+
+
+def test_hosts_with_the_same_old_report_do_not_choose_the_same_server() -> None:
+    """Guards against a fleet that fills the queue of the one server with a good
+    report before the next report (issue 18)."""
+    servers = [make_upstream(f"s{number}") for number in range(50)]
+    views = FakeServerViews({server.id: ServerView(0, 0.3) for server in servers})
+    views.views["s0"] = ServerView(0, 0.01)
+    service = Service(SERVICE, tuple(servers), Policy())
+    tree = SettingsTree(Revision(1), services={SERVICE: service})
+    choices: Counter[str] = Counter()
+    for number in range(200):
+        balancer = Balancer(HostId(f"host-{number}"), LOCAL, views, Random(number))
+        balancer.apply_tree(tree, 0.0)
+        choices[balancer.choose(NON_IDEMPOTENT, 0.0).unwrap().upstream.id] += 1
+    assert choices["s0"] <= 50
+
+
+def test_free_server_outside_the_compared_ones_is_found() -> None:
+    """Guards against a refusal for lack of room while a server is free."""
+    servers = [make_upstream(f"s{number}") for number in range(50)]
+    views = FakeServerViews({server.id: ServerView(200, 0.01) for server in servers})
+    views.views["s7"] = ServerView(0, 0.01)
+    balancer = make_balancer(views, *servers)
+    assert set(count_choices(balancer, NON_IDEMPOTENT, 40)) == {"s7"}
