Keep the due times of running attempts in a heap

Callers saw: nothing directly.

Cause: the host task asks for the next due time after each message, and the observer scanned all servers that the host has ever used to find it.

Evidence: with 200 known servers and 5 running attempts `next_overdue` took 27.1 us and `mark_overdue` 25.8 us, on a shared machine.

Change: the heap that orders the due times of requests is now generic and serves attempts too.

--- a/src/catkinspan/coordination/health/observer.py
+++ b/src/catkinspan/coordination/health/observer.py
@@ -6,6 +6,7 @@
 from catkinspan.coordination.health.models import ServerCounts
 from catkinspan.coordination.health.risk import RiskEstimate
 from catkinspan.coordination.outcomes import AttemptOutcome, OutcomeKind
+from catkinspan.coordination.timers import Timers
 from catkinspan.state.ids import RequestId, ServerId
 
 FAILURE_OUTCOMES = frozenset(
@@ -26,7 +27,6 @@
 
 @define
 class _RunningAttempt:
-    overdue_at: float
     is_overdue: bool = False
 
 
@@ -61,6 +61,7 @@
 
     def __init__(self) -> None:
         self._servers: dict[ServerId, ServerAttempts] = {}
+        self._overdue_timers: Timers[tuple[ServerId, AttemptKey]] = Timers()
 
     def attempts_at(self, server: ServerId, now: float) -> ServerAttempts:
         """Return the attempts at a server; an unknown server gets an empty entry."""
@@ -98,15 +99,18 @@
     ) -> None:
         """Add an attempt that is sent now."""
         attempts = self.attempts_at(server, now)
-        attempts.running[key] = _RunningAttempt(now + overdue_after)
+        attempts.running[key] = _RunningAttempt()
         attempts.changed_at = now
+        self._overdue_timers.set((server, key), now + overdue_after)
 
     def record_end(self, outcome: AttemptOutcome, now: float) -> bool:
         """Remove an attempt that has ended; return whether it succeeded in time."""
         attempts = self.attempts_at(outcome.server, now)
-        running = attempts.running.pop((outcome.request_id, outcome.attempt), None)
+        key = (outcome.request_id, outcome.attempt)
+        running = attempts.running.pop(key, None)
         if running is None:
             return False
+        self._overdue_timers.remove((outcome.server, key))
         attempts.changed_at = now
         if running.is_overdue:
             attempts.overdue -= 1
@@ -120,28 +124,18 @@
 
     def next_overdue(self) -> float:
         """Return when the next attempt becomes overdue, in monotonic seconds."""
-        return min(
-            (
-                running.overdue_at
-                for attempts in self._servers.values()
-                for running in attempts.running.values()
-                if not running.is_overdue
-            ),
-            default=float("inf"),
-        )
+        return self._overdue_timers.next_due()
 
     def mark_overdue(self, now: float) -> bool:
         """Count attempts that have become overdue; return whether there were any."""
-        found = False
-        for attempts in self._servers.values():
-            for running in attempts.running.values():
-                if not running.is_overdue and now >= running.overdue_at:
-                    running.is_overdue = True
-                    attempts.overdue += 1
-                    attempts.changed_at = now
-                    self._record_failure(attempts, now)
-                    found = True
-        return found
+        overdue = self._overdue_timers.take_due(now)
+        for server, key in overdue:
+            attempts = self._servers[server]
+            attempts.running[key].is_overdue = True
+            attempts.overdue += 1
+            attempts.changed_at = now
+            self._record_failure(attempts, now)
+        return bool(overdue)
 
     def _record_failure(self, attempts: ServerAttempts, now: float) -> None:
         attempts.failed += 1
--- a/src/catkinspan/coordination/requests/coordinator.py
+++ b/src/catkinspan/coordination/requests/coordinator.py
@@ -45,8 +45,8 @@
     may_have_run,
     unreported_outcome,
 )
-from catkinspan.coordination.requests.timers import RequestTimers
 from catkinspan.coordination.retries.coordinator import backoff
+from catkinspan.coordination.timers import Timers
 from catkinspan.state.ids import (
     ANONYMOUS_WORKSPACE,
     RequestId,
@@ -79,7 +79,7 @@
         self._tree = SettingsTree()
         self._requests: dict[RequestId, ActiveRequest] = {}
         self._admission = Admission(dependencies, rng)
-        self._timers = RequestTimers()
+        self._timers: Timers[RequestId] = Timers()
         """Each request has a due time until it has ended."""
 
         self._arrivals = Arrivals(dependencies, self._admission, outbox)
--- a/tests/coordination/requests/test_timers.py
+++ b/tests/coordination/requests/test_timers.py
@@ -9,7 +9,7 @@
 from catkinspan.coordination.requests.const import DEADLINE_GRACE_SECONDS
 from catkinspan.coordination.requests.errors import Ran, RefusalKind
 from catkinspan.coordination.requests.models import RequestArrived
-from catkinspan.coordination.requests.timers import RequestTimers
+from catkinspan.coordination.timers import Timers
 from catkinspan.state.ids import HostId, RequestId
 from catkinspan.testing.hosts import ResponsePolicy, VirtualAttempt, VirtualFleet
 from tests.virtual_fleet import virtual_fleet
@@ -90,7 +90,7 @@
 
 
 def test_replaced_due_time_is_not_due() -> None:
-    timers = RequestTimers()
+    timers = Timers()
     timers.set(REQUEST, 1.0)
     timers.set(REQUEST, 2.0)
     assert timers.take_due(1.5) == []
