Log the fleet's evidence on servers at the hubs only

Operators could not use the audit trail of a host, whose 2,000 entries were full of servers that other hosts had found.

Cause: each host emitted an event, an audit entry and a log line for each server whose risk rose or fell, on whosoever evidence. The volume grew with the number of hosts times that of servers.

Change: hosts that are no hub log only their own evidence. The line of each attempt has the risk and the age of the state behind its choice, as before.

Test: test_risks_by_the_fleets_evidence_are_logged_by_the_hubs_only; without the change it failed.

--- a/src/catkinspan/coordination/health/coordinator.py
+++ b/src/catkinspan/coordination/health/coordinator.py
@@ -55,6 +55,7 @@
     cold_until: float
     digest: int
     avoided_since: float | None = None
+    is_avoided_logged: bool = False
     draining_until: float = float("-inf")
     misdirected_until: float = float("-inf")
 
@@ -293,29 +294,50 @@
                 self._update_avoided(server, self._servers[server], now)
 
     def _update_avoided(self, server_id: ServerId, server: _Server, now: float) -> None:
-        """Emit an event when a server becomes avoided or has recovered."""
+        """Note when a server becomes avoided or has recovered, and emit an event.
+
+        The evidence of the fleet is logged by the hubs only. If each host repeated it,
+        the events would grow with the number of hosts times that of servers.
+        """
         view = self.server_view(server_id, now)
         if server.avoided_since is None and view.risk >= AVOIDED_RISK:
             server.avoided_since = now
             self._avoided.add(server_id)
-            own = self._observer.attempts_at(server_id, now)
             state = self._fleet_state(server_id, server, now)
             is_fleet = state is not None and state.risk_at(now) >= AVOIDED_RISK
-            self._outbox.emit(
-                ServerAvoided(
-                    server.service,
-                    server_id,
-                    round(view.risk, 3),
-                    round(own.estimate.risk, 3),
-                    own.overdue,
-                    "fleet" if is_fleet else "own",
-                )
-            )
+            server.is_avoided_logged = self._is_hub or not is_fleet
+            if server.is_avoided_logged:
+                self._emit_avoided(server_id, server, view.risk, is_fleet, now)
         elif server.avoided_since is not None and view.risk <= RECOVERED_RISK:
             seconds = round(now - server.avoided_since, 3)
             server.avoided_since = None
             self._avoided.discard(server_id)
-            self._outbox.emit(ServerBack(server.service, server_id, seconds))
+            if server.is_avoided_logged:
+                self._outbox.emit(ServerBack(server.service, server_id, seconds))
+
+    @property
+    def _is_hub(self) -> bool:
+        return self._view is not None and self._view.is_hub
+
+    def _emit_avoided(
+        self,
+        server_id: ServerId,
+        server: _Server,
+        risk: float,
+        is_fleet: bool,
+        now: float,
+    ) -> None:
+        own = self._observer.attempts_at(server_id, now)
+        self._outbox.emit(
+            ServerAvoided(
+                server.service,
+                server_id,
+                round(risk, 3),
+                round(own.estimate.risk, 3),
+                own.overdue,
+                "fleet" if is_fleet else "own",
+            )
+        )
 
     def _check_avoided(self, now: float) -> None:
         """Check the avoided servers, whose risk decays without a message."""
--- a/tests/coordination/health/test_traffic.py
+++ b/tests/coordination/health/test_traffic.py
@@ -8,7 +8,7 @@
 from catkinspan.coordination.outcomes import OutcomeKind
 from catkinspan.state.ids import HostId
 from catkinspan.testing.channel import FakeChannel
-from tests.health_fleet import HUB, HealthFleet, Load
+from tests.health_fleet import HUB, STANDBY, HealthFleet, Load
 
 LINK_BYTES_PER_SECOND = 10e6 / 8
 MAX_HUB_BYTES_PER_SECOND = LINK_BYTES_PER_SECOND / 10
@@ -133,3 +133,16 @@
     fleet.run(6.0, BUSY)
     view = fleet.nodes[FOLLOWER].server_view(fleet.server(0), fleet.channel.now)
     assert view.state_age is None
+
+
+def test_risks_by_the_fleets_evidence_are_logged_by_the_hubs_only() -> None:
+    """Guards against log lines that grow with the hosts times the servers."""
+    fleet = HealthFleet(49, 200)
+    fleet.run(3.0, failing(fleet, 0.2))
+    counts = {
+        name: sum(event.evidence == "fleet" for event in fleet.avoided_events(name))
+        for name in fleet.nodes
+    }
+    assert counts.pop(HUB) >= 20
+    counts.pop(STANDBY)
+    assert set(counts.values()) == {0}
--- a/tests/health_fleet.py
+++ b/tests/health_fleet.py
@@ -7,6 +7,7 @@
 from attrs import define, field, frozen
 
 from catkinspan.coordination.health.coordinator import HealthCoordinator
+from catkinspan.coordination.health.models import ServerAvoided
 from catkinspan.coordination.host.coordinator import PEER_MESSAGES
 from catkinspan.coordination.models import PeerMessage, Sender
 from catkinspan.coordination.outbox import Outbox
@@ -60,6 +61,7 @@
     bytes_by_host: Counter[HostId] = field(factory=Counter)
     bytes_by_kind: Counter[str] = field(factory=Counter)
     messages_by_kind: Counter[str] = field(factory=Counter)
+    outboxes: dict[HostId, Outbox] = field(factory=dict)
     _codec: PeerCodec = field(factory=lambda: PeerCodec(PEER_MESSAGES))
     _requests: int = 0
 
@@ -88,7 +90,7 @@
                 known_count=len(names) * len(DATA_CENTRES),
                 alive_count=len(names) * len(DATA_CENTRES),
             )
-            outbox = Outbox()
+            outbox = self.outboxes[name] = Outbox()
             node = self.nodes[name] = HealthCoordinator(name, 1, outbox)
             node.apply_tree(tree, 0.0)
             node.apply_view(view, 0.0)
@@ -106,6 +108,10 @@
             for n in range(self.server_count)
         )
 
+    def avoided_events(self, host: HostId) -> list[ServerAvoided]:
+        events = self.outboxes[host].take_events()
+        return [event for event in events if isinstance(event, ServerAvoided)]
+
     def server(self, number: int) -> ServerId:
         return self._servers()[number].id
 
