Estimate only the servers that a choice compares

Cause: each choice computed the state of every server of the service, and then compared 16 of them. The cost of a request grew with the number of servers.

Change: the servers to compare are drawn first. All servers are estimated only if none of them is in time, and for the search of a trial up to the first match. The unused number of candidates leaves the choice.

--- a/src/catkinspan/coordination/balancing/balancer.py
+++ b/src/catkinspan/coordination/balancing/balancer.py
@@ -1,6 +1,6 @@
 """Selection of servers by load, risk and location."""
 
-from collections.abc import Sequence
+from collections.abc import Iterable, Iterator, Sequence
 from random import Random
 from typing import Protocol
 
@@ -30,8 +30,8 @@
 from catkinspan.coordination.coordinator import BaseCoordinator
 from catkinspan.coordination.health.models import ServerView
 from catkinspan.coordination.rendezvous import weight
-from catkinspan.state.ids import DataCentre, HostId, ServerId
-from catkinspan.state.tree import SettingsTree, Upstream
+from catkinspan.state.ids import DataCentre, HostId, ServerId, ServiceId
+from catkinspan.state.tree import Service, SettingsTree, Upstream
 
 _RENDEZVOUS_WEIGHT_RANGE = 2.0**64
 
@@ -55,6 +55,20 @@
         return max(0, self.view.in_flight + 1 - slots) / slots
 
 
+@frozen
+class _Service:
+    """The servers of a service that are not leaving, by location."""
+
+    own: tuple[Upstream, ...]
+    """Servers in this host's data centre."""
+
+    others: tuple[Upstream, ...]
+
+    @property
+    def upstreams(self) -> tuple[Upstream, ...]:
+        return self.own + self.others
+
+
 class Balancer(BaseCoordinator):
     """Chooses the server with the lowest expected cost.
 
@@ -75,87 +89,115 @@
         self._data_centre = data_centre
         self._views = views
         self._rng = rng
-        self._tree = SettingsTree()
+        self._services: dict[ServiceId, _Service] = {}
 
     def apply_tree(self, tree: SettingsTree, now: float) -> None:
         """Apply the published servers."""
-        self._tree = tree
+        self._services = {
+            service.id: self._group_upstreams(service)
+            for service in tree.services.values()
+        }
+
+    def _group_upstreams(self, service: Service) -> _Service:
+        staying = [u for u in service.upstreams if not u.leaving]
+        return _Service(
+            tuple(u for u in staying if u.data_centre == self._data_centre),
+            tuple(u for u in staying if u.data_centre != self._data_centre),
+        )
 
     def choose(
         self, request: ServerRequest, now: float
     ) -> Result[ServerChoice, NoServerAvailable]:
-        """Choose the server for an attempt, or return why there is none."""
-        candidates = self._candidates(request, now)
-        if not candidates:
+        """Choose the server for an attempt, or return why there is none.
+
+        Only if none of a few random servers is in time, all servers are compared.
+        """
+        service = self._services.get(request.service, _Service((), ()))
+        trial = self._select_trial(request, service, now)
+        if trial is not None:
+            return Ok(_build_choice(trial, is_trial=True))
+        chosen = self._cheapest(self._sample(service, request, now), request)
+        if chosen is None or not _is_in_time(chosen, request):
+            chosen = self._cheapest(self._fallback(service, request, now), request)
+        if chosen is None:
             return Err(
                 NoServerAvailable(
                     NoServerReason.NONE_PUBLISHED, request.expected_latency
                 )
             )
-        trial = self._select_trial(request, candidates)
-        if trial is not None:
-            return Ok(_build_choice(trial, candidates, is_trial=True))
-        chosen = self._cheapest(self._sample(candidates), request)
-        if not _is_in_time(chosen, request):
-            chosen = self._cheapest(candidates, request)
         if not _is_in_time(chosen, request):
             wait = _expected_wait(chosen, request)
             return Err(NoServerAvailable(NoServerReason.FULL, wait))
-        return Ok(_build_choice(chosen, candidates, is_trial=False))
-
-    def _candidates(self, request: ServerRequest, now: float) -> list[_Candidate]:
-        """Return the servers to choose from, avoiding draining and tried ones."""
-        service = self._tree.services.get(request.service)
-        if service is None:
-            return []
-        usable = [
-            _Candidate(upstream, view)
-            for upstream in service.upstreams
-            if not upstream.leaving
-            and not (view := self._views.server_view(upstream.id, now)).is_misdirected
-        ]
-        preferred = [c for c in usable if not c.view.is_draining] or usable
-        untried = [c for c in preferred if c.upstream.id not in request.tried_servers]
-        return untried or preferred
-
-    def _sample(self, candidates: Sequence[_Candidate]) -> list[_Candidate]:
+        return Ok(_build_choice(chosen, is_trial=False))
+
+    def _usable(
+        self, upstreams: Iterable[Upstream], request: ServerRequest, now: float
+    ) -> Iterator[_Candidate]:
+        """Return the servers that are not draining, nor tried by this request."""
+        for upstream in upstreams:
+            if upstream.id in request.tried_servers:
+                continue
+            view = self._views.server_view(upstream.id, now)
+            if not view.is_misdirected and not view.is_draining:
+                yield _Candidate(upstream, view)
+
+    def _sample(
+        self, service: _Service, request: ServerRequest, now: float
+    ) -> list[_Candidate]:
         """Return random servers of the own data centre and of the others.
 
         Comparing few servers keeps hosts with the same old reports from choosing the
-        same server (Mitzenmacher, "How useful is old information?", 2000).
+        same server (Mitzenmacher, "How useful is old information?", 2000), and keeps
+        the cost of a choice independent of the size of the service.
         """
-        own: list[_Candidate] = []
-        others: list[_Candidate] = []
-        for candidate in candidates:
-            is_own = candidate.upstream.data_centre == self._data_centre
-            (own if is_own else others).append(candidate)
         return [
             candidate
-            for group in (own, others)
-            for candidate in self._rng.sample(
-                group, min(len(group), MAX_COMPARED_SERVERS)
+            for group in (service.own, service.others)
+            for candidate in self._usable(
+                self._rng.sample(group, min(len(group), MAX_COMPARED_SERVERS)),
+                request,
+                now,
             )
         ]
 
+    def _fallback(
+        self, service: _Service, request: ServerRequest, now: float
+    ) -> list[_Candidate]:
+        """Return all servers, with draining and tried ones only if no other is left."""
+        candidates = [
+            _Candidate(upstream, view)
+            for upstream in service.upstreams
+            if not (view := self._views.server_view(upstream.id, now)).is_misdirected
+        ]
+        preferred = [c for c in candidates if not c.view.is_draining] or candidates
+        untried = [c for c in preferred if c.upstream.id not in request.tried_servers]
+        return untried or preferred
+
     def _select_trial(
-        self, request: ServerRequest, candidates: Sequence[_Candidate]
+        self, request: ServerRequest, service: _Service, now: float
     ) -> _Candidate | None:
+        """Return a random high-risk server without requests for some requests."""
         if not (request.idempotent and request.allows_trial):
             return None
         if self._rng.random() >= TRIAL_SHARE:
             return None
-        high_risk = [
-            c
-            for c in candidates
-            if c.view.risk >= MIN_TRIAL_RISK
-            and c.view.in_flight < TRIAL_IN_FLIGHT_LIMIT
-        ]
-        return self._rng.choice(high_risk) if high_risk else None
+        upstreams = service.upstreams
+        in_random_order = self._rng.sample(upstreams, len(upstreams))
+        for candidate in self._usable(in_random_order, request, now):
+            view = candidate.view
+            if view.risk >= MIN_TRIAL_RISK and view.in_flight < TRIAL_IN_FLIGHT_LIMIT:
+                return candidate
+        return None
 
     def _cheapest(
         self, candidates: Sequence[_Candidate], request: ServerRequest
-    ) -> _Candidate:
-        return min(candidates, key=lambda candidate: self._cost(candidate, request))
+    ) -> _Candidate | None:
+        """Return the candidate with the lowest cost, None without candidates."""
+        return min(
+            candidates,
+            key=lambda candidate: self._cost(candidate, request),
+            default=None,
+        )
 
     def _cost(self, candidate: _Candidate, request: ServerRequest) -> float:
         upstream, view = candidate.upstream, candidate.view
@@ -182,15 +224,8 @@
     return needed <= request.remaining_seconds
 
 
-def _build_choice(
-    candidate: _Candidate, candidates: Sequence[_Candidate], is_trial: bool
-) -> ServerChoice:
+def _build_choice(candidate: _Candidate, is_trial: bool) -> ServerChoice:
     view = candidate.view
     return ServerChoice(
-        candidate.upstream,
-        view.risk,
-        view.in_flight,
-        is_trial,
-        len(candidates),
-        view.state_age,
+        candidate.upstream, view.risk, view.in_flight, is_trial, view.state_age
     )
--- a/src/catkinspan/coordination/balancing/models.py
+++ b/src/catkinspan/coordination/balancing/models.py
@@ -35,7 +35,6 @@
     risk: float
     in_flight: int
     is_trial: bool
-    candidates: int
     state_age: float | None = None
     """Age in seconds of the hub's news on the server; None for own counts only."""
 
--- a/tests/coordination/balancing/test_balancer.py
+++ b/tests/coordination/balancing/test_balancer.py
@@ -7,6 +7,7 @@
 from attrs import define, evolve, field
 
 from catkinspan.coordination.balancing.balancer import Balancer
+from catkinspan.coordination.balancing.const import MAX_COMPARED_SERVERS
 from catkinspan.coordination.balancing.models import NoServerReason, ServerRequest
 from catkinspan.coordination.health.models import ServerView
 from catkinspan.state.ids import DataCentre, HostId, Revision, ServerId, ServiceId
@@ -20,8 +21,10 @@
 @define
 class FakeServerViews:
     views: dict[str, ServerView] = field(factory=dict)
+    calls: int = 0
 
     def server_view(self, server_id: ServerId, now: float) -> ServerView:
+        self.calls += 1
         return self.views.get(server_id, ServerView(0, 0.01))
 
 
@@ -150,3 +153,12 @@
     views.views["s7"] = ServerView(0, 0.01)
     balancer = make_balancer(views, *servers)
     assert set(count_choices(balancer, NON_IDEMPOTENT, 40)) == {"s7"}
+
+
+def test_cost_of_a_choice_does_not_grow_with_the_servers() -> None:
+    """Guards against an estimate of every server of a service for each request."""
+    servers = [make_upstream(f"s{number}") for number in range(400)]
+    views = FakeServerViews()
+    balancer = make_balancer(views, *servers)
+    balancer.choose(NON_IDEMPOTENT, 0.0).unwrap()
+    assert views.calls <= 2 * MAX_COMPARED_SERVERS
