Bound what small reads and bytes after a close take

Callers and servers saw nothing yet; a host's memory was at risk. A port paused at 256 KB of unacknowledged bytes, but each read is a message of about 150 bytes, so 262,145 reads of one byte take about 40 MB on one connection. A closed port went on to queue what TLS delivers until the remote side closes too, in a mailbox that nobody reads.

--- a/src/catkinspan/transport/socket_port.py
+++ b/src/catkinspan/transport/socket_port.py
@@ -16,6 +16,10 @@
 READ_AHEAD_BYTES = 256 * 1024
 """Unacknowledged bytes above which reading from the socket pauses."""
 
+READ_AHEAD_READS = 1024
+"""Unacknowledged reads above which reading pauses. A read of one byte takes about 150
+bytes of memory, so a limit on bytes alone does not bound what small reads take."""
+
 
 @frozen
 class SocketData:
@@ -57,6 +61,7 @@
         self._on_connected = on_connected
         self._transport: asyncio.Transport | None = None
         self._unacknowledged_bytes = 0
+        self._unacknowledged_reads = 0
         self._reading = True
         self._closed = False
         self._drain_waiter: asyncio.Future[None] | None = None
@@ -98,10 +103,17 @@
             self._on_connected(self)
 
     def data_received(self, data: bytes) -> None:
-        """Post received bytes."""
+        """Post received bytes.
+
+        Those received after `close` are dropped: TLS delivers them until the remote
+        side has closed too, and the owner does not read its mailbox any more.
+        """
+        if self._closed:
+            return
         self._unacknowledged_bytes += len(data)
+        self._unacknowledged_reads += 1
         self._mailbox.post_unbounded(SocketData(self, data))
-        if self._reading and self._unacknowledged_bytes > READ_AHEAD_BYTES:
+        if self._reading and not self._may_read_ahead():
             self._reading = False
             self._pause_reading()
 
@@ -128,10 +140,14 @@
         if self._notifies_when_drained:
             self.notify_when_drained()
 
-    def acknowledge(self, size: int) -> None:
-        """Acknowledge bytes, so that reading can resume."""
+    def acknowledge(self, size: int, ends_read: bool = True) -> None:
+        """Acknowledge bytes of one `SocketData`, so that reading can resume.
+
+        `ends_read` tells whether these are the last bytes of that message.
+        """
         self._unacknowledged_bytes -= size
-        if not self._reading and self._unacknowledged_bytes <= READ_AHEAD_BYTES // 2:
+        self._unacknowledged_reads -= ends_read
+        if not self._reading and self._may_read_ahead(share=0.5):
             self._reading = True
             if self._transport is not None and not self._closed:
                 self._transport.resume_reading()
@@ -178,6 +194,13 @@
             raw_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _LINGER_RESET)
         self.abort()
 
+    def _may_read_ahead(self, share: float = 1.0) -> bool:
+        """Return whether the unacknowledged data is within a share of the limits."""
+        return (
+            self._unacknowledged_bytes <= share * READ_AHEAD_BYTES
+            and self._unacknowledged_reads <= share * READ_AHEAD_READS
+        )
+
     def _pause_reading(self) -> None:
         if self._transport is not None and not self._transport.is_closing():
             self._transport.pause_reading()
--- a/src/catkinspan/transport/upstreams/reader.py
+++ b/src/catkinspan/transport/upstreams/reader.py
@@ -85,7 +85,7 @@
             self._bytes_before_response += len(data)
             if self._bytes_before_response > MAX_BYTES_BEFORE_RESPONSE:
                 raise h11.RemoteProtocolError("too many bytes before the response")
-        message.port.acknowledge(len(data))
+        message.port.acknowledge(len(data), ends_read=self._offset == 0)
         self._connection.http.receive_data(data)
 
     def _check_start(self) -> None:
