Join the chunks of a buffered response

A host keeps up to hold_bytes of a response until it is whole. The limit counted payload, but each chunk was an object of its own: 256 KB in chunks of two bytes took 5.7 MB, so a few faulty servers could use up the memory of a host. The chunks are joined now.

test_buffer_of_small_chunks_takes_about_their_size[2] fails before with 5,728,123 bytes and passes now.

--- a/src/catkinspan/transport/callers/exchange.py
+++ b/src/catkinspan/transport/callers/exchange.py
@@ -391,8 +391,8 @@
         self._cancel_other_attempts(number)
         length = running.content_length_for(self._head.method)
         self._send_response_head(running.response, length)
-        chunks, running.buffer = running.buffer, []
-        for data in chunks:
+        data, running.buffer = bytes(running.buffer), bytearray()
+        if data:
             await self._async_write(h11.Data(data=data))
 
     async def _async_deliver(self, number: int) -> None:
--- a/src/catkinspan/transport/callers/response.py
+++ b/src/catkinspan/transport/callers/response.py
@@ -24,7 +24,9 @@
     task: "asyncio.Task[None]"
     assigned: Assigned
     response: h11.Response | None = None
-    buffer: list[bytes] = field(factory=list)
+    buffer: bytearray = field(factory=bytearray)
+    """Joined, since a server may send many chunks of few bytes."""
+
     buffered_bytes: int = 0
     buffer_deadline: float = 0.0
     """Monotonic time in seconds at which the buffered part is forwarded."""
@@ -60,7 +62,7 @@
 
     def append_to_buffer(self, data: bytes) -> bool:
         """Buffer a chunk; return whether the buffer is over its limit."""
-        self.buffer.append(data)
+        self.buffer += data
         self.buffered_bytes += len(data)
         return self.buffered_bytes > self.assigned.hold_bytes
 
