Send no request on a connection with unread bytes

A server may send an answer to nobody on an idle connection. If it arrived between the moment at which the pool hands the connection out and the one at which the request is written, it was read as the answer to the request: a caller could get bytes that belong to no request. Such a connection is closed now, and the request goes to another server as not sent.

test_bytes_before_the_request_are_not_its_answer fails before: the attempt delivered the other answer with status 200.

--- a/src/catkinspan/transport/upstreams/attempt.py
+++ b/src/catkinspan/transport/upstreams/attempt.py
@@ -252,7 +252,8 @@
         remaining = assigned.deadline - self._clock.monotonic()
         if remaining <= 0:
             raise AttemptError(OutcomeKind.TIMEOUT)
-        if connection.port.is_closed:
+        if not connection.is_clean:
+            # Bytes before the request cannot be its response.
             raise AttemptError(OutcomeKind.CONNECT_ERROR)
         parts = [connection.http.send(self._request_head(remaining))]
         if self._spec.body_prefix:
--- a/tests/transport/upstreams/test_attempt.py
+++ b/tests/transport/upstreams/test_attempt.py
@@ -21,7 +21,7 @@
     AttemptTask,
 )
 from catkinspan.transport.upstreams.connection import UpstreamConnection
-from catkinspan.transport.upstreams.pool import PoolMessage
+from catkinspan.transport.upstreams.pool import ConnectionClosed, PoolMessage
 
 READ_BYTES = 256 * 1024
 EVENT_LIMIT = 16
@@ -46,7 +46,10 @@
     events: Mailbox[Any] = field(factory=lambda: Mailbox(EVENT_LIMIT))
     pool: Mailbox[PoolMessage] = field(factory=lambda: Mailbox(EVENT_LIMIT))
 
-    async def start(self) -> "tuple[asyncio.Task[None], SocketPort]":
+    async def start(
+        self, early: bytes = b""
+    ) -> "tuple[asyncio.Task[None], SocketPort]":
+        """Start the attempt; `early` arrives before the request is sent."""
         clock = self.clock
         deadline = clock.monotonic() + DEADLINE_SECONDS
         spec = AttemptSpec(_assigned(deadline), _request(), b"", True, False)
@@ -55,6 +58,8 @@
         acquire: Any = await self.pool.async_get()
         port = SocketPort(attempt.inbox)
         acquire.reply.set_result(UpstreamConnection(SERVER, port))
+        if early:
+            port.data_received(early)
         await asyncio.sleep(0)
         return task, port
 
@@ -163,3 +168,17 @@
     under_test.clock.advance(DEADLINE_SECONDS)
     await asyncio.wait_for(task, TEST_TIMEOUT_SECONDS)
     assert under_test.take_events()[-1].outcome.kind is OutcomeKind.OK
+
+
+@pytest.mark.asyncio
+async def test_bytes_before_the_request_are_not_its_answer() -> None:
+    """Guards against an answer to nobody that a server sends on an idle connection."""
+    under_test = AttemptUnderTest()
+    early = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother"
+    task, _ = await under_test.start(early)
+    await asyncio.wait_for(task, TEST_TIMEOUT_SECONDS)
+    (failed,) = under_test.take_events()
+    assert isinstance(failed, AttemptFailed)
+    assert failed.outcome.kind is OutcomeKind.CONNECT_ERROR
+    assert not failed.outcome.bytes_written
+    assert isinstance(under_test.pool.get_nowait(), ConnectionClosed)
