Stop reading what a client sends before it has its response

While the response to an operator's request was built, the small server read on without limit to notice a close, and kept the bytes for the next request. A client on the operators' or the readiness port could fill the memory of a host. It is disconnected after 64 KB now.

test_endless_bytes_during_a_response_are_not_buffered fails before with 67,142,625 bytes taken, all that the test sends, and passes now.

--- a/src/catkinspan/transport/simple_server.py
+++ b/src/catkinspan/transport/simple_server.py
@@ -10,6 +10,8 @@
 from catkinspan.state.tree import Address
 
 _READ_BYTES = 64 * 1024
+MAX_EARLY_BYTES = 64 * 1024
+"""Bytes that a client may send before it has the response to its last request."""
 
 
 @frozen
@@ -145,7 +147,7 @@
         request: SimpleRequest,
         reader: asyncio.StreamReader,
     ) -> SimpleResponse:
-        """Run the handler; cancel it if the client closes the connection."""
+        """Run the handler; cancel it if the connection must be closed."""
         handler_task = asyncio.ensure_future(self._handler(request))
         close_task = asyncio.ensure_future(_async_wait_until_closed(http, reader))
         try:
@@ -166,9 +168,16 @@
 async def _async_wait_until_closed(
     http: h11.Connection, reader: asyncio.StreamReader
 ) -> None:
-    """Return when the client closes; pass bytes of the next request to h11."""
+    """Return when the client closes or sends too much before the response.
+
+    Bytes of the next request are passed to h11.
+    """
+    received_bytes = 0
     while data := await reader.read(_READ_BYTES):
         http.receive_data(data)
+        received_bytes += len(data)
+        if received_bytes > MAX_EARLY_BYTES:
+            return
 
 
 async def _async_read_request(
