--- a/src/catkinspan/coordination/configuration/const.py
+++ b/src/catkinspan/coordination/configuration/const.py
@@ -36,6 +36,10 @@
 OUTAGE_THRESHOLD_SECONDS = 2.0
 """Age of the last contact above which the store counts as unavailable."""
 
+MAX_CLAIM_SECONDS = OUTAGE_THRESHOLD_SECONDS
+"""Time for which a peer is believed that tells of a newer revision without delivering
+it. Beyond it the copy is confirmed by others, or counts as old."""
+
 LAPSE_GRACE_SECONDS = 2.0
 """Time after an outage in which removed servers stay in use: entries that expired
 during the outage are registered again within about two seconds."""
--- a/src/catkinspan/coordination/configuration/contacts.py
+++ b/src/catkinspan/coordination/configuration/contacts.py
@@ -28,6 +28,12 @@
         self._peer_contact_at = _NEVER
         self._peer_reader = self_id
         self._hub_heard_at = now
+        self._confirmed_at = _NEVER
+
+    @property
+    def confirmed_at(self) -> float:
+        """Return the latest contact, with the delay of its report subtracted."""
+        return self._confirmed_at
 
     @property
     def latest_at(self) -> float:
@@ -61,6 +67,10 @@
         self._peer_contact_at, self._peer_reader = at, reader
         return True
 
+    def record_confirmed(self, at: float) -> None:
+        """Record a contact that took place at a time or later."""
+        self._confirmed_at = max(self._confirmed_at, at)
+
     def record_hub(self, now: float) -> None:
         """Record a message from a hub."""
         self._hub_heard_at = now
@@ -68,6 +78,7 @@
     def add_pause(self, gap: float) -> None:
         """Add a pause, which the clock did not count, to the age of the contacts."""
         self._own_contact_at -= gap
+        self._confirmed_at -= gap
         self._peer_contact_at -= gap
 
     def should_read(self, view: FleetView | None, now: float) -> bool:
--- a/src/catkinspan/coordination/configuration/coordinator.py
+++ b/src/catkinspan/coordination/configuration/coordinator.py
@@ -2,11 +2,15 @@
 
 from collections import deque
 from collections.abc import Iterable, Mapping
+from math import ceil
 from typing import ClassVar
 
 from attrs import define, field
 
-from catkinspan.coordination.configuration.completeness import CopyCompleteness
+from catkinspan.coordination.configuration.completeness import (
+    Confirmation,
+    CopyCompleteness,
+)
 from catkinspan.coordination.configuration.const import (
     FRESHNESS_INTERVAL_SECONDS,
     LAPSE_GRACE_SECONDS,
@@ -55,6 +59,7 @@
 from catkinspan.state.ids import NO_REVISION, HostId, Revision
 from catkinspan.state.tree import SettingsTree
 
+_UNKNOWN_TIME = float("-inf")
 STORE_SOURCE = "store"
 """Source named in events when this host reached the store itself."""
 
@@ -165,16 +170,13 @@
 
     def is_up_to_date(self, now: float) -> bool:
         """Return whether no newer change is known and the last contact is recent."""
-        return not self.is_catching_up() and (
+        return not self.is_catching_up(now) and (
             self.copy_age(now) <= OUTAGE_THRESHOLD_SECONDS
         )
 
-    def is_catching_up(self) -> bool:
-        """Return whether the store has changes that the replica lacks."""
-        return self._completeness.is_catching_up(self._replica.revision)
-
-    def _update_completeness(self) -> None:
-        self._completeness.update(self._replica.revision)
+    def is_catching_up(self, now: float) -> bool:
+        """Return whether peers tell of changes that the replica lacks."""
+        return self._completeness.is_catching_up(now)
 
     def snapshot(self, now: float) -> ConfigurationSnapshot:
         """Return the state for operators' reports."""
@@ -193,30 +195,35 @@
     def apply_view(self, view: FleetView, now: float) -> None:
         """Use a changed view of the fleet for forwarding and reader selection."""
         self._view = view
+        self._completeness.keep_only(view.hosts.keys())
 
     # The store
 
     def apply_store_changes(self, changes: StoreChanges, now: float) -> None:
         """Apply changes received by this host's watch of the store."""
-        self.record_store_contact(now)
+        self._record_own_contact(now)
         if changes.after_revision > self._replica.revision:
             return
         changed = self._replica.merge(changes.documents, changes.revision)
+        self._completeness.record_store_contact(now)
         self._apply_and_forward(changed, None, now)
 
     def apply_store_snapshot(self, snapshot: StoreSnapshot, now: float) -> None:
         """Apply a complete read of the store."""
-        self.record_store_contact(now)
-        self._apply_and_forward(
-            self._replica.replace(snapshot.documents, snapshot.revision), None, now
-        )
+        self._record_own_contact(now)
+        changed = self._replica.replace(snapshot.documents, snapshot.revision)
+        self._completeness.record_store_contact(now)
+        self._apply_and_forward(changed, None, now)
 
     def record_store_contact(self, now: float) -> None:
-        """Record that the store answered this host."""
+        """Record that the store answered this host without changes."""
+        self._record_own_contact(now)
+        self._completeness.record_store_contact(now)
+
+    def _record_own_contact(self, now: float) -> None:
         self._check_outage_end(now, self._contacts.latest_at, STORE_SOURCE, now)
         self._contacts.record_own(now)
-        self._completeness.record_contact(now)
-        self._update_completeness()
+        self._contacts.record_confirmed(now)
 
     # Peers
 
@@ -235,7 +242,7 @@
                 self._echoes.record(sender.host, message, now)
 
     def _on_changes(self, message: Changes, source: HostId, now: float) -> None:
-        self._completeness.record_announcement(message.revision)
+        self._record_news(source, message.revision, _UNKNOWN_TIME, now)
         if message.after_revision > self._replica.revision:
             self._request_changes(source, now)
             return
@@ -249,7 +256,7 @@
 
     def _on_copy_part(self, part: CopyPart, source: HostId, now: float) -> None:
         partial = self._partial_copies.get(source)
-        self._completeness.record_announcement(part.revision)
+        self._record_news(source, part.revision, _UNKNOWN_TIME, now)
         if part.index == 0:
             partial = self._partial_copies[source] = _PartialCopy(part.revision)
         if partial is None or part.revision != partial.revision:
@@ -267,15 +274,16 @@
             self._apply_and_forward(changed, source, now)
 
     def _on_freshness(self, message: Freshness, source: HostId, now: float) -> None:
-        self._completeness.record_announcement(message.revision)
         self._contacts.record_hub(now)
+        complete_at = _UNKNOWN_TIME
         if message.store_contact_age_ms is not None:
             age = message.store_contact_age_ms / 1000
             sent_at = self._echoes.earliest_send_time(message, now)
-            self._completeness.record_contact(sent_at - age)
-            self._update_completeness()
+            self._contacts.record_confirmed(sent_at - age)
+            complete_at = sent_at - age - message.copy_lag_ms / 1000
             reader = message.reader or source
             self._record_peer_contact(now - age, reader, source, now)
+        self._record_news(source, message.revision, complete_at, now)
         if message.revision <= self._replica.revision:
             return
         is_first_copy = self._replica.revision == NO_REVISION
@@ -283,6 +291,12 @@
         if is_first_copy or not self._pulls.may_wait_for_push(is_primary, now):
             self._request_changes(source, now)
 
+    def _record_news(
+        self, source: HostId, revision: Revision, contact_at: float, now: float
+    ) -> None:
+        news = Confirmation(revision, contact_at)
+        self._completeness.record_news(source, news, now)
+
     def _record_peer_contact(
         self, at: float, reader: HostId, source: HostId, now: float
     ) -> None:
@@ -322,7 +336,7 @@
         self, changed: tuple[Document, ...], source: HostId | None, now: float
     ) -> None:
         """Apply changes and forward them to hosts that may not have them."""
-        self._update_completeness()
+        self._completeness.record_progress(self._replica.revision, now)
         if not changed:
             return
         self._apply_documents(changed, source or STORE_SOURCE, now)
@@ -400,12 +414,20 @@
             self._outbox.send(host, self._freshness_for(host, now))
 
     def _freshness_for(self, host: HostId, now: float) -> Freshness:
-        age_ms = self._completeness.contact_age_ms(now)
-        # A host that lacks a revision it has heard of does not vouch for its copy.
-        revision = max(self._replica.revision, self._completeness.announced)
+        newest, contact_at = self._completeness.newest(now), self._contacts.confirmed_at
+        age_ms, copy_lag_ms = None, 0
+        if newest.at > _UNKNOWN_TIME:
+            age_ms = max(0, ceil((now - contact_at) * 1000))
+            copy_lag_ms = max(0, ceil((contact_at - newest.at) * 1000))
         echo_ms, echo_age_ms = self._echoes.echo_for(host, now)
-        reader = self._contacts.reader
-        return Freshness(revision, age_ms, reader, echo_ms, echo_age_ms)
+        return Freshness(
+            newest.revision,
+            age_ms,
+            self._contacts.reader,
+            echo_ms,
+            echo_age_ms,
+            copy_lag_ms,
+        )
 
     def _update_reader_role(self, now: float) -> None:
         is_reader = self._should_read(now)
--- a/src/catkinspan/coordination/configuration/models.py
+++ b/src/catkinspan/coordination/configuration/models.py
@@ -123,6 +123,9 @@
     echo_age_ms: Millis = 0
     """Time since that stamp arrived at the sender."""
 
+    copy_lag_ms: Millis = 0
+    """Time before the contact up to which the sender's copy had all changes."""
+
 
 @frozen
 class ClockStamp(PeerMessage):
--- a/src/catkinspan/coordination/host/coordinator.py
+++ b/src/catkinspan/coordination/host/coordinator.py
@@ -157,7 +157,7 @@
 
     def is_catching_up(self, now: float) -> bool:
         """Return whether newer settings are known to exist."""
-        return self.configuration.is_catching_up()
+        return self.configuration.is_catching_up(now)
 
     def is_isolated(self, now: float) -> bool:
         """Return whether requests with a key must be refused."""
