--- a/src/catkinspan/coordination/rates/const.py
+++ b/src/catkinspan/coordination/rates/const.py
@@ -1,5 +1,10 @@
 """Constants of the rate limits."""
 
+from catkinspan.coordination.const import (
+    REPORT_INTERVAL_SECONDS,
+    STANDBY_REPORT_INTERVAL_SECONDS,
+)
+
 HUB_REPORT_MAX_AGE_SECONDS = 1.0
 """Age of the last report of a remote hub beyond which another one is counted."""
 
@@ -46,6 +51,11 @@
 """Time for which a workspace is reported after its last request. Several reports carry
 the same counter, so the loss of one does no harm."""
 
+RECENT_USE_SECONDS = STANDBY_REPORT_INTERVAL_SECONDS + REPORT_INTERVAL_SECONDS
+"""Shortest time for which an admission counts as recent: the longest interval between
+two reports to a standby hub. Earlier use reaches a hub late only if another hub counted
+it, or if the sender was cut off and had a part of the rate of its own."""
+
 IDLE_EXPIRY_SECONDS = 30.0
 """Time without use after which the state of a workspace is dropped. At any usual rate
 its bucket is full again by then."""
--- a/src/catkinspan/coordination/rates/coordinator.py
+++ b/src/catkinspan/coordination/rates/coordinator.py
@@ -3,7 +3,7 @@
 from random import Random
 from typing import ClassVar
 
-from attrs import define
+from attrs import define, field
 
 from catkinspan.coordination.const import (
     REPORT_INTERVAL_SECONDS,
@@ -31,6 +31,7 @@
 )
 from catkinspan.coordination.rates.own_use import OwnUse
 from catkinspan.coordination.rates.policy import BucketLimits, RatePolicy
+from catkinspan.coordination.rates.recent_use import RecentUse
 from catkinspan.state.hosts import FleetView
 from catkinspan.state.ids import HostId, WorkspaceId
 from catkinspan.state.tree import SettingsTree, Workspace
@@ -48,7 +49,7 @@
     a workspace that the host did not serve before."""
 
     own_use: OwnUse
-
+    recent_use: RecentUse = field(factory=RecentUse)
     admitted: int = 0
     refused: int = 0
     last_used_at: float = 0.0
@@ -152,6 +153,7 @@
         if admitted:
             state.admitted += 1
             state.own_use.record(now)
+            state.recent_use.record(1, now)
         else:
             state.refused += 1
         return admitted
@@ -305,11 +307,7 @@
 
     def _report_usage(self, now: float) -> None:
         assert self._view is not None
-        usages = tuple(
-            WorkspaceUsage(name, state.admitted, state.admitted + state.refused)
-            for name, state in self._states.items()
-            if now - state.last_used_at <= REPORT_AFTER_USE_SECONDS
-        )
+        usages = self.usages(now)
         self._ledger.count_host_report(self._self_id, self._incarnation, usages, now)
         if not usages:
             return
@@ -320,6 +318,19 @@
             if hub != self._self_id:
                 self._outbox.send(hub, HostUse(usages))
 
+    def usages(self, now: float) -> tuple[WorkspaceUsage, ...]:
+        """Return the use of the workspaces that this host served lately."""
+        return tuple(
+            WorkspaceUsage(
+                name,
+                state.admitted,
+                state.admitted + state.refused,
+                state.recent_use.total(now),
+            )
+            for name, state in self._states.items()
+            if now - state.last_used_at <= REPORT_AFTER_USE_SECONDS
+        )
+
     def _report_to_remote_hubs(self, now: float) -> None:
         assert self._view is not None
         usages = self._ledger.local_usages(now)
--- a/src/catkinspan/coordination/rates/ledger.py
+++ b/src/catkinspan/coordination/rates/ledger.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable, Iterator, Mapping
 from math import exp
 
-from attrs import define
+from attrs import define, field
 
 from catkinspan.coordination.rates.bucket import TokenBucket
 from catkinspan.coordination.rates.const import (
@@ -15,8 +15,13 @@
     REPORT_AFTER_USE_SECONDS,
     SILENT_HOST_WEIGHT,
 )
-from catkinspan.coordination.rates.models import WorkspaceLevel, WorkspaceUsage
+from catkinspan.coordination.rates.models import (
+    UsageIncrement,
+    WorkspaceLevel,
+    WorkspaceUsage,
+)
 from catkinspan.coordination.rates.policy import RatePolicy
+from catkinspan.coordination.rates.recent_use import RecentUse
 from catkinspan.coordination.reporters import RemoteHubs, Reporter, Reporters
 from catkinspan.state.ids import DataCentre, HostId, WorkspaceId
 from catkinspan.state.tree import Workspace
@@ -30,6 +35,7 @@
     local_admitted: int = 0
     """Requests admitted in this data centre since these counters were created."""
 
+    local_recent: RecentUse = field(factory=RecentUse)
     local_last_used_at: float = float("-inf")
     last_used_at: float = 0.0
     local_requested: int = 0
@@ -48,8 +54,11 @@
 class UsageLedger:
     """Keeps one bucket per workspace in use, fed by counters that only increase.
 
-    Cumulative counters make a lost or repeated report harmless. Of the hubs of a remote
-    data centre only one is counted at a time, since they report the same usage.
+    Cumulative counters make a lost or repeated report harmless. The total of a sender
+    that is new here, or that was not heard for long, has use that another hub counted.
+    So a report adds at most the sender's recent use, and a first total with older use
+    adds nothing. Of the hubs of a remote data centre only one is counted at a time,
+    since they report the same usage.
     """
 
     def __init__(self, policy: RatePolicy) -> None:
@@ -108,6 +117,7 @@
                 account.bucket.debit(usage.admitted)
                 account.record_demand(usage.requested, now)
                 account.local_admitted += usage.admitted
+                account.local_recent.record(usage.admitted, now)
                 account.local_requested += usage.requested
                 account.local_last_used_at = now
 
@@ -123,8 +133,7 @@
         is_selected = self._remote.is_selected(hub, data_centre, now)
         reporter = self._remote.record_report(hub, incarnation, now)
         increments = _take_increments(reporter, usages)
-        # The first totals of a hub do not tell when the requests were admitted.
-        if not is_selected or reporter.is_first_report:
+        if not is_selected:
             return
         for usage in increments:
             account = self._account_for(usage.workspace, now)
@@ -158,7 +167,12 @@
     def local_usages(self, now: float) -> tuple[WorkspaceUsage, ...]:
         """Return the recent usage of this data centre for remote hubs."""
         return tuple(
-            WorkspaceUsage(name, account.local_admitted, account.local_requested)
+            WorkspaceUsage(
+                name,
+                account.local_admitted,
+                account.local_requested,
+                account.local_recent.total(now),
+            )
             for name, account in self._accounts.items()
             if now - account.local_last_used_at <= REPORT_AFTER_USE_SECONDS
         )
@@ -174,21 +188,31 @@
 
 def _take_increments(
     reporter: Reporter[WorkspaceId, WorkspaceUsage], usages: Iterable[WorkspaceUsage]
-) -> list[WorkspaceUsage]:
+) -> list[UsageIncrement]:
     """Return the increments of a reporter's counters and store the new values."""
     increments = []
     for usage in usages:
-        zero = WorkspaceUsage(usage.workspace, 0, 0)
-        previous = reporter.latest_reports.get(usage.workspace, zero)
-        if usage.requested < previous.requested:
-            # A hub dropped the counters of an idle workspace and restarted from zero.
-            previous = zero
+        previous = reporter.latest_reports.get(usage.workspace)
         reporter.latest_reports[usage.workspace] = usage
-        if usage.requested > previous.requested:
-            admitted = max(0, usage.admitted - previous.admitted)
-            increments.append(
-                WorkspaceUsage(
-                    usage.workspace, admitted, usage.requested - previous.requested
-                )
-            )
+        increment = _increment(previous, usage)
+        if increment.requested > 0:
+            increments.append(increment)
     return increments
+
+
+def _increment(
+    previous: WorkspaceUsage | None, usage: WorkspaceUsage
+) -> UsageIncrement:
+    """Return what a report adds, without older use that was counted elsewhere."""
+    name, admitted, requested = usage.workspace, usage.admitted, usage.requested
+    if previous is None:
+        is_recent = usage.recent is not None and admitted <= usage.recent
+        return UsageIncrement(name, *((admitted, requested) if is_recent else (0, 0)))
+    if requested >= previous.requested:
+        # Otherwise a hub dropped the counters of an idle workspace and restarted.
+        admitted = max(0, admitted - previous.admitted)
+        requested -= previous.requested
+    if usage.recent is None or admitted <= usage.recent:
+        return UsageIncrement(name, admitted, requested)
+    scaled = max(1, requested * usage.recent // admitted)
+    return UsageIncrement(name, usage.recent, scaled)
--- a/src/catkinspan/coordination/rates/models.py
+++ b/src/catkinspan/coordination/rates/models.py
@@ -20,6 +20,19 @@
     requested: int
     """All requests of the workspace, including refused ones."""
 
+    recent: int | None = None
+    """Admissions of the last seconds, which bound what is new in a total that the
+    receiver has not followed; None from hosts of older versions."""
+
+
+@frozen
+class UsageIncrement:
+    """Requests of a workspace that a report adds to the earlier ones."""
+
+    workspace: WorkspaceId
+    admitted: int
+    requested: int
+
 
 @frozen
 class HostUse(PeerMessage):
--- a/src/catkinspan/coordination/reporters.py
+++ b/src/catkinspan/coordination/reporters.py
@@ -18,8 +18,6 @@
     incarnation: int
     last_report_at: float
     latest_reports: dict[K, R] = field(factory=dict)
-    is_first_report: bool = True
-    """Whether the report being processed is its first."""
 
 
 class Reporters(Generic[K, R]):
@@ -35,8 +33,6 @@
         reporter = self._reporters.get(host)
         if reporter is None or reporter.incarnation != incarnation:
             reporter = self._reporters[host] = Reporter(incarnation, now)
-        else:
-            reporter.is_first_report = False
         reporter.last_report_at = now
         return reporter
 
