--- a/src/catkinspan/coordination/configuration/coordinator.py
+++ b/src/catkinspan/coordination/configuration/coordinator.py
@@ -1,7 +1,6 @@
 """Coordinator of the replica of the store and of the settings in force."""
 
-from collections import deque
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable
 from typing import ClassVar
 
 from attrs import define, field
@@ -9,33 +8,25 @@
 from catkinspan.coordination.configuration.completeness import CopyCompleteness
 from catkinspan.coordination.configuration.const import (
     FRESHNESS_INTERVAL_SECONDS,
-    LAPSE_GRACE_SECONDS,
     MAX_PART_CHARS,
-    MAX_RECENT_REVISIONS,
     OUTAGE_THRESHOLD_SECONDS,
 )
 from catkinspan.coordination.configuration.contacts import StoreContacts
-from catkinspan.coordination.configuration.difference import (
-    describe_differences,
-    describe_server_changes,
-)
 from catkinspan.coordination.configuration.echoes import ClockEchoes
+from catkinspan.coordination.configuration.in_force import (
+    STORE_SOURCE,
+    SettingsInForce,
+)
 from catkinspan.coordination.configuration.models import (
-    AppliedRevision,
     Changes,
     ClockStamp,
-    ConfigurationAccepted,
-    ConfigurationRejected,
     ConfigurationSnapshot,
     CopyPart,
     Document,
     DocumentParser,
-    EntryIgnored,
     Freshness,
-    ParsedDocuments,
     Pull,
     ReadingChanged,
-    ServersLapsed,
     StoreChanges,
     StoreContactLost,
     StoreContactRegained,
@@ -55,9 +46,6 @@
 from catkinspan.state.ids import NO_REVISION, HostId, Revision
 from catkinspan.state.tree import SettingsTree
 
-STORE_SOURCE = "store"
-"""Source named in events when this host reached the store itself."""
-
 
 @define
 class _PartialCopy:
@@ -90,10 +78,9 @@
         self, self_id: HostId, parser: DocumentParser, outbox: Outbox, now: float
     ) -> None:
         self._self_id = self_id
-        self._parser = parser
         self._outbox = outbox
         self._replica = Replica()
-        self._tree = SettingsTree()
+        self._settings = SettingsInForce(parser, self._replica, outbox)
         self._view: FleetView | None = None
         self._contacts = StoreContacts(self_id, now)
         self._completeness = CopyCompleteness()
@@ -109,23 +96,11 @@
         self._pulls = PullSchedule()
         self._sent_copies = SentCopies()
         self._partial_copies: dict[HostId, _PartialCopy] = {}
-        self._lapsed_servers: dict[str, Document] = {}
-        """Server entries removed around an outage that stay in use, by name."""
-
-        self._lapse_grace_until = float("-inf")
-        self._parsed_documents: Mapping[str, Document] = {}
-        """Documents at the last parsing, including lapsed ones."""
-
-        self._reported_rejection = NO_REVISION
-        self._parsed = ParsedDocuments(self._tree)
-        self._recent_revisions: deque[AppliedRevision] = deque(
-            maxlen=MAX_RECENT_REVISIONS
-        )
 
     @property
     def tree(self) -> SettingsTree:
         """Return the settings in force."""
-        return self._tree
+        return self._settings.tree
 
     @property
     def is_reader(self) -> bool:
@@ -139,8 +114,7 @@
 
     def is_ready(self) -> bool:
         """Return whether settings are in force and list at least one server."""
-        services = self._tree.services.values()
-        return self._tree.revision > NO_REVISION and any(s.upstreams for s in services)
+        return self._settings.is_ready()
 
     def read_store_now(self, now: float) -> None:
         """Read the store at once because requests wait for a configuration."""
@@ -180,10 +154,10 @@
         """Return the state for operators' reports."""
         age = self.contact_age(now)
         return ConfigurationSnapshot(
-            self._tree.revision,
+            self.tree.revision,
             self._replica.revision,
-            tuple(self._recent_revisions),
-            self._parsed.rejected,
+            self._settings.recent_revisions,
+            self._settings.rejected,
             self._is_reader,
             age if self._contacts.was_reached else None,
             self.is_ready(),
@@ -325,7 +299,7 @@
         self._update_completeness()
         if not changed:
             return
-        self._apply_documents(changed, source or STORE_SOURCE, now)
+        self._settings.apply(changed, source or STORE_SOURCE, now)
         view = self._view
         if view is None:
             return
@@ -371,9 +345,7 @@
         if is_lost and self._outage_started_at is None:
             self._outage_started_at = now - age
             self._outbox.emit(StoreContactLost(round(age, 3)))
-        if self._lapsed_servers and now >= self._lapse_grace_until:
-            self._lapsed_servers.clear()
-            self._parse(STORE_SOURCE, now)
+        self._settings.tick(now)
 
     def resume(self, gap: float, now: float) -> None:
         """Request missed data again and add the pause to the age of the contact."""
@@ -425,72 +397,9 @@
     ) -> None:
         outage = at - previous_at
         if OUTAGE_THRESHOLD_SECONDS < outage < float("inf"):
-            self._lapse_grace_until = now + LAPSE_GRACE_SECONDS
+            self._settings.keep_lapsed_servers(now)
         # A contact that is already old does not end an outage.
         if self._outage_started_at is not None and now - at < OUTAGE_THRESHOLD_SECONDS:
             seconds = round(at - self._outage_started_at, 3)
             self._outage_started_at = None
             self._outbox.emit(StoreContactRegained(seconds, source))
-
-    # Settings
-
-    def _apply_documents(
-        self, changed: Iterable[Document], source: str, now: float
-    ) -> None:
-        """Apply changes; keep servers whose entries were removed around an outage."""
-        lapsed = []
-        for document in changed:
-            self._lapsed_servers.pop(document.name, None)
-            if document.text is not None or now >= self._lapse_grace_until:
-                continue
-            before = self._parsed_documents.get(document.name)
-            if before is not None and self._parser.is_server(document.name):
-                self._lapsed_servers[document.name] = before
-                lapsed.append(document.name)
-        if lapsed:
-            grace = round(self._lapse_grace_until - now, 3)
-            self._outbox.emit(ServersLapsed(tuple(lapsed), grace))
-        self._parse(source, now)
-
-    def _parse(self, source: str, now: float) -> None:
-        documents = {**self._replica.documents, **self._lapsed_servers}
-        before = self._parsed
-        self._parsed = parsed = self._parser.parse(documents)
-        self._parsed_documents = documents
-        for fault in parsed.ignored:
-            if fault not in before.ignored:
-                self._outbox.emit(EntryIgnored(fault))
-        self._report_rejection(parsed, source)
-        if parsed.tree.revision < self._tree.revision:
-            return
-        previous, self._tree = self._tree, parsed.tree
-        changed = describe_server_changes(
-            previous, self._tree, self._replica.revision, source
-        )
-        if changed is not None:
-            self._outbox.emit(changed)
-        if previous.revision == parsed.tree.revision:
-            return
-        self._recent_revisions.append(
-            AppliedRevision(parsed.tree.revision, now, source)
-        )
-        self._outbox.emit(
-            ConfigurationAccepted(
-                previous.revision,
-                parsed.tree.revision,
-                self._replica.revision,
-                source,
-                describe_differences(previous, parsed.tree),
-            )
-        )
-
-    def _report_rejection(self, parsed: ParsedDocuments, source: str) -> None:
-        rejected = parsed.rejected
-        if rejected is None or rejected.revision == self._reported_rejection:
-            return
-        self._reported_rejection = rejected.revision
-        self._outbox.emit(
-            ConfigurationRejected(
-                self._tree.revision, rejected.revision, source, rejected.faults
-            )
-        )
