Request large changes only from hosts that have them

Cause: a hub announces the newest revision of which it has heard, whether it has it or not, and stays silent when it is asked for it. A host that lacks a change asked whichever host announced it last, mostly one that lacked it too; each request delays the next one. Besides, a host waits 0.25 s for a push that its primary hub may send, but hubs get no pushes, and it looked again only at the next announcement. A reader that is not the primary hub sent large changes to no other host of its data centre than its primary followers, which are few.

Change: `Freshness` says by how many revisions the sender's copy is behind (omitted when it is not, ignored by older hosts). Offers are kept until the copy has caught up; the tick asks for them when the wait is over: 0.15 s for hubs, in which the store may deliver the change, and 0.35 s for others. A reader that is not the first candidate sends large changes to the first hub at once.

--- a/src/catkinspan/coordination/configuration/const.py
+++ b/src/catkinspan/coordination/configuration/const.py
@@ -59,9 +59,14 @@
 """
 
 MAX_PULL_RETRY_SECONDS = 2.4
-PUSH_GRACE_SECONDS = 0.25
-"""Time in which changes that the standby hub announces may arrive from the primary
-one."""
+PUSH_GRACE_SECONDS = 0.35
+"""Time in which changes that the standby hub announces may arrive from the primary one,
+which may have to request them first."""
+
+OWN_READ_GRACE_SECONDS = 0.15
+"""Time in which changes that another hub announces may arrive from the store: the pause
+between two watches, and a round trip. No host pushes large changes to a hub of another
+data centre."""
 
 REPEATED_ANSWER_SECONDS = 1.0
 """Shortest interval between two copies for one host. A copy can wait that long for a
--- a/src/catkinspan/coordination/configuration/coordinator.py
+++ b/src/catkinspan/coordination/configuration/coordinator.py
@@ -10,6 +10,8 @@
     FRESHNESS_INTERVAL_SECONDS,
     MAX_PART_CHARS,
     OUTAGE_THRESHOLD_SECONDS,
+    OWN_READ_GRACE_SECONDS,
+    PUSH_GRACE_SECONDS,
 )
 from catkinspan.coordination.configuration.contacts import StoreContacts
 from catkinspan.coordination.configuration.echoes import ClockEchoes
@@ -149,6 +151,7 @@
 
     def _update_completeness(self) -> None:
         self._completeness.update(self._replica.revision)
+        self._pulls.update(self._replica.revision)
 
     def snapshot(self, now: float) -> ConfigurationSnapshot:
         """Return the state for operators' reports."""
@@ -211,9 +214,9 @@
     def _on_changes(self, message: Changes, source: HostId, now: float) -> None:
         self._completeness.record_announcement(message.revision)
         if message.after_revision > self._replica.revision:
-            self._request_changes(source, now)
+            self._pulls.record_offer(source, message.revision, now)
+            self._request_changes(now, grace=0.0)
             return
-        self._pulls.reset()
         # A removal may be the first sign that an outage of the store has ended, so the
         # contact is recorded before the removal is applied.
         contact_at = now - message.store_contact_age_ms / 1000
@@ -236,7 +239,6 @@
         self._pulls.record_progress(now)
         if part.is_last:
             del self._partial_copies[source]
-            self._pulls.reset()
             changed = self._replica.replace(partial.documents, partial.revision)
             self._apply_and_forward(changed, source, now)
 
@@ -250,12 +252,10 @@
             self._update_completeness()
             reader = message.reader or source
             self._record_peer_contact(now - age, reader, source, now)
-        if message.revision <= self._replica.revision:
-            return
-        is_first_copy = self._replica.revision == NO_REVISION
-        is_primary = self._view is None or source == self._view.hubs[0]
-        if is_first_copy or not self._pulls.may_wait_for_push(is_primary, now):
-            self._request_changes(source, now)
+        copy_revision = Revision(message.revision - message.lacking)
+        if copy_revision > self._replica.revision:
+            self._pulls.record_offer(source, copy_revision, now)
+            self._request_changes(now, self._push_grace())
 
     def _record_peer_contact(
         self, at: float, reader: HostId, source: HostId, now: float
@@ -264,8 +264,17 @@
         if self._contacts.record_peer(at, reader):
             self._check_outage_end(at, latest_at, source, now)
 
-    def _request_changes(self, source: HostId, now: float) -> None:
-        if self._pulls.should_ask(source, now):
+    def _push_grace(self) -> float:
+        """Return the time in which announced changes may arrive without a request."""
+        if self._replica.revision == NO_REVISION:
+            return 0.0
+        is_hub = self._view is not None and self._view.is_hub
+        return OWN_READ_GRACE_SECONDS if is_hub else PUSH_GRACE_SECONDS
+
+    def _request_changes(self, now: float, grace: float) -> None:
+        hubs = () if self._view is None else self._view.hubs
+        source = self._pulls.next_source(hubs, grace, now)
+        if source is not None:
             self._outbox.send(source, Pull(self._replica.revision))
 
     def _answer_pull(self, host: HostId, after: Revision, now: float) -> None:
@@ -314,8 +323,9 @@
         # another primary hub, and hubs pull what they lack.
         hubs = receivers & {*view.remote_hubs, *view.hubs}
         pushed = receivers & set(view.primary_followers)
-        if source is None and not view.is_hub:
-            pushed = hubs
+        if source is None and view.rank > 0:
+            # It reads because the first candidate does not reach the store.
+            pushed |= receivers & set(view.hubs)
         if text_chars(changed) <= MAX_PART_CHARS:
             self._push(changed, pushed, now)
             for host in pushed:
@@ -337,6 +347,7 @@
     def tick(self, now: float) -> None:
         """Announce freshness, update the reader role and drop lapsed servers."""
         self._update_reader_role(now)
+        self._request_changes(now, self._push_grace())
         if now - self._last_freshness_at >= FRESHNESS_INTERVAL_SECONDS:
             self._last_freshness_at = now
             self._send_freshness(now)
@@ -377,7 +388,8 @@
         revision = max(self._replica.revision, self._completeness.announced)
         echo_ms, echo_age_ms = self._echoes.echo_for(host, now)
         reader = self._contacts.reader
-        return Freshness(revision, age_ms, reader, echo_ms, echo_age_ms)
+        lacking = revision - self._replica.revision
+        return Freshness(revision, age_ms, reader, echo_ms, echo_age_ms, lacking)
 
     def _update_reader_role(self, now: float) -> None:
         is_reader = self._should_read(now)
--- a/src/catkinspan/coordination/configuration/models.py
+++ b/src/catkinspan/coordination/configuration/models.py
@@ -123,6 +123,10 @@
     echo_age_ms: Millis = 0
     """Time since that stamp arrived at the sender."""
 
+    lacking: int = 0
+    """Number by which the revision of the sender's copy is lower. A host lacks changes
+    of which it has only heard, and cannot send them."""
+
 
 @frozen
 class ClockStamp(PeerMessage):
--- a/src/catkinspan/coordination/configuration/pulls.py
+++ b/src/catkinspan/coordination/configuration/pulls.py
@@ -1,10 +1,11 @@
 """Requests for missing changes, and the answers to them."""
 
+from collections.abc import Sequence
+
 from catkinspan.coordination.configuration.const import (
     MAX_PULL_RETRY_SECONDS,
     OTHER_PULL_RETRY_SECONDS,
     PULL_RETRY_SECONDS,
-    PUSH_GRACE_SECONDS,
     REPEATED_ANSWER_SECONDS,
 )
 from catkinspan.state.ids import NO_REVISION, HostId, Revision
@@ -13,32 +14,63 @@
 
 
 class PullSchedule:
-    """Decides when missing changes are requested, and from whom."""
+    """Decides when missing changes are requested, and from which host.
+
+    Hosts that have newer changes offer them. A host waits for a short time before it
+    requests them, since its primary hub or the store may be about to send them.
+    """
 
     def __init__(self) -> None:
+        self._offers: dict[HostId, Revision] = {}
         self._source: HostId | None = None
         self._asked_at = _NEVER
         self._attempts = 0
         self._behind_since: float | None = None
 
     def reset(self) -> None:
-        """Record that this host is up to date, or that earlier answers are lost."""
+        """Forget offers and requests, since earlier answers are lost."""
+        self._offers.clear()
         self._source = self._behind_since = None
         self._asked_at = _NEVER
         self._attempts = 0
 
+    def update(self, revision: Revision) -> None:
+        """Forget what is no longer missing."""
+        if not self._offers:
+            return
+        self._offers = {h: r for h, r in self._offers.items() if r > revision}
+        if not self._offers:
+            self.reset()
+
     def record_progress(self, now: float) -> None:
         """Record a part of an answer, which shows that the rest is on its way."""
         self._asked_at = now
 
-    def may_wait_for_push(self, is_primary: bool, now: float) -> bool:
-        """Return whether changes that a host announces may still arrive by a push."""
+    def record_offer(self, source: HostId, revision: Revision, now: float) -> None:
+        """Record that a host has the changes up to a revision."""
+        self._offers[source] = revision
         if self._behind_since is None:
             self._behind_since = now
-        return not is_primary and now - self._behind_since < PUSH_GRACE_SECONDS
 
-    def should_ask(self, source: HostId, now: float) -> bool:
-        """Return whether to request the changes from a host now, and record it."""
+    def next_source(
+        self, preferred: Sequence[HostId], grace: float, now: float
+    ) -> HostId | None:
+        """Return the host to request the changes from now, if any, and record it.
+
+        Hosts in `preferred` are asked first, and the first one without a wait; others
+        are asked `grace` seconds after the first offer.
+        """
+        if self._behind_since is None:
+            return None
+        is_primary = bool(preferred) and preferred[0] in self._offers
+        if not is_primary and now - self._behind_since < grace:
+            return None
+        for source in [h for h in preferred if h in self._offers] or self._offers:
+            if self._should_ask(source, now):
+                return source
+        return None
+
+    def _should_ask(self, source: HostId, now: float) -> bool:
         wait = OTHER_PULL_RETRY_SECONDS
         if source == self._source:
             doublings = min(self._attempts - 1, 8)
