Let the next candidate read the store once its reader's calls fail

Cause: candidates take over by the age of the fleet's last contact only, which must exceed the longest wait of a watch. A call that is reset or refused is known to the reader within milliseconds, but it told nobody.

Change: the reader task reports a failed call to the host task. `Freshness` of such a host says so (omitted otherwise, ignored by older hosts) and is sent at once; a candidate reads as well while as many readers of its data centre fail as candidates are before it, for 2 s after the last report. A call without any answer is still found by its time-out and by the age.

--- a/src/catkinspan/coordination/configuration/const.py
+++ b/src/catkinspan/coordination/configuration/const.py
@@ -15,6 +15,10 @@
 """Age of the last contact from which the second candidate reads the store too: the
 longest wait of a watch and a round trip."""
 
+FAILING_READER_SECONDS = 2.0
+"""Time for which a reported failure of a reader counts. A store that loses some answers
+would otherwise make the next candidate start and stop with each call."""
+
 READ_TAKEOVER_STEP_SECONDS = 0.4
 """Additional age for each further candidate, so that they take over one by one."""
 
--- a/src/catkinspan/coordination/configuration/contacts.py
+++ b/src/catkinspan/coordination/configuration/contacts.py
@@ -1,6 +1,7 @@
 """Contacts of the fleet with the store, and the choice of the hosts that read it."""
 
 from catkinspan.coordination.configuration.const import (
+    FAILING_READER_SECONDS,
     INITIAL_READ_DELAY_SECONDS,
     LONE_READ_DELAY_SECONDS,
     MAX_READING_CANDIDATES,
@@ -28,6 +29,8 @@
         self._peer_contact_at = _NEVER
         self._peer_reader = self_id
         self._hub_heard_at = now
+        self._failures: dict[HostId, float] = {}
+        """Time of the latest reported failure of each reader."""
 
     @property
     def latest_at(self) -> float:
@@ -65,6 +68,10 @@
         """Record a message from a hub."""
         self._hub_heard_at = now
 
+    def record_failure(self, reader: HostId, now: float) -> None:
+        """Record that the store did not answer another host."""
+        self._failures[reader] = now
+
     def add_pause(self, gap: float) -> None:
         """Add a pause, which the clock did not count, to the age of the contacts."""
         self._own_contact_at -= gap
@@ -73,9 +80,9 @@
     def should_read(self, view: FleetView | None, now: float) -> bool:
         """Return whether this host reads the store.
 
-        The first hub candidate of each data centre does. If no other host reaches the
-        store, the next candidates read it too, one by one, then a few further hosts. A
-        host that hears no hub reads it as well.
+        The first hub candidate of each data centre does. If it reports that its calls
+        fail, or if no other host reaches the store, the next candidates read it too,
+        one by one, then a few further hosts. A host that hears no hub reads it as well.
         """
         if view is None:
             return False
@@ -87,6 +94,8 @@
             return True
         age = now - max(self._peer_contact_at, self._started_at)
         if view.rank < MAX_READING_CANDIDATES:
+            if self._count_failing(view, now) >= view.rank:
+                return True
             steps = READ_TAKEOVER_STEP_SECONDS * (view.rank - 1)
             return age > READ_TAKEOVER_SECONDS + steps
         if age <= READ_WITHOUT_HUB_SECONDS:
@@ -95,6 +104,19 @@
             return True
         return self._is_substitute(view.known_count, age)
 
+    def _count_failing(self, view: FleetView, now: float) -> int:
+        """Return the number of readers of the own data centre whose calls fail."""
+        self._failures = {
+            host: at
+            for host, at in self._failures.items()
+            if now - at < FAILING_READER_SECONDS
+        }
+        records = (view.hosts.get(host) for host in self._failures)
+        return sum(
+            record is not None and record.data_centre == view.self_data_centre
+            for record in records
+        )
+
     def _is_substitute(self, known_count: int, age: float) -> bool:
         period = int(age / SUBSTITUTE_PERIOD_SECONDS)
         position = weight(f"reader {period}", self._self_id) / _MAX_WEIGHT
--- a/src/catkinspan/coordination/configuration/coordinator.py
+++ b/src/catkinspan/coordination/configuration/coordinator.py
@@ -91,6 +91,9 @@
         """Time of the last contact before an outage; None while the store answers."""
 
         self._is_reader = False
+        self._reader_fails = False
+        """Whether this host reads the store and its latest call failed."""
+
         self._has_waiting_requests = False
         """Whether requests wait for the first configuration."""
 
@@ -191,10 +194,17 @@
     def record_store_contact(self, now: float) -> None:
         """Record that the store answered this host."""
         self._check_outage_end(now, self._contacts.latest_at, STORE_SOURCE, now)
+        self._reader_fails = False
         self._contacts.record_own(now)
         self._completeness.record_contact(now)
         self._update_completeness()
 
+    def record_store_failure(self, now: float) -> None:
+        """Record that a call to the store failed, and tell the next candidates."""
+        if self._is_reader and not self._reader_fails:
+            self._reader_fails = True
+            self._send_freshness(now)
+
     # Peers
 
     def handle(self, message: PeerMessage, sender: Sender, now: float) -> None:
@@ -245,6 +255,8 @@
     def _on_freshness(self, message: Freshness, source: HostId, now: float) -> None:
         self._completeness.record_announcement(message.revision)
         self._contacts.record_hub(now)
+        if message.reader_fails:
+            self._contacts.record_failure(source, now)
         if message.store_contact_age_ms is not None:
             age = message.store_contact_age_ms / 1000
             sent_at = self._echoes.earliest_send_time(message, now)
@@ -389,13 +401,21 @@
         echo_ms, echo_age_ms = self._echoes.echo_for(host, now)
         reader = self._contacts.reader
         lacking = revision - self._replica.revision
-        return Freshness(revision, age_ms, reader, echo_ms, echo_age_ms, lacking)
+        return Freshness(
+            revision,
+            age_ms,
+            reader,
+            echo_ms,
+            echo_age_ms,
+            lacking,
+            self._reader_fails,
+        )
 
     def _update_reader_role(self, now: float) -> None:
         is_reader = self._should_read(now)
         if is_reader == self._is_reader:
             return
-        self._is_reader = is_reader
+        self._is_reader, self._reader_fails = is_reader, False
         rank = -1 if self._view is None else self._view.rank
         self._outbox.emit(ReadingChanged(is_reader, rank, self._age_ms(now)))
 
--- a/src/catkinspan/coordination/configuration/models.py
+++ b/src/catkinspan/coordination/configuration/models.py
@@ -127,6 +127,10 @@
     """Number by which the revision of the sender's copy is lower. A host lacks changes
     of which it has only heard, and cannot send them."""
 
+    reader_fails: bool = False
+    """Whether the sender reads the store and its latest call failed. The next candidate
+    of the data centre then reads it too, without waiting for the contact to age."""
+
 
 @frozen
 class ClockStamp(PeerMessage):
--- a/src/catkinspan/coordination/host/coordinator.py
+++ b/src/catkinspan/coordination/host/coordinator.py
@@ -218,6 +218,10 @@
         """Record that the store answered without changes."""
         self.configuration.record_store_contact(now)
 
+    def record_store_failure(self, now: float) -> None:
+        """Record that a call to the store failed."""
+        self.configuration.record_store_failure(now)
+
     def replace_seeds(self, seeds: Iterable[Address]) -> None:
         """Use changed seed addresses."""
         self.membership.replace_seeds(seeds)
--- a/src/catkinspan/daemon/host_task.py
+++ b/src/catkinspan/daemon/host_task.py
@@ -58,6 +58,7 @@
     ReaderMessage,
     StartReading,
     StopReading,
+    StoreCallFailed,
     StoreUnchanged,
 )
 
@@ -222,6 +223,8 @@
                 self._coordinator.apply_store_changes(message, now)
             case StoreUnchanged():
                 self._coordinator.record_store_contact(now)
+            case StoreCallFailed():
+                self._coordinator.record_store_failure(now)
             case SeedsChanged(seeds):
                 self._coordinator.replace_seeds(seeds)
             case ConnectionOpened(mailbox):
--- a/src/catkinspan/testing/hosts.py
+++ b/src/catkinspan/testing/hosts.py
@@ -73,6 +73,9 @@
     unreachable_from: set[HostId] = field(factory=set)
     """Hosts whose calls get no answer."""
 
+    refused: set[HostId] = field(factory=set)
+    """Hosts whose calls fail at once."""
+
     is_down: bool = False
     """Whether the calls of all hosts get no answer."""
 
@@ -209,6 +212,12 @@
             self._schedule_read(PAUSED_RETRY_SECONDS)
             return
         store.call_count += 1
+        if self._host in store.refused:
+            self.coordinator.record_store_failure(attached.local_time(channel.now))
+            self._process_outbox(channel.now)
+            channel.flush(self._host)
+            self._schedule_read(READ_RETRY_SECONDS)
+            return
         if not store.is_reachable_from(self._host):
             self._schedule_read(READ_RETRY_SECONDS)
             return
--- a/src/catkinspan/transport/store/reader.py
+++ b/src/catkinspan/transport/store/reader.py
@@ -60,6 +60,11 @@
     """The store responded without changes."""
 
 
+@frozen
+class StoreCallFailed:
+    """A call to the store got no usable response."""
+
+
 ReaderMessage = StartReading | StopReading
 
 
@@ -129,6 +134,7 @@
 
     async def _async_back_off(self, error: StoreError) -> None:
         self._failures += 1
+        self._host.post_unbounded(StoreCallFailed())
         logger.warning("store call failed ({} in a row): {}", self._failures, error)
         delay = min(RETRY_MAX_SECONDS, RETRY_MIN_SECONDS * 2.0 ** (self._failures - 1))
         await asyncio.sleep(delay * self._rng.uniform(0.6, 1.0))
--- a/tests/coordination/configuration/test_large_changes.py
+++ b/tests/coordination/configuration/test_large_changes.py
@@ -11,6 +11,10 @@
 LONE_READER_SECONDS = 0.6
 """Time for a change that one host reads: the wait for a push, and two exchanges."""
 
+REFUSED_READERS_SECONDS = 1.0
+"""Time for a change that is published as the store refuses its readers: two takeovers,
+and the time of a lone reader."""
+
 MANY_SERVERS = 60
 """Servers that make a change large."""
 
@@ -58,3 +62,19 @@
     fleet.channel.run(10.0 + LONE_READER_SECONDS)
     assert hosts_without(fleet) == []
     assert len(pulls) <= len(hosts) / 3
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+@pytest.mark.parametrize("refused", [1, 2], ids=["first", "first two"])
+def test_large_change_is_in_force_in_time_as_the_store_refuses_its_readers(
+    refused: int, seed: int
+) -> None:
+    """Guards against a takeover that waits for the age of the last contact although the
+    readers know at once that their calls fail."""
+    fleet = virtual_fleet(40, seed=seed)
+    fleet.channel.run(6.0)
+    views = [host.coordinator.view for host in fleet.hosts.values()]
+    fleet.store.refused = {hub for view in views for hub in view.hubs[:refused]}
+    put_large_change(fleet)
+    fleet.channel.run(6.0 + REFUSED_READERS_SECONDS)
+    assert hosts_without(fleet) == []
