--- a/src/catkinspan/coordination/configuration/coordinator.py
+++ b/src/catkinspan/coordination/configuration/coordinator.py
@@ -1,7 +1,6 @@
 """Coordinator of the replica of the store and of the settings in force."""
 
-from collections import deque
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable
 from math import ceil
 from typing import ClassVar
 
@@ -13,33 +12,27 @@
 )
 from catkinspan.coordination.configuration.const import (
     FRESHNESS_INTERVAL_SECONDS,
-    LAPSE_GRACE_SECONDS,
     MAX_PART_CHARS,
-    MAX_RECENT_REVISIONS,
     OUTAGE_THRESHOLD_SECONDS,
+    OWN_READ_GRACE_SECONDS,
+    PUSH_GRACE_SECONDS,
 )
 from catkinspan.coordination.configuration.contacts import StoreContacts
-from catkinspan.coordination.configuration.difference import (
-    describe_differences,
-    describe_server_changes,
-)
 from catkinspan.coordination.configuration.echoes import ClockEchoes
+from catkinspan.coordination.configuration.in_force import (
+    STORE_SOURCE,
+    SettingsInForce,
+)
 from catkinspan.coordination.configuration.models import (
-    AppliedRevision,
     Changes,
     ClockStamp,
-    ConfigurationAccepted,
-    ConfigurationRejected,
     ConfigurationSnapshot,
     CopyPart,
     Document,
     DocumentParser,
-    EntryIgnored,
     Freshness,
-    ParsedDocuments,
     Pull,
     ReadingChanged,
-    ServersLapsed,
     StoreChanges,
     StoreContactLost,
     StoreContactRegained,
@@ -60,8 +53,6 @@
 from catkinspan.state.tree import SettingsTree
 
 _UNKNOWN_TIME = float("-inf")
-STORE_SOURCE = "store"
-"""Source named in events when this host reached the store itself."""
 
 
 @define
@@ -95,10 +86,9 @@
         self, self_id: HostId, parser: DocumentParser, outbox: Outbox, now: float
     ) -> None:
         self._self_id = self_id
-        self._parser = parser
         self._outbox = outbox
         self._replica = Replica()
-        self._tree = SettingsTree()
+        self._settings = SettingsInForce(parser, self._replica, outbox)
         self._view: FleetView | None = None
         self._contacts = StoreContacts(self_id, now)
         self._completeness = CopyCompleteness()
@@ -107,6 +97,9 @@
         """Time of the last contact before an outage; None while the store answers."""
 
         self._is_reader = False
+        self._reader_fails = False
+        """Whether this host reads the store and its latest call failed."""
+
         self._has_waiting_requests = False
         """Whether requests wait for the first configuration."""
 
@@ -114,23 +107,11 @@
         self._pulls = PullSchedule()
         self._sent_copies = SentCopies()
         self._partial_copies: dict[HostId, _PartialCopy] = {}
-        self._lapsed_servers: dict[str, Document] = {}
-        """Server entries removed around an outage that stay in use, by name."""
-
-        self._lapse_grace_until = float("-inf")
-        self._parsed_documents: Mapping[str, Document] = {}
-        """Documents at the last parsing, including lapsed ones."""
-
-        self._reported_rejection = NO_REVISION
-        self._parsed = ParsedDocuments(self._tree)
-        self._recent_revisions: deque[AppliedRevision] = deque(
-            maxlen=MAX_RECENT_REVISIONS
-        )
 
     @property
     def tree(self) -> SettingsTree:
         """Return the settings in force."""
-        return self._tree
+        return self._settings.tree
 
     @property
     def is_reader(self) -> bool:
@@ -144,8 +125,7 @@
 
     def is_ready(self) -> bool:
         """Return whether settings are in force and list at least one server."""
-        services = self._tree.services.values()
-        return self._tree.revision > NO_REVISION and any(s.upstreams for s in services)
+        return self._settings.is_ready()
 
     def read_store_now(self, now: float) -> None:
         """Read the store at once because requests wait for a configuration."""
@@ -182,10 +162,10 @@
         """Return the state for operators' reports."""
         age = self.contact_age(now)
         return ConfigurationSnapshot(
-            self._tree.revision,
+            self.tree.revision,
             self._replica.revision,
-            tuple(self._recent_revisions),
-            self._parsed.rejected,
+            self._settings.recent_revisions,
+            self._settings.rejected,
             self._is_reader,
             age if self._contacts.was_reached else None,
             self.is_ready(),
@@ -222,9 +202,16 @@
 
     def _record_own_contact(self, now: float) -> None:
         self._check_outage_end(now, self._contacts.latest_at, STORE_SOURCE, now)
+        self._reader_fails = False
         self._contacts.record_own(now)
         self._contacts.record_confirmed(now)
 
+    def record_store_failure(self, now: float) -> None:
+        """Record that a call to the store failed, and tell the next candidates."""
+        if self._is_reader and not self._reader_fails:
+            self._reader_fails = True
+            self._send_freshness(now)
+
     # Peers
 
     def handle(self, message: PeerMessage, sender: Sender, now: float) -> None:
@@ -244,9 +231,9 @@
     def _on_changes(self, message: Changes, source: HostId, now: float) -> None:
         self._record_news(source, message.revision, _UNKNOWN_TIME, now)
         if message.after_revision > self._replica.revision:
-            self._request_changes(source, now)
+            self._pulls.record_offer(source, message.revision, now)
+            self._request_changes(now, grace=0.0)
             return
-        self._pulls.reset()
         # A removal may be the first sign that an outage of the store has ended, so the
         # contact is recorded before the removal is applied.
         contact_at = now - message.store_contact_age_ms / 1000
@@ -269,12 +256,13 @@
         self._pulls.record_progress(now)
         if part.is_last:
             del self._partial_copies[source]
-            self._pulls.reset()
             changed = self._replica.replace(partial.documents, partial.revision)
             self._apply_and_forward(changed, source, now)
 
     def _on_freshness(self, message: Freshness, source: HostId, now: float) -> None:
         self._contacts.record_hub(now)
+        if message.reader_fails:
+            self._contacts.record_failure(source, now)
         complete_at = _UNKNOWN_TIME
         if message.store_contact_age_ms is not None:
             age = message.store_contact_age_ms / 1000
@@ -284,12 +272,10 @@
             reader = message.reader or source
             self._record_peer_contact(now - age, reader, source, now)
         self._record_news(source, message.revision, complete_at, now)
-        if message.revision <= self._replica.revision:
-            return
-        is_first_copy = self._replica.revision == NO_REVISION
-        is_primary = self._view is None or source == self._view.hubs[0]
-        if is_first_copy or not self._pulls.may_wait_for_push(is_primary, now):
-            self._request_changes(source, now)
+        copy_revision = Revision(message.revision - message.lacking)
+        if copy_revision > self._replica.revision:
+            self._pulls.record_offer(source, copy_revision, now)
+            self._request_changes(now, self._push_grace())
 
     def _record_news(
         self, source: HostId, revision: Revision, contact_at: float, now: float
@@ -304,8 +290,17 @@
         if self._contacts.record_peer(at, reader):
             self._check_outage_end(at, latest_at, source, now)
 
-    def _request_changes(self, source: HostId, now: float) -> None:
-        if self._pulls.should_ask(source, now):
+    def _push_grace(self) -> float:
+        """Return the time in which announced changes may arrive without a request."""
+        if self._replica.revision == NO_REVISION:
+            return 0.0
+        is_hub = self._view is not None and self._view.is_hub
+        return OWN_READ_GRACE_SECONDS if is_hub else PUSH_GRACE_SECONDS
+
+    def _request_changes(self, now: float, grace: float) -> None:
+        hubs = () if self._view is None else self._view.hubs
+        source = self._pulls.next_source(hubs, grace, now)
+        if source is not None:
             self._outbox.send(source, Pull(self._replica.revision))
 
     def _answer_pull(self, host: HostId, after: Revision, now: float) -> None:
@@ -337,9 +332,10 @@
     ) -> None:
         """Apply changes and forward them to hosts that may not have them."""
         self._completeness.record_progress(self._replica.revision, now)
+        self._pulls.update(self._replica.revision)
         if not changed:
             return
-        self._apply_documents(changed, source or STORE_SOURCE, now)
+        self._settings.apply(changed, source or STORE_SOURCE, now)
         view = self._view
         if view is None:
             return
@@ -354,8 +350,9 @@
         # another primary hub, and hubs pull what they lack.
         hubs = receivers & {*view.remote_hubs, *view.hubs}
         pushed = receivers & set(view.primary_followers)
-        if source is None and not view.is_hub:
-            pushed = hubs
+        if source is None and view.rank > 0:
+            # It reads because the first candidate does not reach the store.
+            pushed |= receivers & set(view.hubs)
         if text_chars(changed) <= MAX_PART_CHARS:
             self._push(changed, pushed, now)
             for host in pushed:
@@ -377,6 +374,7 @@
     def tick(self, now: float) -> None:
         """Announce freshness, update the reader role and drop lapsed servers."""
         self._update_reader_role(now)
+        self._request_changes(now, self._push_grace())
         if now - self._last_freshness_at >= FRESHNESS_INTERVAL_SECONDS:
             self._last_freshness_at = now
             self._send_freshness(now)
@@ -385,9 +383,7 @@
         if is_lost and self._outage_started_at is None:
             self._outage_started_at = now - age
             self._outbox.emit(StoreContactLost(round(age, 3)))
-        if self._lapsed_servers and now >= self._lapse_grace_until:
-            self._lapsed_servers.clear()
-            self._parse(STORE_SOURCE, now)
+        self._settings.tick(now)
 
     def resume(self, gap: float, now: float) -> None:
         """Request missed data again and add the pause to the age of the contact."""
@@ -427,13 +423,15 @@
             echo_ms,
             echo_age_ms,
             copy_lag_ms,
+            newest.revision - self._replica.revision,
+            self._reader_fails,
         )
 
     def _update_reader_role(self, now: float) -> None:
         is_reader = self._should_read(now)
         if is_reader == self._is_reader:
             return
-        self._is_reader = is_reader
+        self._is_reader, self._reader_fails = is_reader, False
         rank = -1 if self._view is None else self._view.rank
         self._outbox.emit(ReadingChanged(is_reader, rank, self._age_ms(now)))
 
@@ -447,72 +445,9 @@
     ) -> None:
         outage = at - previous_at
         if OUTAGE_THRESHOLD_SECONDS < outage < float("inf"):
-            self._lapse_grace_until = now + LAPSE_GRACE_SECONDS
+            self._settings.keep_lapsed_servers(now)
         # A contact that is already old does not end an outage.
         if self._outage_started_at is not None and now - at < OUTAGE_THRESHOLD_SECONDS:
             seconds = round(at - self._outage_started_at, 3)
             self._outage_started_at = None
             self._outbox.emit(StoreContactRegained(seconds, source))
-
-    # Settings
-
-    def _apply_documents(
-        self, changed: Iterable[Document], source: str, now: float
-    ) -> None:
-        """Apply changes; keep servers whose entries were removed around an outage."""
-        lapsed = []
-        for document in changed:
-            self._lapsed_servers.pop(document.name, None)
-            if document.text is not None or now >= self._lapse_grace_until:
-                continue
-            before = self._parsed_documents.get(document.name)
-            if before is not None and self._parser.is_server(document.name):
-                self._lapsed_servers[document.name] = before
-                lapsed.append(document.name)
-        if lapsed:
-            grace = round(self._lapse_grace_until - now, 3)
-            self._outbox.emit(ServersLapsed(tuple(lapsed), grace))
-        self._parse(source, now)
-
-    def _parse(self, source: str, now: float) -> None:
-        documents = {**self._replica.documents, **self._lapsed_servers}
-        before = self._parsed
-        self._parsed = parsed = self._parser.parse(documents)
-        self._parsed_documents = documents
-        for fault in parsed.ignored:
-            if fault not in before.ignored:
-                self._outbox.emit(EntryIgnored(fault))
-        self._report_rejection(parsed, source)
-        if parsed.tree.revision < self._tree.revision:
-            return
-        previous, self._tree = self._tree, parsed.tree
-        changed = describe_server_changes(
-            previous, self._tree, self._replica.revision, source
-        )
-        if changed is not None:
-            self._outbox.emit(changed)
-        if previous.revision == parsed.tree.revision:
-            return
-        self._recent_revisions.append(
-            AppliedRevision(parsed.tree.revision, now, source)
-        )
-        self._outbox.emit(
-            ConfigurationAccepted(
-                previous.revision,
-                parsed.tree.revision,
-                self._replica.revision,
-                source,
-                describe_differences(previous, parsed.tree),
-            )
-        )
-
-    def _report_rejection(self, parsed: ParsedDocuments, source: str) -> None:
-        rejected = parsed.rejected
-        if rejected is None or rejected.revision == self._reported_rejection:
-            return
-        self._reported_rejection = rejected.revision
-        self._outbox.emit(
-            ConfigurationRejected(
-                self._tree.revision, rejected.revision, source, rejected.faults
-            )
-        )
--- a/src/catkinspan/coordination/configuration/models.py
+++ b/src/catkinspan/coordination/configuration/models.py
@@ -126,6 +126,14 @@
     copy_lag_ms: Millis = 0
     """Time before the contact up to which the sender's copy had all changes."""
 
+    lacking: int = 0
+    """Number by which the revision of the sender's copy is lower. A host lacks changes
+    of which it has only heard, and cannot send them."""
+
+    reader_fails: bool = False
+    """Whether the sender reads the store and its latest call failed. The next candidate
+    of the data centre then reads it too, without waiting for the contact to age."""
+
 
 @frozen
 class ClockStamp(PeerMessage):
