Keep parsed servers as they are when another one changes

Cause: each change of any server entry built a new object for every published server, to add the connection limit of its service, and compared each with the one before.

Change: the parsed entry holds the limit, so that unchanged servers stay the same objects.

Tests: test_change_of_one_server_keeps_the_others_as_they_were failed before; test_changed_connection_limit_applies_to_known_servers.

--- a/src/catkinspan/coordination/health/coordinator.py
+++ b/src/catkinspan/coordination/health/coordinator.py
@@ -136,6 +136,8 @@
             cold_until = now + upstream.warmup.total_seconds()
             self._avoided.discard(upstream.id)
             return _Server(service, upstream, cold_until, server_digest(upstream.id))
+        if known.upstream is upstream:
+            return known
         if known.upstream != upstream:
             known.misdirected_until = float("-inf")
         known.upstream = upstream
--- a/src/catkinspan/platform/configuration.py
+++ b/src/catkinspan/platform/configuration.py
@@ -68,6 +68,7 @@
         self._rejected: RejectedConfiguration | None = None
         self._parsed_revision = NO_REVISION
         self._entries: dict[str, tuple[Revision, ServerEntry | SettingsFault]] = {}
+        """Parsed server entries by name, with the limits of their services."""
 
     def is_server(self, name: str) -> bool:
         """Return whether a document is a server entry."""
@@ -84,12 +85,15 @@
         upstreams: dict[ServiceId, list[Upstream]] = {
             name: [] for name in max_connections
         }
-        for _, entry in self._entries.values():
-            if isinstance(entry, ServerEntry) and entry.service in upstreams:
-                upstream = evolve(
-                    entry.upstream, max_connections=max_connections[entry.service]
-                )
-                upstreams[entry.service].append(upstream)
+        for name, (revision, entry) in self._entries.items():
+            if not isinstance(entry, ServerEntry) or entry.service not in upstreams:
+                continue
+            limit = max_connections[entry.service]
+            if entry.upstream.max_connections != limit:
+                upstream = evolve(entry.upstream, max_connections=limit)
+                entry = evolve(entry, upstream=upstream)
+                self._entries[name] = revision, entry
+            upstreams[entry.service].append(entry.upstream)
         services = {
             name: evolve(service, upstreams=tuple(upstreams[name]))
             for name, service in tree.services.items()
--- a/tests/platform/test_documents.py
+++ b/tests/platform/test_documents.py
@@ -131,3 +131,24 @@
     parsed = parse({"op/config": configuration(novelty={"x": 1})})
     assert parsed.rejected is None
     assert parsed.tree.revision == 7
+
+
+def test_change_of_one_server_keeps_the_others_as_they_were() -> None:
+    """Guards against each change costing work for every published server."""
+    parser = PlatformDocuments()
+    items = {f"servers/i-{n}": server_entry(n) for n in range(3)}
+    items["op/config"] = configuration()
+    before = {u.id: u for u in upstreams(parse(items, parser))}
+    items["servers/i-1"] = server_entry(1, state="draining")
+    after = {u.id: u for u in upstreams(parse(items, parser))}
+    assert [after[name] is before[name] for name in before] == [True, False, True]
+
+
+def test_changed_connection_limit_applies_to_known_servers() -> None:
+    """Guards against server entries that keep the limit of an older configuration."""
+    parser = PlatformDocuments()
+    items = {"op/config": configuration(), "servers/i-0": server_entry(0)}
+    parse(items, parser)
+    clusters = [{"name": "huvo11a", "max_conns": 17}, {"name": "wuno96b"}]
+    items["op/config"] = configuration(version=9, clusters=clusters)
+    assert [u.max_connections for u in upstreams(parse(items, parser))] == [17]
