--- a/src/catkinspan/coordination/health/const.py
+++ b/src/catkinspan/coordination/health/const.py
@@ -81,9 +81,6 @@
 URGENT_COUNT_BYTES_PER_SECOND = 1_000.0
 """Bytes that a host sends on failures before the next report is due."""
 
-BUDGET_BURST_SECONDS = 0.1
-"""Time for which unused budget is kept."""
-
 MESSAGE_BYTES = 100
 """Size of an empty message with the headers of frame, UDP and IP."""
 
--- a/src/catkinspan/coordination/health/count_reporter.py
+++ b/src/catkinspan/coordination/health/count_reporter.py
@@ -2,12 +2,13 @@
 
 from collections.abc import Collection
 
+from catkinspan.coordination.budget import ByteBudget
 from catkinspan.coordination.const import (
     STANDBY_REPORT_INTERVAL_SECONDS,
     TICK_INTERVAL_SECONDS,
 )
 from catkinspan.coordination.health.assessor import Assessor
-from catkinspan.coordination.health.budget import ByteBudget, counts_size
+from catkinspan.coordination.health.budget import counts_size
 from catkinspan.coordination.health.const import (
     COUNT_BYTES_PER_SECOND,
     FULL_REPORT_SECONDS,
--- a/src/catkinspan/coordination/health/publisher.py
+++ b/src/catkinspan/coordination/health/publisher.py
@@ -4,9 +4,10 @@
 
 from attrs import frozen
 
+from catkinspan.coordination.budget import ByteBudget
 from catkinspan.coordination.const import TICK_INTERVAL_SECONDS
 from catkinspan.coordination.health.assessor import Assessor
-from catkinspan.coordination.health.budget import ByteBudget, states_size
+from catkinspan.coordination.health.budget import states_size
 from catkinspan.coordination.health.const import (
     CATCH_UP_RETRY_SECONDS,
     HUB_CATCH_UP_BYTES_PER_SECOND,
--- a/src/catkinspan/coordination/rates/const.py
+++ b/src/catkinspan/coordination/rates/const.py
@@ -44,6 +44,21 @@
 """Time for which a reported level must last: two exchanges within a data centre and one
 between data centres."""
 
+HUB_LEVEL_BYTES_PER_SECOND = 24_000.0
+"""Bytes that a hub sends on levels. With the budgets of the states of servers it stays
+below a tenth of a link of 10 Mbit/s."""
+
+LEVEL_BYTES = 30
+"""Size of a level in a message, with a name of usual length."""
+
+LEVEL_REFRESH_SECONDS = 0.6
+"""Age from which the level that hosts have is sent again before others, if not all fit
+into the budget."""
+
+LEVEL_KEPT_SECONDS = 1.2
+"""Time for which a host uses a level that later messages leave out for want of budget:
+two refreshes, so that one message may be lost."""
+
 DEMAND_AVERAGING_SECONDS = 0.6
 """Time constant of the moving average of a workspace's demand."""
 
--- a/src/catkinspan/coordination/rates/coordinator.py
+++ b/src/catkinspan/coordination/rates/coordinator.py
@@ -15,6 +15,7 @@
 from catkinspan.coordination.rates.bucket import TokenBucket
 from catkinspan.coordination.rates.const import (
     ASSUMED_FLEET_HOSTS,
+    LEVEL_KEPT_SECONDS,
     LEVELS_MAX_AGE_SECONDS,
     OWN_USE_WINDOW_SECONDS,
     REPORT_AFTER_USE_SECONDS,
@@ -31,6 +32,7 @@
 )
 from catkinspan.coordination.rates.own_use import OwnUse
 from catkinspan.coordination.rates.policy import BucketLimits, RatePolicy
+from catkinspan.coordination.rates.publisher import LevelPublisher
 from catkinspan.coordination.rates.recent_use import RecentUse
 from catkinspan.state.hosts import FleetView
 from catkinspan.state.ids import HostId, WorkspaceId
@@ -56,6 +58,8 @@
     hub_level: WorkspaceLevel | None = None
     """Level last reported by the hub; None while the workspace has enough tokens."""
 
+    hub_level_at: float = 0.0
+
 
 class RateCoordinator(BaseCoordinator):
     """Limits each workspace by a fleet-wide bucket of which every hub keeps a copy.
@@ -86,6 +90,7 @@
         self._rng = rng
         self._policy = policy
         self._ledger = UsageLedger(policy)
+        self._publisher = LevelPublisher()
         self._last_report_at = float("-inf")
         self._last_standby_report_at = float("-inf")
         self._levels_received_at = float("-inf")
@@ -95,6 +100,8 @@
         """Index of that hub among the hubs."""
 
         self._levels_hub: HostId | None = None
+        self._levels_leave_out = False
+        """Whether the hub's messages leave out workspaces that are short."""
 
     def apply_tree(self, tree: SettingsTree, now: float) -> None:
         """Apply changed rates."""
@@ -170,7 +177,8 @@
         return available / self._fleet_size()
 
     def _is_admitted(self, state: _WorkspaceState, now: float) -> bool:
-        if not self._has_levels(now):
+        is_unknown = self._levels_leave_out and state.hub_level is None
+        if is_unknown or not self._has_levels(now):
             return self._is_admitted_without_levels(state, now)
         if state.hub_level is None:
             return True
@@ -210,9 +218,11 @@
         if state is None:
             return "unknown workspace"
         age = now - self._levels_received_at
+        count, limit = state.own_use.count(now), state.own_use.frozen_limit
         if age > LEVELS_MAX_AGE_SECONDS:
-            count, limit = state.own_use.count(now), state.own_use.frozen_limit
             return f"no levels for {age:.1f} s, own use {count} of {limit} in a window"
+        if state.hub_level is None and self._levels_leave_out:
+            return f"left out by the hub, own use {count} of {limit} in a window"
         if state.hub_level is None:
             return f"enough tokens, reported {age:.2f} s ago"
         return (
@@ -256,12 +266,10 @@
                     self._ledger.count_remote_report(
                         sender.host, record.data_centre, sender.incarnation, usages, now
                     )
-            case Levels(levels):
-                self._apply_levels(sender.host, levels, now)
+            case Levels():
+                self._apply_levels(sender.host, message, now)
 
-    def _apply_levels(
-        self, hub: HostId, levels: tuple[WorkspaceLevel, ...], now: float
-    ) -> None:
+    def _apply_levels(self, hub: HostId, message: Levels, now: float) -> None:
         """Apply a hub's levels unless a hub of lower index sent some recently."""
         hubs = self._view.hubs if self._view is not None else ()
         if hub not in hubs:
@@ -274,9 +282,25 @@
             return
         self._levels_received_at, self._levels_hub_index = now, hub_index
         self._levels_hub = hub
-        levels_by_workspace = {level.workspace: level for level in levels}
+        self._levels_leave_out = message.leaves_out
+        levels = {level.workspace: level for level in message.levels}
+        recovered = frozenset(message.recovered)
         for name, state in self._states.items():
-            state.hub_level = levels_by_workspace.get(name)
+            level = levels.get(name)
+            if level is not None:
+                state.hub_level, state.hub_level_at = level, now
+                state.own_use.thaw()
+            elif name in recovered or not message.is_partial:
+                state.hub_level = None
+                state.own_use.thaw()
+            else:
+                self._apply_omission(state, now)
+
+    def _apply_omission(self, state: _WorkspaceState, now: float) -> None:
+        """Keep the level that a partial message leaves out for a while."""
+        if now - state.hub_level_at > LEVEL_KEPT_SECONDS:
+            state.hub_level = None
+        if not self._levels_leave_out:
             state.own_use.thaw()
 
     def tick(self, now: float) -> None:
@@ -289,12 +313,14 @@
         if now - self._last_standby_report_at >= STANDBY_REPORT_INTERVAL_SECONDS:
             self._last_standby_report_at = now
             hosts = self._view.followers
-        levels = Levels(tuple(self._ledger.low_levels(now)))
-        for host in hosts:
-            self._outbox.send(host, levels)
+        short = {level.workspace: level for level in self._ledger.low_levels(now)}
+        if hosts:
+            message = self._publisher.next_message(short, len(hosts), now)
+            for host in hosts:
+                self._outbox.send(host, message)
         if self._view.hubs[0] == self._self_id:
             if not self._is_cut_off(self._view):
-                self._apply_levels(self._self_id, levels.levels, now)
+                self._apply_levels(self._self_id, Levels(tuple(short.values())), now)
             self._report_to_remote_hubs(now)
         self._ledger.forget_idle(now)
 
--- a/src/catkinspan/coordination/rates/models.py
+++ b/src/catkinspan/coordination/rates/models.py
@@ -60,9 +60,22 @@
 
 @frozen
 class Levels(PeerMessage):
-    """Levels of workspaces short of tokens; requests of all others are admitted."""
+    """Levels of workspaces short of tokens; requests of all others are admitted.
+
+    If not all fit into the sender's byte budget, a message has some of them, and the
+    levels of earlier messages remain in use for a while.
+    """
 
     levels: tuple[WorkspaceLevel, ...]
+    is_partial: bool = False
+    """Whether levels of earlier messages remain in use."""
+
+    recovered: tuple[WorkspaceId, ...] = ()
+    """Workspaces whose earlier levels do not, in a partial message."""
+
+    leaves_out: bool = False
+    """Whether some workspaces that are short are in no recent message. A host limits
+    those that it has no level of by its own recent use."""
 
 
 @frozen
