--- a/src/catkinspan/coordination/rates/coordinator.py
+++ b/src/catkinspan/coordination/rates/coordinator.py
@@ -309,10 +309,10 @@
             return
         self._last_report_at = now
         self._report_usage(now)
-        hosts = self._view.primary_followers
+        hosts, is_standby_due = self._view.primary_followers, False
         if now - self._last_standby_report_at >= STANDBY_REPORT_INTERVAL_SECONDS:
             self._last_standby_report_at = now
-            hosts = self._view.followers
+            hosts, is_standby_due = self._view.followers, True
         short = {level.workspace: level for level in self._ledger.low_levels(now)}
         if hosts:
             message = self._publisher.next_message(short, len(hosts), now)
@@ -322,6 +322,8 @@
             if not self._is_cut_off(self._view):
                 self._apply_levels(self._self_id, Levels(tuple(short.values())), now)
             self._report_to_remote_hubs(now)
+        elif is_standby_due:
+            self._report_to_remote_hubs(now)
         self._ledger.forget_idle(now)
 
     def resume(self, gap: float, now: float) -> None:
