Send copies of the settings to few hosts at once, from one source each

Hubs' links are then full, so that heartbeats and levels are late, hubs change, and hosts read the store themselves.

Cause: a host asked another hub 0.2 s after the last request, whether the first one was sending or not, and each hub answered every request at once with all parts.

Change: `OutgoingCopies` sends copies to as many hosts as fill half of the sender's link, two at least, hubs first, and two parts of 32 K characters ahead of what the receiver has acknowledged with `CopyRequest`. `Freshness` tells a host that its copy is in preparation; while it is, or while parts arrive, the host asks nobody else, except that it may once move to the hub that it prefers by hash, so that both hubs send. Parts may arrive in any order. Hosts of older versions get all parts at once, as before, and ignore the new fields and the new message.

--- a/src/catkinspan/coordination/configuration/const.py
+++ b/src/catkinspan/coordination/configuration/const.py
@@ -47,8 +47,29 @@
 MAX_HISTORY_CHANGES = 2_000
 """Latest changes that a hub can send without a full copy."""
 
-MAX_PART_CHARS = 256 * 1024
-"""Characters in one message of a full copy, unless a single document is larger."""
+MAX_PUSH_CHARS = 256 * 1024
+"""Size up to which changes are pushed in one message; larger ones are requested."""
+
+MAX_PART_CHARS = 32 * 1024
+"""Characters in one message of a full copy, unless a single document is larger. A link
+of 10 Mbit/s carries it within 30 ms, so that other messages do not wait for long."""
+
+COPY_WINDOW_PARTS = 2
+"""Parts of one copy that are sent before they are acknowledged, so that a link is in
+use while an acknowledgement travels."""
+
+COPY_LINK_SHARE = 0.5
+"""Share of a host's link that the links of the hosts which receive copies may fill."""
+
+MIN_CONCURRENT_COPIES = 2
+"""Copies that are sent at once in any case, also if the links' bandwidth is unknown."""
+
+COPY_IDLE_SECONDS = 4.0
+"""Time without a message from a receiver after which its copy is dropped. It exceeds
+the longest interval of repeated requests."""
+
+ANSWERING_SOURCE_SECONDS = 1.0
+"""Time after a sign of a copy in preparation in which no other host is asked."""
 
 SMALL_CHANGE_CHARS = 800
 """Size up to which changes are sent to all followers and hubs at once. Only the primary
--- a/src/catkinspan/coordination/configuration/coordinator.py
+++ b/src/catkinspan/coordination/configuration/coordinator.py
@@ -1,19 +1,18 @@
 """Coordinator of the replica of the store and of the settings in force."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from typing import ClassVar
 
-from attrs import define, field
-
 from catkinspan.coordination.configuration.completeness import CopyCompleteness
 from catkinspan.coordination.configuration.const import (
     FRESHNESS_INTERVAL_SECONDS,
-    MAX_PART_CHARS,
+    MAX_PUSH_CHARS,
     OUTAGE_THRESHOLD_SECONDS,
     OWN_READ_GRACE_SECONDS,
     PUSH_GRACE_SECONDS,
 )
 from catkinspan.coordination.configuration.contacts import StoreContacts
+from catkinspan.coordination.configuration.copies import OutgoingCopies, PartialCopy
 from catkinspan.coordination.configuration.echoes import ClockEchoes
 from catkinspan.coordination.configuration.in_force import (
     STORE_SOURCE,
@@ -24,6 +23,7 @@
     ClockStamp,
     ConfigurationSnapshot,
     CopyPart,
+    CopyRequest,
     Document,
     DocumentParser,
     Freshness,
@@ -44,20 +44,12 @@
 from catkinspan.coordination.coordinator import BaseCoordinator
 from catkinspan.coordination.models import PeerMessage, Sender
 from catkinspan.coordination.outbox import Outbox
+from catkinspan.coordination.rendezvous import weight
 from catkinspan.state.hosts import FleetView
 from catkinspan.state.ids import NO_REVISION, HostId, Revision
 from catkinspan.state.tree import SettingsTree
 
 
-@define
-class _PartialCopy:
-    """A full copy that is being received in parts."""
-
-    revision: Revision
-    documents: list[Document] = field(factory=list)
-    received_parts: int = 0
-
-
 class ConfigurationCoordinator(BaseCoordinator):
     """Replicates the store, forwards changes and decides whether this host reads it.
 
@@ -71,6 +63,7 @@
     message_types: ClassVar[tuple[type[PeerMessage], ...]] = (
         Changes,
         CopyPart,
+        CopyRequest,
         Pull,
         Freshness,
         ClockStamp,
@@ -100,7 +93,8 @@
         self._last_freshness_at = float("-inf")
         self._pulls = PullSchedule()
         self._sent_copies = SentCopies()
-        self._partial_copies: dict[HostId, _PartialCopy] = {}
+        self._copies = OutgoingCopies(self._replica, outbox)
+        self._partial_copies: dict[HostId, PartialCopy] = {}
 
     @property
     def tree(self) -> SettingsTree:
@@ -173,6 +167,7 @@
     def apply_view(self, view: FleetView, now: float) -> None:
         """Use a changed view of the fleet for forwarding and reader selection."""
         self._view = view
+        self._copies.apply_view(view)
 
     # The store
 
@@ -214,8 +209,10 @@
                 self._on_changes(message, sender.host, now)
             case CopyPart():
                 self._on_copy_part(message, sender.host, now)
-            case Pull(after):
-                self._answer_pull(sender.host, after, now)
+            case Pull():
+                self._answer_pull(sender.host, message, now)
+            case CopyRequest():
+                self._copies.continue_copy(sender.host, message, now)
             case Freshness():
                 self._on_freshness(message, sender.host, now)
             case ClockStamp():
@@ -235,21 +232,18 @@
         self._apply_and_forward(changed, source, now)
 
     def _on_copy_part(self, part: CopyPart, source: HostId, now: float) -> None:
-        partial = self._partial_copies.get(source)
         self._completeness.record_announcement(part.revision)
-        if part.index == 0:
-            partial = self._partial_copies[source] = _PartialCopy(part.revision)
-        if partial is None or part.revision != partial.revision:
-            return
-        if part.index != partial.received_parts:
-            del self._partial_copies[source]
+        partial = self._partial_copies.get(source)
+        if partial is None or partial.revision < part.revision:
+            partial = self._partial_copies[source] = PartialCopy(part.revision)
+        if partial.revision != part.revision:
             return
-        partial.documents += part.documents
-        partial.received_parts += 1
-        self._pulls.record_progress(now)
-        if part.is_last:
+        partial.add(part)
+        self._pulls.record_part(source, now)
+        self._outbox.send(source, CopyRequest(part.revision, partial.received_count))
+        if partial.is_complete:
             del self._partial_copies[source]
-            changed = self._replica.replace(partial.documents, partial.revision)
+            changed = self._replica.replace(partial.documents(), part.revision)
             self._apply_and_forward(changed, source, now)
 
     def _on_freshness(self, message: Freshness, source: HostId, now: float) -> None:
@@ -264,6 +258,8 @@
             self._update_completeness()
             reader = message.reader or source
             self._record_peer_contact(now - age, reader, source, now)
+        if message.copy_pending:
+            self._pulls.record_pending(source, now)
         copy_revision = Revision(message.revision - message.lacking)
         if copy_revision > self._replica.revision:
             self._pulls.record_offer(source, copy_revision, now)
@@ -284,16 +280,28 @@
         return OWN_READ_GRACE_SECONDS if is_hub else PUSH_GRACE_SECONDS
 
     def _request_changes(self, now: float, grace: float) -> None:
-        hubs = () if self._view is None else self._view.hubs
+        hubs: Sequence[HostId] = () if self._view is None else self._view.hubs
+        if self._replica.revision == NO_REVISION:
+            # Spreads the first copies over the hubs.
+            hubs = sorted(hubs, key=lambda hub: weight(hub, self._self_id))
+        previous = self._pulls.source
         source = self._pulls.next_source(hubs, grace, now)
         if source is not None:
-            self._outbox.send(source, Pull(self._replica.revision))
+            if previous is not None and previous != source:
+                cancelled = CopyRequest(self._replica.revision, 0, is_cancelled=True)
+                self._outbox.send(previous, cancelled)
+            self._outbox.send(source, Pull(self._replica.revision, in_parts=True))
 
-    def _answer_pull(self, host: HostId, after: Revision, now: float) -> None:
-        replica = self._replica
+    def _answer_pull(self, host: HostId, pull: Pull, now: float) -> None:
+        replica, after = self._replica, pull.after_revision
         if after >= replica.revision:
             return
         changes = replica.changes_after(after) if after > NO_REVISION else None
+        if changes is None and pull.in_parts:
+            self._copies.request(host, now)
+            if self._copies.is_pending(host):
+                self._outbox.send(host, self._freshness_for(host, now))
+            return
         if changes is None or not is_small(changes):
             if self._sent_copies.is_on_its_way(host, replica.revision, now):
                 return
@@ -338,7 +346,7 @@
         if source is None and view.rank > 0:
             # It reads because the first candidate does not reach the store.
             pushed |= receivers & set(view.hubs)
-        if text_chars(changed) <= MAX_PART_CHARS:
+        if text_chars(changed) <= MAX_PUSH_CHARS:
             self._push(changed, pushed, now)
             for host in pushed:
                 self._sent_copies.record(host, self._replica.revision, now)
@@ -390,6 +398,7 @@
         for host in {*view.hubs, *view.remote_hubs} - {self._self_id}:
             self._outbox.send(host, stamp)
         receivers = {*view.followers, *view.remote_hubs}
+        self._copies.tick(now)
         self._echoes.keep_only(receivers)
         for host in receivers:
             self._outbox.send(host, self._freshness_for(host, now))
@@ -409,6 +418,7 @@
             echo_age_ms,
             lacking,
             self._reader_fails,
+            self._copies.is_pending(host),
         )
 
     def _update_reader_role(self, now: float) -> None:
--- a/src/catkinspan/coordination/configuration/models.py
+++ b/src/catkinspan/coordination/configuration/models.py
@@ -103,6 +103,19 @@
     """Requests all changes after a revision."""
 
     after_revision: Revision
+    in_parts: bool = False
+    """Whether the sender requests further parts of a copy by `CopyRequest`. Hosts of
+    older versions do not, and get all parts at once."""
+
+
+@frozen
+class CopyRequest(PeerMessage):
+    """Acknowledges parts of a copy and requests the next ones."""
+
+    revision: Revision
+    received_parts: int
+    is_cancelled: bool = False
+    """Whether the sender gets the copy from another host instead."""
 
 
 @frozen
@@ -131,6 +144,9 @@
     """Whether the sender reads the store and its latest call failed. The next candidate
     of the data centre then reads it too, without waiting for the contact to age."""
 
+    copy_pending: bool = False
+    """Whether the sender is about to send a copy that the receiver requested."""
+
 
 @frozen
 class ClockStamp(PeerMessage):
--- a/src/catkinspan/coordination/configuration/pulls.py
+++ b/src/catkinspan/coordination/configuration/pulls.py
@@ -3,6 +3,7 @@
 from collections.abc import Sequence
 
 from catkinspan.coordination.configuration.const import (
+    ANSWERING_SOURCE_SECONDS,
     MAX_PULL_RETRY_SECONDS,
     OTHER_PULL_RETRY_SECONDS,
     PULL_RETRY_SECONDS,
@@ -23,15 +24,24 @@
     def __init__(self) -> None:
         self._offers: dict[HostId, Revision] = {}
         self._source: HostId | None = None
-        self._asked_at = _NEVER
+        self._asked_at = self._answered_at = _NEVER
+        self._has_part = False
+        """Whether a part of the requested copy has arrived."""
+
         self._attempts = 0
         self._behind_since: float | None = None
 
+    @property
+    def source(self) -> HostId | None:
+        """Return the host that was asked last; None if nothing is missing."""
+        return self._source
+
     def reset(self) -> None:
         """Forget offers and requests, since earlier answers are lost."""
         self._offers.clear()
         self._source = self._behind_since = None
-        self._asked_at = _NEVER
+        self._asked_at = self._answered_at = _NEVER
+        self._has_part = False
         self._attempts = 0
 
     def update(self, revision: Revision) -> None:
@@ -42,9 +52,17 @@
         if not self._offers:
             self.reset()
 
-    def record_progress(self, now: float) -> None:
-        """Record a part of an answer, which shows that the rest is on its way."""
-        self._asked_at = now
+    def record_part(self, source: HostId, now: float) -> None:
+        """Record a part of a copy, which shows that the rest is on its way."""
+        if source == self._source:
+            self._asked_at = self._answered_at = now
+            self._has_part = True
+            self._attempts = 1
+
+    def record_pending(self, source: HostId, now: float) -> None:
+        """Record that a host prepares the copy that was requested from it."""
+        if source == self._source:
+            self._answered_at = now
 
     def record_offer(self, source: HostId, revision: Revision, now: float) -> None:
         """Record that a host has the changes up to a revision."""
@@ -58,14 +76,20 @@
         """Return the host to request the changes from now, if any, and record it.
 
         Hosts in `preferred` are asked first, and the first one without a wait; others
-        are asked `grace` seconds after the first offer.
+        are asked `grace` seconds after the first offer. While a host sends a copy, no
+        other host is asked; while it is to send one, only the first in `preferred`.
         """
         if self._behind_since is None:
             return None
         is_primary = bool(preferred) and preferred[0] in self._offers
         if not is_primary and now - self._behind_since < grace:
             return None
-        for source in [h for h in preferred if h in self._offers] or self._offers:
+        sources = [h for h in preferred if h in self._offers] or list(self._offers)
+        is_answering = now - self._answered_at < ANSWERING_SOURCE_SECONDS
+        if is_answering and self._source is not None:
+            may_change = is_primary and not self._has_part
+            sources = [preferred[0] if may_change else self._source]
+        for source in sources:
             if self._should_ask(source, now):
                 return source
         return None
@@ -77,6 +101,7 @@
             wait = min(MAX_PULL_RETRY_SECONDS, PULL_RETRY_SECONDS * 2.0**doublings)
         if now - self._asked_at < wait:
             return False
+        self._has_part &= source == self._source
         self._source, self._asked_at = source, now
         self._attempts += 1
         return True
