Let other tasks run while many small chunks of a request are read

Callers saw: with a caller that sends its body in chunks of one byte, all requests of the host wait; 64 KB of such chunks take over a second.

Cause: the prefix of a body was read in one turn of the event loop, however many chunks it has.

--- a/src/catkinspan/transport/callers/body.py
+++ b/src/catkinspan/transport/callers/body.py
@@ -8,6 +8,7 @@
 from catkinspan.coordination.clock import Clock
 from catkinspan.protocol.http.const import BODY_PREFIX_BYTES
 from catkinspan.protocol.http.heads import CallerHead
+from catkinspan.transport.callers.const import MAX_CHUNKS_PER_TURN
 from catkinspan.transport.callers.stream import CallerStream
 from catkinspan.transport.upstreams.attempt import BodyChunk
 
@@ -18,6 +19,9 @@
     WAITING = auto()
     """More bytes must arrive first."""
 
+    PAUSED = auto()
+    """More bytes have arrived; other tasks must run before they are read."""
+
     READY = auto()
     TOO_LARGE = auto()
 
@@ -92,18 +96,22 @@
         """Continue to read the prefix."""
         chunks = [self._prefix]
         size = len(self._prefix)
-        while size < BODY_PREFIX_BYTES and not self._complete:
+        is_paused = False
+        while size < BODY_PREFIX_BYTES and not self._complete and not is_paused:
             chunk = self._next_chunk()
             if chunk is None:
                 break
             chunks.append(chunk)
             size += len(chunk)
+            is_paused = len(chunks) > MAX_CHUNKS_PER_TURN
         self._prefix = b"".join(chunks)
         if self._received_bytes > self._max_bytes:
             return BodyStatus.TOO_LARGE
         if self._complete or size >= BODY_PREFIX_BYTES:
             self._read_deadline = None
             return BodyStatus.READY
+        if is_paused:
+            return BodyStatus.PAUSED
         self._start_read_timeout()
         return BodyStatus.WAITING
 
--- a/src/catkinspan/transport/callers/exchange.py
+++ b/src/catkinspan/transport/callers/exchange.py
@@ -33,6 +33,7 @@
 from catkinspan.transport.callers.body import BodyStatus, RequestBody
 from catkinspan.transport.callers.const import MAX_BUFFERING_SECONDS
 from catkinspan.transport.callers.messages import (
+    ContinueBody,
     Drain,
     RequestRecord,
     RequestSubmitted,
@@ -95,6 +96,7 @@
         timeout = limits.body_timeout.total_seconds()
         self._body = RequestBody(stream, head, timeout, clock)
         self._reading_prefix = False
+        self._is_body_paused = False
         self._chunk_requester: int | None = None
         self._submitted = False
         self._is_done = False
@@ -175,6 +177,10 @@
             case SocketData():
                 self._stream.receive(message)
                 self._read_body()
+            case ContinueBody():
+                await asyncio.sleep(0)
+                self._is_body_paused = False
+                self._read_body()
             case SocketClosed():
                 self._abandon()
             case Drain():
@@ -262,6 +268,8 @@
     def _read_body(self) -> None:
         """Read received body bytes if the host task or an attempt waits for them."""
         try:
+            if self._is_body_paused:
+                return
             if self._reading_prefix:
                 self._on_prefix_read(self._body.read_prefix())
             elif self._chunk_requester is not None:
@@ -272,6 +280,10 @@
     def _on_prefix_read(self, status: BodyStatus) -> None:
         if status is BodyStatus.WAITING:
             return
+        if status is BodyStatus.PAUSED:
+            self._is_body_paused = True
+            self._mailbox.post_unbounded(ContinueBody())
+            return
         self._reading_prefix = False
         if status is BodyStatus.READY:
             received = BodyReceived(self._request_id, self._body.digest)
--- a/src/catkinspan/transport/callers/messages.py
+++ b/src/catkinspan/transport/callers/messages.py
@@ -51,6 +51,11 @@
     """Whether an idle connection closes at once."""
 
 
+@frozen
+class ContinueBody:
+    """Reminds an exchange of received body bytes that it has not read yet."""
+
+
 @frozen
 class RequestRecord:
     """Record of one finished exchange, for metrics and the access log."""
--- a/tests/transport/test_path.py
+++ b/tests/transport/test_path.py
@@ -231,3 +231,21 @@
         fleet.tree["defaults"] = {"deadline_ms": 4000}
         await fleet.publish()
         await fleet.wait_revision(fleet.platform.revision)
+
+
+async def test_body_of_many_small_chunks_arrives_whole(fleet: Fleet) -> None:
+    """Guards against a pause between chunks that never ends."""
+    headers = [
+        ("Host", "fleet.example"),
+        ("X-Api-Key", KEY),
+        ("Transfer-Encoding", "chunked"),
+    ]
+    for count in (3000, 70_000):
+        caller = await Caller.connect(fleet.hosts[0].callers_address)
+        target = f"/suites/{count}"
+        caller.send(h11.Request(method="POST", target=target, headers=headers))
+        caller.writer.write(b"1\r\nz\r\n" * count + b"0\r\n\r\n")
+        reply = await caller.read_reply()
+        assert (reply.status, reply.complete) == (200, True)
+        assert json.loads(reply.body.rstrip(b"."))["received_bytes"] == count
+        caller.close()
