End a response at its deadline while the caller does not read it

Callers saw: a host that was stopped waited for an endless response beyond its deadline, since its caller no longer read it.

Cause: writing waited for the caller for the body timeout, and the deadline of the running attempt was looked at only between two writes.

Change: a write waits no longer than the response may still follow. The rest of a complete response has the body timeout, as before.

--- a/src/catkinspan/transport/callers/exchange.py
+++ b/src/catkinspan/transport/callers/exchange.py
@@ -437,9 +437,8 @@
         except h11.LocalProtocolError:
             self._reset_connection()
             return
-        timeout = self._limits.body_timeout.total_seconds()
         try:
-            async with asyncio.timeout(timeout):
+            async with asyncio.timeout(self._write_timeout()):
                 await self._stream.port.async_drain()
         except TimeoutError:
             logger.info(
@@ -447,6 +446,13 @@
             )
             self._reset_connection()
 
+    def _write_timeout(self) -> float:
+        timeout = self._limits.body_timeout.total_seconds()
+        running = self._attempts.get(self._committed_attempt or 0)
+        if running is None:
+            return timeout
+        return min(timeout, running.seconds_to_follow(self._clock.monotonic()))
+
     def _cancel_attempt(self, number: int) -> None:
         running = self._attempts.pop(number, None)
         if running is not None:
--- a/src/catkinspan/transport/callers/response.py
+++ b/src/catkinspan/transport/callers/response.py
@@ -74,6 +74,15 @@
             return None
         return self.buffered_bytes
 
+    def seconds_to_follow(self, now: float) -> float:
+        """Return the seconds in which the rest of the response may still follow.
+
+        The attempt ends at its deadline; a complete response may be forwarded later.
+        """
+        if self.is_complete:
+            return float("inf")
+        return max(0.0, self.assigned.deadline - now)
+
     def cancelled_outcome(self) -> AttemptOutcome:
         """Return the outcome of an attempt that the exchange cancelled."""
         return self.assigned.outcome(OutcomeKind.CANCELLED, 0.0, bytes_written=True)
--- a/tests/endless_server.py
+++ b/tests/endless_server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import socket
+import ssl
 from collections import Counter
 from collections.abc import AsyncIterator, Mapping
 from contextlib import asynccontextmanager
@@ -51,6 +52,7 @@
     """Number of runs by request target."""
 
     connection_count: int = 0
+    writers: set[asyncio.StreamWriter] = field(factory=set)
 
     def flood_records(self, mode: str) -> list[FloodRecord]:
         return [record for record in self.records if record.mode == mode]
@@ -59,6 +61,7 @@
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
         self.connection_count += 1
+        self.writers.add(writer)
         raw_socket = writer.get_extra_info("socket")
         raw_socket.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, SEND_BUFFER_BYTES)
         try:
@@ -67,6 +70,7 @@
         except (ConnectionError, asyncio.IncompleteReadError):
             pass
         finally:
+            self.writers.discard(writer)
             writer.close()
 
     async def _serve_request(
@@ -126,13 +130,16 @@
 
 @asynccontextmanager
 async def running_server(
-    floods: Mapping[str, Flood],
+    floods: Mapping[str, Flood], tls: ssl.SSLContext | None = None
 ) -> AsyncIterator[tuple[EndlessServer, Address]]:
     """Run a server on a loopback port that the system assigns."""
     server = EndlessServer(floods)
-    listener = await asyncio.start_server(server.serve, "127.0.0.1", 0)
+    listener = await asyncio.start_server(server.serve, "127.0.0.1", 0, ssl=tls)
     ip, port = listener.sockets[0].getsockname()
     try:
         yield server, Address(ip, port)
     finally:
         listener.close()
+        for writer in list(server.writers):
+            writer.transport.abort()
+        await asyncio.sleep(0)
