Limit the size of acknowledgements on links between hosts

Callers saw: nothing; a peer that answers a link with a message of up to 4 GB filled the memory of the sending host.

Cause: grpclib buffers a message of any announced size. The listening side had a limit, the sending side had none.

Change: both sides share one limit function; a link accepts 64 bytes.

--- a/src/catkinspan/transport/peers/const.py
+++ b/src/catkinspan/transport/peers/const.py
@@ -31,6 +31,7 @@
 """Time after an acknowledgement from which a sending link waits for the next one."""
 
 ACKNOWLEDGEMENT = b"+"
+MAX_ACKNOWLEDGEMENT_BYTES = 64
 RETRY_MIN_SECONDS = 0.1
 RETRY_MAX_SECONDS = 1.0
 LINK_IDLE_SECONDS = 60.0
--- a/src/catkinspan/transport/peers/link.py
+++ b/src/catkinspan/transport/peers/link.py
@@ -25,11 +25,13 @@
     LINK_IDLE_SECONDS,
     LINK_INBOX_MESSAGES,
     LINK_METHOD,
+    MAX_ACKNOWLEDGEMENT_BYTES,
     MAX_LINK_QUEUE_SECONDS,
     MAX_SENT_FRAME_MESSAGES,
     RETRY_MAX_SECONDS,
     RETRY_MIN_SECONDS,
 )
+from catkinspan.transport.peers.message_limit import limit_message_size
 from catkinspan.transport.peers.raw_codec import RawCodec
 from catkinspan.transport.tls import dns_names
 
@@ -159,6 +161,7 @@
             async with method.open() as stream:
                 async with asyncio.timeout(CONNECT_TIMEOUT_SECONDS):
                     await stream.send_request()
+                limit_message_size(stream, MAX_ACKNOWLEDGEMENT_BYTES)
                 self._verify_peer(stream.peer)
                 self._acknowledged_at = float("-inf")
                 message: PeerMessage | None = first
--- a/src/catkinspan/transport/peers/server.py
+++ b/src/catkinspan/transport/peers/server.py
@@ -4,8 +4,7 @@
 import ssl
 from collections.abc import Callable
 
-from grpclib.const import Cardinality, Handler, Status
-from grpclib.exceptions import GRPCError
+from grpclib.const import Cardinality, Handler
 from grpclib.server import Server, Stream
 
 from catkinspan.coordination.clock import Clock
@@ -16,6 +15,7 @@
     ACKNOWLEDGEMENT,
     LINK_METHOD,
 )
+from catkinspan.transport.peers.message_limit import limit_message_size
 from catkinspan.transport.peers.raw_codec import RawCodec
 from catkinspan.transport.tls import dns_names
 
@@ -33,7 +33,7 @@
 
     async def _async_link(self, stream: Stream[bytes, bytes]) -> None:
         certified_names = dns_names(stream.peer.cert()) if self._secure else None
-        _limit_message_size(stream)
+        limit_message_size(stream, MAX_FRAME_BYTES)
         try:
             acknowledged_at = float("-inf")
             async for frame in stream:
@@ -53,23 +53,6 @@
         return {LINK_METHOD: handler}
 
 
-def _limit_message_size(stream: Stream[bytes, bytes]) -> None:
-    """Reject messages whose announced size is over the limit.
-
-    grpclib has no such limit and would buffer up to 4 GB for one message.
-    """
-    grpc_stream = stream._stream
-    receive = grpc_stream.recv_data
-
-    async def async_receive(size: int) -> bytes:
-        if size > MAX_FRAME_BYTES:
-            message = f"{size} bytes in one frame; send at most {MAX_FRAME_BYTES}"
-            raise GRPCError(Status.RESOURCE_EXHAUSTED, message)
-        return await receive(size)
-
-    grpc_stream.recv_data = async_receive  # type: ignore[method-assign]
-
-
 class PeerServer:
     """Accepts the streams of other hosts."""
 
