Divide the connections of a server among the hosts

Cause: `max_connections` is meant for all hosts together, but each host applied the whole of it: 115 hosts times 1,560.

Evidence: from the code.

Change: each host takes its share, at least 2.

Test: test_hosts_together_stay_within_the_connections_of_a_server failed before.

--- a/src/catkinspan/coordination/balancing/balancer.py
+++ b/src/catkinspan/coordination/balancing/balancer.py
@@ -16,6 +16,7 @@
     MAX_AFFINITY_COST,
     MAX_COMPARED_SERVERS,
     MAX_RANDOM_COST,
+    MIN_CONNECTIONS_PER_HOST,
     MIN_TRIAL_RISK,
     REMOTE_DATA_CENTRE_COST,
     TRIAL_IN_FLIGHT_LIMIT,
@@ -30,6 +31,7 @@
 from catkinspan.coordination.coordinator import BaseCoordinator
 from catkinspan.coordination.health.models import ServerView
 from catkinspan.coordination.rendezvous import weight
+from catkinspan.state.hosts import FleetView
 from catkinspan.state.ids import DataCentre, HostId, ServerId, ServiceId
 from catkinspan.state.tree import Service, SettingsTree, Upstream
 
@@ -90,6 +92,7 @@
         self._views = views
         self._rng = rng
         self._services: dict[ServiceId, _Service] = {}
+        self._host_count = 1
 
     def apply_tree(self, tree: SettingsTree, now: float) -> None:
         """Apply the published servers."""
@@ -105,6 +108,10 @@
             tuple(u for u in staying if u.data_centre != self._data_centre),
         )
 
+    def apply_view(self, view: FleetView, now: float) -> None:
+        """Apply the number of hosts that share the connections of a server."""
+        self._host_count = view.known_count
+
     def choose(
         self, request: ServerRequest, now: float
     ) -> Result[ServerChoice, NoServerAvailable]:
@@ -115,7 +122,7 @@
         service = self._services.get(request.service, _Service((), ()))
         trial = self._select_trial(request, service, now)
         if trial is not None:
-            return Ok(_build_choice(trial, is_trial=True))
+            return Ok(self._build_choice(trial, is_trial=True))
         chosen = self._cheapest(self._sample(service, request, now), request)
         if chosen is None or not _is_in_time(chosen, request):
             chosen = self._cheapest(self._fallback(service, request, now), request)
@@ -128,7 +135,7 @@
         if not _is_in_time(chosen, request):
             wait = _expected_wait(chosen, request)
             return Err(NoServerAvailable(NoServerReason.FULL, wait))
-        return Ok(_build_choice(chosen, is_trial=False))
+        return Ok(self._build_choice(chosen, is_trial=False))
 
     def _usable(
         self, upstreams: Iterable[Upstream], request: ServerRequest, now: float
@@ -214,6 +221,18 @@
         cost += MAX_AFFINITY_COST * preference
         return cost + MAX_RANDOM_COST * self._rng.random()
 
+    def _build_choice(self, candidate: _Candidate, is_trial: bool) -> ServerChoice:
+        upstream, view = candidate.upstream, candidate.view
+        share = upstream.max_connections // max(1, self._host_count)
+        return ServerChoice(
+            upstream,
+            view.risk,
+            view.in_flight,
+            is_trial,
+            max(MIN_CONNECTIONS_PER_HOST, share),
+            view.state_age,
+        )
+
 
 def _expected_wait(candidate: _Candidate, request: ServerRequest) -> float:
     return candidate.queue_rounds * request.expected_latency
@@ -222,10 +241,3 @@
 def _is_in_time(candidate: _Candidate, request: ServerRequest) -> bool:
     needed = _expected_wait(candidate, request) + request.expected_latency / 2
     return needed <= request.remaining_seconds
-
-
-def _build_choice(candidate: _Candidate, is_trial: bool) -> ServerChoice:
-    view = candidate.view
-    return ServerChoice(
-        candidate.upstream, view.risk, view.in_flight, is_trial, view.state_age
-    )
--- a/src/catkinspan/coordination/balancing/const.py
+++ b/src/catkinspan/coordination/balancing/const.py
@@ -38,6 +38,10 @@
 each host compared all servers, one with a good report would get the requests of the
 whole fleet until the next report."""
 
+MIN_CONNECTIONS_PER_HOST = 2
+"""Connections that a host may open to a server in a fleet of any size: one with a
+request and an idle one. More hosts than half of the limit can exceed it together."""
+
 TRIAL_SHARE = 0.35
 """Share of the eligible idempotent requests sent to a high-risk server, to find out
 whether it has recovered. A second server answers the request if it has not."""
--- a/src/catkinspan/coordination/balancing/models.py
+++ b/src/catkinspan/coordination/balancing/models.py
@@ -35,6 +35,9 @@
     risk: float
     in_flight: int
     is_trial: bool
+    connection_limit: int
+    """Share of this host in the connections that the server accepts."""
+
     state_age: float | None = None
     """Age in seconds of the hub's news on the server; None for own counts only."""
 
--- a/src/catkinspan/coordination/requests/coordinator.py
+++ b/src/catkinspan/coordination/requests/coordinator.py
@@ -321,7 +321,7 @@
             hold_bytes=policy.hold_bytes,
             idempotent=request.is_idempotent,
             max_body_bytes=policy.max_body_bytes,
-            connection_limit=upstream.max_connections,
+            connection_limit=choice.connection_limit,
             key_query_parameter=policy.key_query_parameter,
             risk=round(choice.risk, 3),
             in_flight=choice.in_flight,
--- a/src/catkinspan/state/tree.py
+++ b/src/catkinspan/state/tree.py
@@ -53,7 +53,9 @@
     data_centre: DataCentre = setting(NOTHING, "", "Data centre of the server.")
     slots: int = setting(NOTHING, "requests", "Requests that it runs at once.")
     max_connections: int = setting(
-        350, "connections", "Connections over all hosts together."
+        350,
+        "connections",
+        "Connections over all hosts together; each opens its share, at least 2.",
     )
     leaving: bool = setting(False, "", "Whether it gets no new work.")
     warmup: timedelta = setting(
--- a/tests/coordination/balancing/test_balancer.py
+++ b/tests/coordination/balancing/test_balancer.py
@@ -10,6 +10,7 @@
 from catkinspan.coordination.balancing.const import MAX_COMPARED_SERVERS
 from catkinspan.coordination.balancing.models import NoServerReason, ServerRequest
 from catkinspan.coordination.health.models import ServerView
+from catkinspan.state.hosts import FleetView
 from catkinspan.state.ids import DataCentre, HostId, Revision, ServerId, ServiceId
 from catkinspan.state.policy import Policy
 from catkinspan.state.tree import Address, Service, SettingsTree, Upstream
@@ -162,3 +163,18 @@
     balancer = make_balancer(views, *servers)
     balancer.choose(NON_IDEMPOTENT, 0.0).unwrap()
     assert views.calls <= 2 * MAX_COMPARED_SERVERS
+
+
+@pytest.mark.parametrize(
+    ("hosts", "max_connections", "limit"),
+    [(1, 1560, 1560), (115, 1560, 13), (1100, 350, 2)],
+)
+def test_hosts_together_stay_within_the_connections_of_a_server(
+    hosts: int, max_connections: int, limit: int
+) -> None:
+    """Guards against each host taking the limit for its own."""
+    upstream = evolve(make_upstream("a"), max_connections=max_connections)
+    balancer = make_balancer(FakeServerViews(), upstream)
+    balancer.apply_view(FleetView(HostId("a"), LOCAL, known_count=hosts), 0.0)
+    choice = balancer.choose(NON_IDEMPOTENT, 0.0).unwrap()
+    assert choice.connection_limit == limit
