Tell a host's own connection limit from a server that refuses

A host at its limit of connections to a server made all hosts avoid that server.

Cause: the reached limit ended an attempt as `connect_error`, which is evidence of a failure in the risk that all hosts share.

Evidence: from the code.

Change: the outcome `connection_limit` is no evidence; the request tries another server and is refused with 503 if none is left.

--- a/src/catkinspan/coordination/health/coordinator.py
+++ b/src/catkinspan/coordination/health/coordinator.py
@@ -37,6 +37,7 @@
 from catkinspan.coordination.models import PeerMessage, Sender
 from catkinspan.coordination.outbox import Outbox
 from catkinspan.coordination.outcomes import (
+    OWN_OUTCOMES,
     AttemptOutcome,
     AttemptStarted,
     OutcomeKind,
@@ -178,7 +179,7 @@
         succeeded = self._observer.record_end(outcome, now)
         if succeeded:
             self._latencies.record(outcome.request_class, outcome.latency)
-        elif outcome.kind is not OutcomeKind.CANCELLED:
+        elif outcome.kind not in OWN_OUTCOMES:
             self._is_urgent = True
         server = self._servers.get(outcome.server)
         if server is None:
--- a/src/catkinspan/coordination/metrics/coordinator.py
+++ b/src/catkinspan/coordination/metrics/coordinator.py
@@ -33,12 +33,16 @@
 from catkinspan.coordination.metrics.recent import RecentCounts
 from catkinspan.coordination.models import Event
 from catkinspan.coordination.naming import event_kind
-from catkinspan.coordination.outcomes import AttemptOutcome, OutcomeKind
+from catkinspan.coordination.outcomes import (
+    OWN_OUTCOMES,
+    AttemptOutcome,
+    OutcomeKind,
+)
 from catkinspan.state.ids import ANONYMOUS_WORKSPACE, ServerId, ServiceId, WorkspaceId
 
 K = TypeVar("K", ServiceId, WorkspaceId)
 
-_NOT_FAILURES = frozenset({OutcomeKind.OK, OutcomeKind.CANCELLED, OutcomeKind.DRAINING})
+_NOT_FAILURES = OWN_OUTCOMES | {OutcomeKind.OK, OutcomeKind.DRAINING}
 
 
 class MetricsCoordinator:
--- a/src/catkinspan/coordination/outcomes.py
+++ b/src/catkinspan/coordination/outcomes.py
@@ -14,6 +14,9 @@
     CONNECT_ERROR = "connect_error"
     """Connecting failed; no byte of the request was written."""
 
+    CONNECTION_LIMIT = "connection_limit"
+    """This host has as many connections to the server as it may open."""
+
     RESET = "reset"
     """The connection was closed before the response head was complete."""
 
@@ -47,6 +50,13 @@
     """The host cancelled the attempt: the caller disconnected or a hedge won."""
 
 
+NOT_SENT_OUTCOMES = frozenset({OutcomeKind.CONNECT_ERROR, OutcomeKind.CONNECTION_LIMIT})
+"""Outcomes of attempts of which no byte was written."""
+
+OWN_OUTCOMES = frozenset({OutcomeKind.CANCELLED, OutcomeKind.CONNECTION_LIMIT})
+"""Outcomes that say nothing about the server."""
+
+
 @frozen
 class AttemptOutcome:
     """Result of one attempt as seen by this host."""
--- a/src/catkinspan/coordination/requests/coordinator.py
+++ b/src/catkinspan/coordination/requests/coordinator.py
@@ -12,6 +12,7 @@
 )
 from catkinspan.coordination.outbox import Outbox
 from catkinspan.coordination.outcomes import (
+    NOT_SENT_OUTCOMES,
     AttemptOutcome,
     AttemptStarted,
     OutcomeKind,
@@ -421,7 +422,7 @@
     ) -> None:
         outcome = finished.outcome
         request.last_failure = outcome.kind
-        request.connect_errors += outcome.kind is OutcomeKind.CONNECT_ERROR
+        request.connect_errors += outcome.kind in NOT_SENT_OUTCOMES
         if request.running_attempts:
             # Another attempt of the hedged request is still running.
             if outcome.kind is OutcomeKind.SERVER_ERROR:
@@ -448,7 +449,7 @@
         if self._is_quarantined(request, now):
             return False
         policy = request.route.policy
-        if finished.outcome.kind is OutcomeKind.CONNECT_ERROR:
+        if finished.outcome.kind in NOT_SENT_OUTCOMES:
             # A failed connection puts no load on a server and uses no retry budget.
             in_time = now < request.deadline
             return in_time and request.counted_attempts < policy.max_attempts
@@ -466,7 +467,7 @@
         return self._dependencies.quarantine.check(request.fingerprint, now).is_err()
 
     def _back_off(self, request: ActiveRequest, now: float) -> None:
-        if request.last_failure is OutcomeKind.CONNECT_ERROR:
+        if request.last_failure in NOT_SENT_OUTCOMES:
             # Backoff lets load fall; after a connect error another server is tried
             # without delay.
             self._dispatch(request, now)
--- a/src/catkinspan/coordination/requests/refusals.py
+++ b/src/catkinspan/coordination/requests/refusals.py
@@ -87,6 +87,10 @@
         RefusalKind.UPSTREAM_UNREACHABLE,
         "no connection to an upstream server",
     ),
+    OutcomeKind.CONNECTION_LIMIT: (
+        RefusalKind.NO_CAPACITY,
+        "the host may open no more connections to the upstream servers",
+    ),
     OutcomeKind.RESET: (
         RefusalKind.UPSTREAM_RESET,
         "the upstream server closed the connection without an answer",
--- a/src/catkinspan/testing/hosts.py
+++ b/src/catkinspan/testing/hosts.py
@@ -20,7 +20,11 @@
 from catkinspan.coordination.host.coordinator import HostCoordinator, ReaderRole
 from catkinspan.coordination.models import Event, PeerMessage, Sender
 from catkinspan.coordination.outbox import Outbox
-from catkinspan.coordination.outcomes import AttemptOutcome, OutcomeKind
+from catkinspan.coordination.outcomes import (
+    NOT_SENT_OUTCOMES,
+    AttemptOutcome,
+    OutcomeKind,
+)
 from catkinspan.coordination.requests.errors import Refusal
 from catkinspan.coordination.requests.models import (
     Assigned,
@@ -182,7 +186,7 @@
             assigned.workspace,
             kind,
             latency,
-            bytes_written=kind is not OutcomeKind.CONNECT_ERROR,
+            bytes_written=kind not in NOT_SENT_OUTCOMES,
             request_class=assigned.route,
         )
         now = attached.local_time(channel.now)
--- a/src/catkinspan/transport/upstreams/attempt.py
+++ b/src/catkinspan/transport/upstreams/attempt.py
@@ -196,7 +196,7 @@
             raise
         match result:
             case ConnectionLimitReached():
-                raise AttemptError(OutcomeKind.CONNECT_ERROR)
+                raise AttemptError(OutcomeKind.CONNECTION_LIMIT)
             case OpenPermit(server):
                 return await self._async_open(server)
             case UpstreamConnection():
--- a/tests/coordination/requests/test_unreachable.py
+++ b/tests/coordination/requests/test_unreachable.py
@@ -4,7 +4,9 @@
 
 import pytest
 
+from catkinspan.coordination.health.models import ServerAvoided
 from catkinspan.coordination.outcomes import OutcomeKind
+from catkinspan.coordination.requests.errors import Ran, RefusalKind
 from catkinspan.testing.hosts import VirtualAttempt
 from tests.virtual_fleet import Traffic, small_settings_tree, virtual_fleet
 
@@ -49,3 +51,21 @@
     fleet.channel.run(8.0)
     assert len(traffic.refused()) == len(traffic.sent)
     assert len(fleet.attempts) <= 7 * len(traffic.sent)
+
+
+def test_limit_of_connections_is_no_evidence_against_a_server() -> None:
+    """Guards against a busy host that makes all hosts avoid its servers."""
+    fleet = virtual_fleet(
+        3,
+        small_settings_tree(servers=4),
+        1,
+        lambda attempt, rng: (OutcomeKind.CONNECTION_LIMIT, 0.0),
+    )
+    traffic = Traffic(fleet, Random(1))
+    traffic.run(3.5, 4)
+    fleet.channel.run(8.0)
+    refusals = [r for host in fleet.hosts.values() for r in host.refusals.values()]
+    assert len(refusals) == len(traffic.sent)
+    assert {(r.kind, r.ran) for r in refusals} == {(RefusalKind.NO_CAPACITY, Ran.NO)}
+    events = [event for host in fleet.hosts.values() for event in host.events]
+    assert not [event for event in events if isinstance(event, ServerAvoided)]
