Keep the connection of a whole rejection

Cause: an attempt that ends with a rejection closed its connection, though the response was complete.

Change: the connection goes back to the pool if the whole response has been received and nothing follows it. The retry does not wait for the rest of it.

Tests: test_connection_is_kept_after_a_rejection failed before; test_connection_is_closed_after_an_unfinished_rejection.

--- a/src/catkinspan/transport/upstreams/attempt.py
+++ b/src/catkinspan/transport/upstreams/attempt.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import ssl
+from contextlib import suppress
 from typing import Any
 
 import h11
@@ -234,7 +235,7 @@
             if event is h11.NEED_DATA:
                 await self._async_receive(connection, reader)
             elif isinstance(event, h11.Response):
-                await self._async_report_head(event, reader)
+                await self._async_report_head(event, connection, reader)
             elif isinstance(event, h11.EndOfMessage) and self._is_stale_response:
                 self._read_next_response(reader)
             elif self._is_stale_response and isinstance(event, h11.Data):
@@ -326,7 +327,10 @@
         connection.port.notify_when_drained()
 
     async def _async_report_head(
-        self, response: h11.Response, reader: ResponseReader
+        self,
+        response: h11.Response,
+        connection: UpstreamConnection,
+        reader: ResponseReader,
     ) -> None:
         request = self._spec.request
         info = ResponseInfo.from_headers(list(response.headers), request.names)
@@ -341,12 +345,28 @@
         self._server_closes = self._server_closes or info.closes_connection
         self._announced_idle_seconds = info.idle_seconds
         kind = _response_failure(response.status_code, info, request.names)
+        if kind is OutcomeKind.SHED:
+            await self._async_end_rejection(connection, reader)
         if kind is not None:
             raise AttemptError(kind)
         self._server_error = response.status_code >= 500
         outcome = self._outcome(self._response_kind())
         await self._async_post(AttemptHead(self._attempt, response, outcome))
 
+    async def _async_end_rejection(
+        self, connection: UpstreamConnection, reader: ResponseReader
+    ) -> None:
+        """Keep the connection if the whole rejection has been received.
+
+        The retry does not wait for the rest of it.
+        """
+        with suppress(h11.RemoteProtocolError):
+            event = await reader.async_next_event()
+            while isinstance(event, h11.Data):
+                event = await reader.async_next_event()
+            if isinstance(event, h11.EndOfMessage):
+                self._release(connection)
+
     def _read_next_response(self, reader: ResponseReader) -> None:
         """Read the response that follows one to an earlier request.
 
@@ -357,6 +377,13 @@
         reader.skip_response(self._spec.request.method)
 
     def _finish(self, connection: UpstreamConnection) -> None:
+        self._release(connection)
+        self._events.post_unbounded(
+            AttemptCompleted(self._attempt, self._outcome(self._response_kind()))
+        )
+
+    def _release(self, connection: UpstreamConnection) -> None:
+        """Return the connection to the pool if another request can use it."""
         reusable = (
             self._body_sent and not self._server_draining and not self._server_closes
         )
@@ -364,9 +391,6 @@
         if reusable and connection.prepare_for_reuse(now, self._announced_idle_seconds):
             self._connection = None
             self._pool.post_unbounded(ReleaseConnection(connection))
-        self._events.post_unbounded(
-            AttemptCompleted(self._attempt, self._outcome(self._response_kind()))
-        )
 
     def _receive_deadline(self) -> float:
         assigned = self._spec.assigned
--- a/tests/transport/upstreams/test_attempt.py
+++ b/tests/transport/upstreams/test_attempt.py
@@ -25,6 +25,7 @@
     ConnectionClosed,
     ConnectionLimitReached,
     PoolMessage,
+    ReleaseConnection,
 )
 
 READ_BYTES = 256 * 1024
@@ -202,3 +203,43 @@
     (failed,) = under_test.take_events()
     assert failed.outcome.kind is OutcomeKind.CONNECTION_LIMIT
     assert not failed.outcome.bytes_written
+
+
+SHED = b"HTTP/1.1 503 Service Unavailable\r\nX-Request-Ran: no\r\n"
+
+
+@pytest.mark.asyncio
+async def test_connection_is_kept_after_a_rejection() -> None:
+    """Guards against a new connection for each request that a busy server rejects."""
+    under_test = AttemptUnderTest()
+    task, port = await under_test.start()
+    port.data_received(SHED + b"Content-Length: 4\r\n\r\nfull")
+    await asyncio.wait_for(task, TEST_TIMEOUT_SECONDS)
+    (failed,) = under_test.take_events()
+    assert failed.outcome.kind is OutcomeKind.SHED
+    assert isinstance(under_test.pool.get_nowait(), ReleaseConnection)
+    assert len(under_test.pool) == 0
+
+
+@pytest.mark.asyncio
+@pytest.mark.parametrize(
+    "rest",
+    [
+        b"Content-Length: 4\r\n\r\nfu",
+        b"Content-Length: 4\r\n\r\nfullfull",
+        b"Content-Length: 4\r\nConnection: close\r\n\r\nfull",
+        b"Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n",
+        b"Transfer-Encoding: chunked\r\n\r\nno chunk",
+    ],
+    ids=["incomplete", "more bytes", "close", "chunked", "invalid"],
+)
+async def test_connection_is_closed_after_an_unfinished_rejection(rest: bytes) -> None:
+    """Guards against bytes of a rejection that the next request gets."""
+    under_test = AttemptUnderTest()
+    task, port = await under_test.start()
+    port.data_received(SHED + rest)
+    await asyncio.wait_for(task, TEST_TIMEOUT_SECONDS)
+    (failed,) = under_test.take_events()
+    assert failed.outcome.kind is OutcomeKind.SHED
+    assert isinstance(under_test.pool.get_nowait(), ConnectionClosed)
+    assert len(under_test.pool) == 0
