Give each test process its own ports on the machine

Cause: a range of ports was chosen by the name of the pytest worker, which both runs have.

Change: a test process claims a range by a bound socket, so that any other process takes the next one.

--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -3,12 +3,12 @@
 import asyncio
 import hashlib
 import itertools
-import os
 import socket
 import ssl
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Iterator
 from contextlib import asynccontextmanager
 from datetime import timedelta
+from functools import cache
 from typing import Any
 
 import h11
@@ -29,25 +29,40 @@
 
 
 FIRST_PORT = 10_000
-PORTS_PER_WORKER = 1_300
-"""The ranges of 17 pytest workers end below 32,768. The system
-assigns the ports from there on to outgoing connections, which could take one before a
-test binds it."""
-
-_WORKER = int(os.environ.get("PYTEST_XDIST_WORKER", "gw0").removeprefix("gw"))
-_PORTS = itertools.cycle(
-    range(
-        FIRST_PORT + _WORKER % 17 * PORTS_PER_WORKER,
-        FIRST_PORT + (_WORKER % 17 + 1) * PORTS_PER_WORKER,
-    )
-)
+END_PORT = 32_000
+"""The system assigns the ports from 32,768 on to outgoing connections, which could take
+one before a test binds it."""
+
+PORTS_PER_PROCESS = 1_000
+
+
+@define
+class _Ports:
+    """Ports of this test process; its bound socket claims them on the machine."""
+
+    claim: socket.socket
+    numbers: Iterator[int]
+
+
+@cache
+def _ports() -> _Ports:
+    for first in range(FIRST_PORT, END_PORT, PORTS_PER_PROCESS):
+        claim = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            claim.bind(("127.0.0.1", first))
+        except OSError:
+            claim.close()
+            continue
+        ports = range(first + 1, first + PORTS_PER_PROCESS)
+        return _Ports(claim, itertools.cycle(ports))
+    raise RuntimeError("no free ports: run fewer tests at once")
 
 
 def free_addresses(count: int) -> list[Address]:
-    """Return free addresses that no other pytest worker binds."""
+    """Return free addresses that no other test process on this machine binds."""
     addresses: list[Address] = []
     while len(addresses) < count:
-        address = Address("127.0.0.1", next(_PORTS))
+        address = Address("127.0.0.1", next(_ports().numbers))
         if _is_free(address):
             addresses.append(address)
     return addresses
