Do not take old failures for new ones when a hub starts

Cause: reports hold counters since the start of the sender. A hub that hears a host for the first time counted all of its failures as evidence of now, and its totals told them to the other data centres. It is the class of fault of the debts of rates: a total of unknown age is taken for current.

Change: counts tell which part of them is not recent, and a hub leaves that out of a first report.

--- a/src/catkinspan/coordination/health/assessor.py
+++ b/src/catkinspan/coordination/health/assessor.py
@@ -198,6 +198,9 @@
 
 def _increase(previous: ServerCounts | None, current: ServerCounts) -> tuple[int, int]:
     if previous is None:
-        return current.succeeded, current.failed
+        return (
+            current.succeeded - current.earlier_succeeded,
+            current.failed - current.earlier_failed,
+        )
     succeeded = max(0, current.succeeded - previous.succeeded)
     return succeeded, max(0, current.failed - previous.failed)
--- a/src/catkinspan/coordination/health/const.py
+++ b/src/catkinspan/coordination/health/const.py
@@ -127,6 +127,10 @@
 REPEATED_SECONDS = 4.0
 """Age of the changes that such a report repeats, so that each one is repeated."""
 
+RECENT_COUNTS_SECONDS = REPEATED_SECONDS
+"""Period of the counts that are evidence for a hub that did not follow their sender: it
+covers the reports that were lost, not failures of before."""
+
 AVOIDED_CHECK_SECONDS = 0.5
 """Interval at which avoided servers are checked, since their risk decays."""
 
--- a/src/catkinspan/coordination/health/count_reporter.py
+++ b/src/catkinspan/coordination/health/count_reporter.py
@@ -80,9 +80,9 @@
         since, self._reported_at = self._reported_at, now
         if now - self._repeated_at >= FULL_REPORT_SECONDS:
             self._repeated_at = now
-            counts = self._observer.report_active(now - REPEATED_SECONDS)
+            counts = self._observer.report_active(now - REPEATED_SECONDS, now)
         else:
-            counts = self._observer.report(since)
+            counts = self._observer.report(since, now)
         if not counts:
             return True
         self._assessor.add_host_counts(self._self_id, self._incarnation, counts, now)
@@ -101,7 +101,7 @@
 
     def _report_to_standby(self, view: FleetView, since: float, now: float) -> None:
         """Send changed counts to the standby hubs, so that they can take over."""
-        counts = self._observer.report(since)
+        counts = self._observer.report(since, now)
         for hub in view.hubs[1:]:
             if hub != self._self_id and counts:
                 self._outbox.send(hub, HostCounts(counts))
--- a/src/catkinspan/coordination/health/models.py
+++ b/src/catkinspan/coordination/health/models.py
@@ -24,6 +24,13 @@
     failed: int
     """Requests that failed or became overdue since the sender started."""
 
+    earlier_succeeded: int = 0
+    """Part of `succeeded` that is not recent. A receiver that did not follow the sender
+    does not take it for evidence of now."""
+
+    earlier_failed: int = 0
+    """Part of `failed` that is not recent."""
+
 
 @frozen
 class HostCounts(PeerMessage):
--- a/src/catkinspan/coordination/health/observer.py
+++ b/src/catkinspan/coordination/health/observer.py
@@ -2,10 +2,14 @@
 
 from attrs import define, field
 
-from catkinspan.coordination.health.const import OWN_FAILURE_FACTOR
+from catkinspan.coordination.health.const import (
+    OWN_FAILURE_FACTOR,
+    RECENT_COUNTS_SECONDS,
+)
 from catkinspan.coordination.health.models import ServerCounts
 from catkinspan.coordination.health.risk import RiskEstimate
 from catkinspan.coordination.outcomes import AttemptOutcome, OutcomeKind
+from catkinspan.coordination.recent_count import RecentCount
 from catkinspan.coordination.timers import Timers
 from catkinspan.state.ids import RequestId, ServerId
 
@@ -30,6 +34,10 @@
     is_overdue: bool = False
 
 
+def _recent_count() -> RecentCount:
+    return RecentCount(RECENT_COUNTS_SECONDS)
+
+
 @define
 class ServerAttempts:
     """Attempts of this host at one server."""
@@ -39,17 +47,37 @@
     overdue: int = 0
     succeeded: int = 0
     failed: int = 0
+    recent_successes: RecentCount = field(factory=_recent_count)
+    recent_failures: RecentCount = field(factory=_recent_count)
     reported_in_flight: int = 0
     """Requests in flight in the last report."""
 
     changed_at: float = float("-inf")
     """Monotonic seconds of the last change of the counts."""
 
-    def report(self, server: ServerId) -> ServerCounts:
+    def record_success(self, now: float) -> None:
+        """Count a request that succeeded in time."""
+        self.succeeded += 1
+        self.recent_successes.record(1, now)
+        self.estimate.record_successes(1, now)
+
+    def record_failure(self, now: float) -> None:
+        """Count a request that failed or became overdue."""
+        self.failed += 1
+        self.recent_failures.record(1, now)
+        self.estimate.record_failures(1, OWN_FAILURE_FACTOR, now)
+
+    def report(self, server: ServerId, now: float) -> ServerCounts:
         """Return the counts for a report, and store the reported load."""
         self.reported_in_flight = len(self.running)
         return ServerCounts(
-            server, self.reported_in_flight, self.overdue, self.succeeded, self.failed
+            server,
+            self.reported_in_flight,
+            self.overdue,
+            self.succeeded,
+            self.failed,
+            self.succeeded - self.recent_successes.total(now),
+            self.failed - self.recent_failures.total(now),
         )
 
 
@@ -72,18 +100,18 @@
             )
         return attempts
 
-    def report(self, since: float) -> tuple[ServerCounts, ...]:
+    def report(self, since: float, now: float) -> tuple[ServerCounts, ...]:
         """Return the counts that changed since a time."""
         return tuple(
-            attempts.report(server)
+            attempts.report(server, now)
             for server, attempts in self._servers.items()
             if attempts.changed_at >= since
         )
 
-    def report_active(self, since: float) -> tuple[ServerCounts, ...]:
+    def report_active(self, since: float, now: float) -> tuple[ServerCounts, ...]:
         """Return the counts that changed since a time or have requests in flight."""
         return tuple(
-            attempts.report(server)
+            attempts.report(server, now)
             for server, attempts in self._servers.items()
             if attempts.changed_at >= since or attempts.running
         )
@@ -115,11 +143,10 @@
         if running.is_overdue:
             attempts.overdue -= 1
         if outcome.kind is OutcomeKind.OK and not running.is_overdue:
-            attempts.succeeded += 1
-            attempts.estimate.record_successes(1, now)
+            attempts.record_success(now)
             return True
         if outcome.kind in FAILURE_OUTCOMES and not running.is_overdue:
-            self._record_failure(attempts, now)
+            attempts.record_failure(now)
         return False
 
     def next_overdue(self) -> float:
@@ -134,9 +161,5 @@
             attempts.running[key].is_overdue = True
             attempts.overdue += 1
             attempts.changed_at = now
-            self._record_failure(attempts, now)
+            attempts.record_failure(now)
         return bool(overdue)
-
-    def _record_failure(self, attempts: ServerAttempts, now: float) -> None:
-        attempts.failed += 1
-        attempts.estimate.record_failures(1, OWN_FAILURE_FACTOR, now)
--- a/tests/health_fleet.py
+++ b/tests/health_fleet.py
@@ -58,6 +58,7 @@
     channel: FakeChannel = field(factory=lambda: FakeChannel(Random(1)))
     rng: Random = field(factory=lambda: Random(2))
     nodes: dict[HostId, HealthCoordinator] = field(factory=dict)
+    views: dict[HostId, FleetView] = field(factory=dict)
     bytes_by_host: Counter[HostId] = field(factory=Counter)
     bytes_by_kind: Counter[str] = field(factory=Counter)
     messages_by_kind: Counter[str] = field(factory=Counter)
@@ -72,9 +73,6 @@
             for name in names
         }
         remote_hubs = tuple(HostId(f"hub-{name}") for name in DATA_CENTRES[1:])
-        tree = SettingsTree(
-            Revision(1), services={SERVICE: Service(SERVICE, self._servers(), Policy())}
-        )
         for name in names:
             followers = tuple(n for n in names if n != name) if name == HUB else ()
             view = FleetView(
@@ -90,13 +88,25 @@
                 known_count=len(names) * len(DATA_CENTRES),
                 alive_count=len(names) * len(DATA_CENTRES),
             )
-            outbox = self.outboxes[name] = Outbox()
-            node = self.nodes[name] = HealthCoordinator(name, 1, outbox)
-            node.apply_tree(tree, 0.0)
-            node.apply_view(view, 0.0)
-            self.channel.attach(name, node, outbox)
+            self.views[name] = view
+            self._start_process(name, 1)
         self.channel.set_send_callback(self._count)
 
+    def _start_process(self, name: HostId, incarnation: int) -> None:
+        now = self.channel.now
+        outbox = self.outboxes[name] = Outbox()
+        node = self.nodes[name] = HealthCoordinator(name, incarnation, outbox)
+        tree = SettingsTree(
+            Revision(1), services={SERVICE: Service(SERVICE, self._servers(), Policy())}
+        )
+        node.apply_tree(tree, now)
+        node.apply_view(self.views[name], now)
+        self.channel.attach(name, node, outbox, incarnation)
+
+    def restart(self, name: HostId) -> None:
+        self.channel.detach(name)
+        self._start_process(name, 2)
+
     def _servers(self) -> tuple[Upstream, ...]:
         return tuple(
             Upstream(
