Send a copy anew to a host that restarted while it received one

Cause: a hub went on with the copy of the host's earlier process, whose first parts were acknowledged and lost. Each new request renewed the copy, and the hub told the host that its copy is pending, so that it asked no other hub.

Change: a copy belongs to a process. A host that stood still keeps the parts that it acknowledged, as they are not sent again.

Tests: test_host_that_restarts_during_its_copy_gets_all_of_it and test_new_process_gets_the_first_parts failed before; the test of a host that stands still did not.

--- a/src/catkinspan/coordination/configuration/coordinator.py
+++ b/src/catkinspan/coordination/configuration/coordinator.py
@@ -217,9 +217,9 @@
             case CopyPart():
                 self._on_copy_part(message, sender.host, now)
             case Pull():
-                self._answer_pull(sender.host, message, now)
+                self._answer_pull(sender, message, now)
             case CopyRequest():
-                self._copies.continue_copy(sender.host, message, now)
+                self._copies.continue_copy(sender, message, now)
             case Freshness():
                 self._on_freshness(message, sender.host, now)
             case ClockStamp():
@@ -306,13 +306,13 @@
                 self._outbox.send(previous, cancelled)
             self._outbox.send(source, Pull(self._replica.revision, in_parts=True))
 
-    def _answer_pull(self, host: HostId, pull: Pull, now: float) -> None:
-        replica, after = self._replica, pull.after_revision
+    def _answer_pull(self, sender: Sender, pull: Pull, now: float) -> None:
+        host, replica, after = sender.host, self._replica, pull.after_revision
         if after >= replica.revision:
             return
         changes = replica.changes_after(after) if after > NO_REVISION else None
         if changes is None and pull.in_parts:
-            self._copies.request(host, now)
+            self._copies.request(sender, now)
             if self._copies.is_pending(host):
                 self._outbox.send(host, self._freshness_for(host, now))
             return
@@ -394,9 +394,11 @@
         self._settings.tick(now)
 
     def resume(self, gap: float, now: float) -> None:
-        """Request missed data again and add the pause to the age of the contact."""
+        """Request missed data again and add the pause to the age of the contact.
+
+        Partial copies stay, since their sources do not repeat acknowledged parts.
+        """
         self._pulls.reset()
-        self._partial_copies.clear()
         self._contacts.add_pause(gap)
         self._completeness.add_pause(gap)
         self._echoes.reset(now)
--- a/src/catkinspan/coordination/configuration/copies.py
+++ b/src/catkinspan/coordination/configuration/copies.py
@@ -1,6 +1,6 @@
 """Full copies of the store that hosts send to each other in parts."""
 
-from attrs import define, field
+from attrs import define, field, frozen
 
 from catkinspan.coordination.configuration.const import (
     COPY_IDLE_SECONDS,
@@ -16,6 +16,7 @@
 )
 from catkinspan.coordination.configuration.parts import split_into_parts
 from catkinspan.coordination.configuration.replica import Replica
+from catkinspan.coordination.models import Sender
 from catkinspan.coordination.outbox import Outbox
 from catkinspan.state.hosts import FleetView
 from catkinspan.state.ids import HostId, Revision
@@ -52,10 +53,19 @@
         return [document for part in self._parts.values() for document in part]
 
 
+@frozen
+class _Waiting:
+    """A host process that waits for its copy."""
+
+    incarnation: int
+    asked_at: float
+
+
 @define
 class _Transfer:
-    """A copy on its way to one host."""
+    """A copy on its way to one host process."""
 
+    incarnation: int
     revision: Revision
     parts: Parts
     heard_at: float
@@ -83,9 +93,7 @@
         self._replica = replica
         self._outbox = outbox
         self._view: FleetView | None = None
-        self._waiting: dict[HostId, float] = {}
-        """Time of the latest request of each host that waits for its copy."""
-
+        self._waiting: dict[HostId, _Waiting] = {}
         self._transfers: dict[HostId, _Transfer] = {}
         self._parts: tuple[Revision, Parts] | None = None
 
@@ -97,14 +105,15 @@
         """Return whether a host waits for a copy or is receiving one."""
         return host in self._waiting or host in self._transfers
 
-    def request(self, host: HostId, now: float) -> None:
+    def request(self, sender: Sender, now: float) -> None:
         """Send a copy to a host as soon as there is room for it.
 
         If the host is receiving one, repeat the parts that seem to be lost.
         """
-        transfer = self._transfers.get(host)
+        host = sender.host
+        transfer = self._transfer_to(sender)
         if transfer is None:
-            self._waiting[host] = now
+            self._waiting[host] = _Waiting(sender.incarnation, now)
             self._start_next(now)
             return
         transfer.heard_at = now
@@ -112,9 +121,10 @@
             transfer.sent_count = transfer.received_count
             self._send(host, transfer.take_parts(now))
 
-    def continue_copy(self, host: HostId, request: CopyRequest, now: float) -> None:
+    def continue_copy(self, sender: Sender, request: CopyRequest, now: float) -> None:
         """Send the next parts of a copy, or end it."""
-        transfer = self._transfers.get(host)
+        host = sender.host
+        transfer = self._transfer_to(sender)
         if request.is_cancelled:
             self._waiting.pop(host, None)
             self._transfers.pop(host, None)
@@ -130,8 +140,8 @@
 
     def tick(self, now: float) -> None:
         """Drop the copies of hosts that no longer answer, and start others."""
-        for host, asked_at in list(self._waiting.items()):
-            if now - asked_at > COPY_IDLE_SECONDS:
+        for host, waiting in list(self._waiting.items()):
+            if now - waiting.asked_at > COPY_IDLE_SECONDS:
                 del self._waiting[host]
         for host, transfer in list(self._transfers.items()):
             if now - transfer.heard_at > COPY_IDLE_SECONDS:
@@ -140,6 +150,17 @@
             self._parts = None
         self._start_next(now)
 
+    def _transfer_to(self, sender: Sender) -> _Transfer | None:
+        """Return the copy on its way to a host; drop one to an earlier process.
+
+        The parts that an earlier process acknowledged are lost.
+        """
+        transfer = self._transfers.get(sender.host)
+        if transfer is None or transfer.incarnation == sender.incarnation:
+            return transfer
+        del self._transfers[sender.host]
+        return None
+
     def _send(self, host: HostId, parts: list[CopyPart]) -> None:
         for part in parts:
             self._outbox.send(host, part)
@@ -152,8 +173,10 @@
             host = next(iter(hubs or self._waiting))
             if not self._has_room(host, view):
                 return
-            del self._waiting[host]
-            transfer = _Transfer(self._replica.revision, self._split(), now, now)
+            waiting = self._waiting.pop(host)
+            transfer = _Transfer(
+                waiting.incarnation, self._replica.revision, self._split(), now, now
+            )
             self._transfers[host] = transfer
             self._send(host, transfer.take_parts(now))
 
