Set the interval of reports by the size of the data centre

Hubs get more reports, and spend more processor time on them, than they are built for.

Cause: since rosters are bounded, a host knows only a few of its data centre, by whose number it set the interval of its reports.

Change: the view of the fleet has the number of hosts of the data centre.

Test: test_hub_gets_few_reports_of_many_hosts failed before. The model of the fleet gives followers the few hosts that a roster has.

--- a/src/catkinspan/coordination/health/count_reporter.py
+++ b/src/catkinspan/coordination/health/count_reporter.py
@@ -63,9 +63,8 @@
         """
         if has_new_hubs:
             self._repeated_at = float("-inf")
-        data_centre = view.self_data_centre
-        hosts = sum(host.data_centre == data_centre for host in view.hosts.values())
-        self._interval = max(LOAD_REPORT_SECONDS, hosts / HUB_REPORTS_PER_SECOND)
+        shortest = view.data_centre_count / HUB_REPORTS_PER_SECOND
+        self._interval = max(LOAD_REPORT_SECONDS, shortest)
 
     def report_to_primary(self, view: FleetView, is_urgent: bool, now: float) -> bool:
         """Send counts to the primary hub and add them on this host, if it is time."""
--- a/src/catkinspan/coordination/membership/coordinator.py
+++ b/src/catkinspan/coordination/membership/coordinator.py
@@ -429,6 +429,7 @@
             remote_hubs=tuple(host for hubs in remote for host in hubs),
             primary_remote_hubs=tuple(host for hubs in remote for host in hubs[:1]),
             rank=self._own_rank(now),
+            data_centre_count=self._sizes.own_size(now).known_count,
             known_count=known_count,
             alive_count=alive_count,
         )
--- a/src/catkinspan/state/hosts.py
+++ b/src/catkinspan/state/hosts.py
@@ -65,6 +65,9 @@
     rank: int = 0
     """Rank of this host among the hub candidates of its data centre that it knows."""
 
+    data_centre_count: int = 1
+    """Number of hosts in this host's data centre, as its hubs count them."""
+
     known_count: int = 1
     """Number of hosts in the fleet that have not announced that they are leaving."""
 
--- a/tests/coordination/health/test_traffic.py
+++ b/tests/coordination/health/test_traffic.py
@@ -4,7 +4,11 @@
 
 import pytest
 
-from catkinspan.coordination.const import TICK_INTERVAL_SECONDS
+from catkinspan.coordination.const import (
+    STANDBY_REPORT_INTERVAL_SECONDS,
+    TICK_INTERVAL_SECONDS,
+)
+from catkinspan.coordination.health.const import HUB_REPORTS_PER_SECOND
 from catkinspan.coordination.outcomes import OutcomeKind
 from catkinspan.state.ids import HostId
 from catkinspan.testing.channel import FakeChannel
@@ -58,6 +62,17 @@
     assert fleet.messages_by_kind["ServerStates"] <= followers * ticks / 2
 
 
+def test_hub_gets_few_reports_of_many_hosts() -> None:
+    """Guards against an interval by the few hosts that a follower knows."""
+    fleet = HealthFleet(60, 200)
+    fleet.run(1.0, Load(600))
+    fleet.clear_counts()
+    fleet.run(2.0, Load(600))
+    reports = fleet.messages_by_kind["HostCounts"]
+    to_standby = 60 / STANDBY_REPORT_INTERVAL_SECONDS
+    assert reports <= 2 * (HUB_REPORTS_PER_SECOND + to_standby)
+
+
 def test_unchanged_states_are_not_sent_again() -> None:
     """Guards against whole lists of states that followers already have."""
     fleet = HealthFleet(49, 200)
--- a/tests/health_fleet.py
+++ b/tests/health_fleet.py
@@ -75,16 +75,18 @@
         remote_hubs = tuple(HostId(f"hub-{name}") for name in DATA_CENTRES[1:])
         for name in names:
             followers = tuple(n for n in names if n != name) if name == HUB else ()
+            candidates = {n: records[n] for n in (*names[:4], name)}
             view = FleetView(
                 name,
                 DATA_CENTRES[0],
-                records,
+                records if name in (HUB, STANDBY) else candidates,
                 tuple(names),
                 (HUB, STANDBY),
                 followers,
                 followers,
                 remote_hubs,
                 remote_hubs,
+                data_centre_count=len(names),
                 known_count=len(names) * len(DATA_CENTRES),
                 alive_count=len(names) * len(DATA_CENTRES),
             )
