Let one host use all slots of a server

Cause: a host's share of the connections was smaller than the number of slots.

Change: a host may open as many connections as the server has slots.

--- a/src/catkinspan/coordination/balancing/balancer.py
+++ b/src/catkinspan/coordination/balancing/balancer.py
@@ -229,7 +229,7 @@
             view.risk,
             view.in_flight,
             is_trial,
-            max(MIN_CONNECTIONS_PER_HOST, share),
+            max(MIN_CONNECTIONS_PER_HOST, upstream.slots, share),
             view.state_age,
         )
 
--- a/src/catkinspan/coordination/balancing/const.py
+++ b/src/catkinspan/coordination/balancing/const.py
@@ -40,7 +40,8 @@
 
 MIN_CONNECTIONS_PER_HOST = 2
 """Connections that a host may open to a server in a fleet of any size: one with a
-request and an idle one. More hosts than half of the limit can exceed it together."""
+request and an idle one. A host may also fill all slots of a server by itself. So many
+hosts that use one server at once can exceed its limit together."""
 
 TRIAL_SHARE = 0.35
 """Share of the eligible idempotent requests sent to a high-risk server, to find out
--- a/src/catkinspan/state/tree.py
+++ b/src/catkinspan/state/tree.py
@@ -55,7 +55,8 @@
     max_connections: int = setting(
         350,
         "connections",
-        "Connections over all hosts together; each opens its share, at least 2.",
+        "Connections over all hosts together; each opens its share, at least `slots` "
+        "or 2.",
     )
     leaving: bool = setting(False, "", "Whether it gets no new work.")
     warmup: timedelta = setting(
