--- a/tests/health_fleet.py
+++ b/tests/health_fleet.py
@@ -48,6 +48,9 @@
     first_host: int = 0
     """Number of the first host that gets requests."""
 
+    idle: frozenset[ServerId] = frozenset()
+    """Servers that get no requests."""
+
 
 @define
 class HealthFleet:
@@ -129,7 +132,7 @@
     def run(self, seconds: float, load: Load | None = None) -> None:
         until = self.channel.now + seconds
         if load is not None:
-            servers = self._servers()
+            servers = [s for s in self._servers() if s.id not in load.idle]
             local = [s.id for s in servers if s.data_centre == DATA_CENTRES[0]]
             remote = [s.id for s in servers if s.data_centre != DATA_CENTRES[0]]
             at = self.channel.now
