--- a/src/catkinspan/coordination/balancing/const.py
+++ b/src/catkinspan/coordination/balancing/const.py
@@ -10,9 +10,10 @@
 FAILURE_COST = 6.0
 """Cost of a certain failure for a non-idempotent request, which is lost."""
 
-BASELINE_RISK = 0.12
-"""Risk without cost: the estimate for a server with little data. If any risk above zero
-had a cost, requests would crowd on the few servers that have just succeeded."""
+BASELINE_RISK = 0.2
+"""Risk without cost. It is above the value to which the risk of a server without
+requests decays (1/6), since otherwise such a server would get no requests while any
+other has just succeeded, and it is the least risk of trials."""
 
 IDEMPOTENT_FAILURE_COST = 1.5
 """Cost of a certain failure for an idempotent request, which a second server can still
@@ -46,7 +47,7 @@
 """Share of the eligible idempotent requests sent to a high-risk server, to find out
 whether it has recovered. A second server answers the request if it has not."""
 
-MIN_TRIAL_RISK = 0.2
+MIN_TRIAL_RISK = BASELINE_RISK
 """Risk from which a server is high-risk and gets trials."""
 
 TRIAL_IN_FLIGHT_LIMIT = 1
--- a/tests/coordination/balancing/test_balancer.py
+++ b/tests/coordination/balancing/test_balancer.py
@@ -10,6 +10,7 @@
 from catkinspan.coordination.balancing.const import MAX_COMPARED_SERVERS
 from catkinspan.coordination.balancing.models import NoServerReason, ServerRequest
 from catkinspan.coordination.health.models import ServerView
+from catkinspan.coordination.health.risk import RiskEstimate
 from catkinspan.state.hosts import FleetView
 from catkinspan.state.ids import DataCentre, HostId, Revision, ServerId, ServiceId
 from catkinspan.state.policy import Policy
@@ -147,6 +148,26 @@
     assert choices["s0"] <= 50
 
 
+def test_server_without_recent_requests_gets_its_share() -> None:
+    """Guards against servers that stay unused because nothing is known of them."""
+    servers = [make_upstream(f"s{number}") for number in range(12)]
+    estimate = RiskEstimate()
+    unknown = {f"s{n}": ServerView(0, estimate.decay_to(3600.0)) for n in range(4)}
+    service = Service(SERVICE, tuple(servers), Policy())
+    tree = SettingsTree(Revision(1), services={SERVICE: service})
+    choices: Counter[str] = Counter()
+    for number in range(600):
+        balancer = Balancer(
+            HostId(f"host-{number}"),
+            LOCAL,
+            FakeServerViews(dict(unknown)),
+            Random(number),
+        )
+        balancer.apply_tree(tree, 0.0)
+        choices[balancer.choose(NON_IDEMPOTENT, 0.0).unwrap().upstream.id] += 1
+    assert min(choices[name] for name in unknown) >= 0.5 * 600 / 12
+
+
 def test_free_server_outside_the_compared_ones_is_found() -> None:
     """Guards against a refusal for lack of room while a server is free."""
     servers = [make_upstream(f"s{number}") for number in range(50)]
