--- a/src/catkinspan/coordination/balancing/balancer.py
+++ b/src/catkinspan/coordination/balancing/balancer.py
@@ -4,7 +4,7 @@
 from random import Random
 from typing import Protocol
 
-from attrs import frozen
+from attrs import Factory, field, frozen
 from result import Err, Ok, Result
 
 from catkinspan.coordination.balancing.const import (
@@ -21,6 +21,7 @@
     REMOTE_DATA_CENTRE_COST,
     TRIAL_IN_FLIGHT_LIMIT,
     TRIAL_SHARE,
+    TRIAL_WAIT_SECONDS,
 )
 from catkinspan.coordination.balancing.models import (
     NoServerAvailable,
@@ -28,6 +29,7 @@
     ServerChoice,
     ServerRequest,
 )
+from catkinspan.coordination.balancing.trials import TrialSchedule
 from catkinspan.coordination.coordinator import BaseCoordinator
 from catkinspan.coordination.health.models import ServerView
 from catkinspan.coordination.rendezvous import weight
@@ -56,6 +58,14 @@
         slots = max(1, self.upstream.slots)
         return max(0, self.view.in_flight + 1 - slots) / slots
 
+    @property
+    def is_open_to_trial(self) -> bool:
+        """Return whether the server is high-risk and no trial of it is running."""
+        if self.view.risk < MIN_TRIAL_RISK:
+            return False
+        is_idle = self.view.in_flight < TRIAL_IN_FLIGHT_LIMIT
+        return is_idle or self.view.load_age >= TRIAL_WAIT_SECONDS
+
 
 @frozen
 class _Service:
@@ -65,19 +75,18 @@
     """Servers in this host's data centre."""
 
     others: tuple[Upstream, ...]
-
-    @property
-    def upstreams(self) -> tuple[Upstream, ...]:
-        return self.own + self.others
+    upstreams: tuple[Upstream, ...] = field(
+        init=False, default=Factory(lambda self: self.own + self.others, True)
+    )
 
 
 class Balancer(BaseCoordinator):
     """Chooses the server with the lowest expected cost.
 
     The cost of a failure depends on the request: a non-idempotent one is lost, while an
-    idempotent one is answered by another server. Some idempotent requests are sent to
-    high-risk servers as trials, since only requests show whether a server has
-    recovered.
+    idempotent one is answered by another server. Some requests are sent to high-risk
+    servers as trials, since only requests show whether a server has recovered: a share
+    of the idempotent ones, and others at a fixed rate for each server.
     """
 
     def __init__(
@@ -92,6 +101,7 @@
         self._views = views
         self._rng = rng
         self._services: dict[ServiceId, _Service] = {}
+        self._schedules: dict[ServiceId, TrialSchedule] = {}
         self._host_count = 1
 
     def apply_tree(self, tree: SettingsTree, now: float) -> None:
@@ -100,6 +110,8 @@
             service.id: self._group_upstreams(service)
             for service in tree.services.values()
         }
+        for service_id in self._schedules.keys() - self._services.keys():
+            del self._schedules[service_id]
 
     def _group_upstreams(self, service: Service) -> _Service:
         staying = [u for u in service.upstreams if not u.leaving]
@@ -120,7 +132,9 @@
         Only if none of a few random servers is in time, all servers are compared.
         """
         service = self._services.get(request.service, _Service((), ()))
-        trial = self._select_trial(request, service, now)
+        trial = self._scheduled_trial(request, service, now)
+        if trial is None:
+            trial = self._hedged_trial(request, service, now)
         if trial is not None:
             return Ok(self._build_choice(trial, is_trial=True))
         chosen = self._cheapest(self._sample(service, request, now), request)
@@ -180,10 +194,35 @@
         untried = [c for c in preferred if c.upstream.id not in request.tried_servers]
         return untried or preferred
 
-    def _select_trial(
+    def _scheduled_trial(
+        self, request: ServerRequest, service: _Service, now: float
+    ) -> _Candidate | None:
+        """Return a random server if it is this request's turn to be a trial of it.
+
+        A request that may be lost is sent with the probability that the server is not
+        in a bad phase (Thompson sampling), so that servers which surely fail get few.
+        """
+        servers = len(service.upstreams)
+        if request.tried_servers or not servers:
+            return None
+        schedule = self._schedules.get(request.service)
+        if schedule is None:
+            schedule = self._schedules[request.service] = TrialSchedule(now)
+        if not schedule.take(servers, self._host_count, now):
+            return None
+        examined = self._rng.choice(service.upstreams)
+        candidate = next(self._usable((examined,), request, now), None)
+        if candidate is None or not candidate.is_open_to_trial:
+            return None
+        is_hedged = request.idempotent and request.allows_trial
+        if not is_hedged and self._rng.random() < candidate.view.risk:
+            return None
+        return candidate if _is_in_time(candidate, request) else None
+
+    def _hedged_trial(
         self, request: ServerRequest, service: _Service, now: float
     ) -> _Candidate | None:
-        """Return a random high-risk server without requests for some requests."""
+        """Return a random high-risk server for some requests that can be hedged."""
         if not (request.idempotent and request.allows_trial):
             return None
         if self._rng.random() >= TRIAL_SHARE:
@@ -191,8 +230,7 @@
         upstreams = service.upstreams
         in_random_order = self._rng.sample(upstreams, len(upstreams))
         for candidate in self._usable(in_random_order, request, now):
-            view = candidate.view
-            if view.risk >= MIN_TRIAL_RISK and view.in_flight < TRIAL_IN_FLIGHT_LIMIT:
+            if candidate.is_open_to_trial:
                 return candidate
         return None
 
--- a/src/catkinspan/coordination/balancing/const.py
+++ b/src/catkinspan/coordination/balancing/const.py
@@ -52,3 +52,15 @@
 
 TRIAL_IN_FLIGHT_LIMIT = 1
 """Requests in flight at which a server gets no further trial."""
+
+TRIAL_WAIT_SECONDS = 1.0
+"""Time after which requests in flight no longer prevent a trial. They hang, or news of
+their end is missing, and a server is to be in use 2 s after it has recovered."""
+
+TRIALS_PER_SECOND = 2.0
+"""Limit of the trials of a high-risk server by the requests of the whole fleet, beside
+those of `TRIAL_SHARE`. At this rate few recovered servers are without a request for 2 s
+by chance."""
+
+MAX_TRIAL_CREDIT = 2.0
+"""Trials that a host without requests may save up."""
--- a/src/catkinspan/coordination/health/coordinator.py
+++ b/src/catkinspan/coordination/health/coordinator.py
@@ -204,10 +204,12 @@
         if server is None:
             return ServerView(running, own_risk)
         in_flight, risk = running, own_risk
+        load_changed_at = own.started_at
         state = self._fleet_state(server_id, server, now)
         if state is not None:
             others = state.in_flight - state.own_in_flight_included
             in_flight = running + max(0, others)
+            load_changed_at = max(load_changed_at, state.at)
             # Without evidence this host's estimate decays towards its stationary
             # value, while the hub's risk rests on the requests of the whole fleet.
             risk = state.risk_at(now)
@@ -220,6 +222,7 @@
             is_cold=now < server.cold_until,
             is_misdirected=now < server.misdirected_until,
             state_age=self._subscriber.age(self._hubs, now),
+            load_age=now - load_changed_at,
         )
 
     @property
--- a/src/catkinspan/coordination/health/models.py
+++ b/src/catkinspan/coordination/health/models.py
@@ -94,6 +94,9 @@
     state_age: float | None = None
     """Age in seconds of the latest news of a hub; None for own counts only."""
 
+    load_age: float = 0.0
+    """Seconds since `in_flight` has changed, as far as this host knows."""
+
 
 class ServerStatus(StrEnum):
     """Status of a server, as shown to operators."""
--- a/src/catkinspan/coordination/health/observer.py
+++ b/src/catkinspan/coordination/health/observer.py
@@ -45,6 +45,9 @@
     changed_at: float = float("-inf")
     """Monotonic seconds of the last change of the counts."""
 
+    started_at: float = float("-inf")
+    """Monotonic seconds of the start of the latest attempt."""
+
     def report(self, server: ServerId) -> ServerCounts:
         """Return the counts for a report, and store the reported load."""
         self.reported_in_flight = len(self.running)
@@ -100,7 +103,7 @@
         """Add an attempt that is sent now."""
         attempts = self.attempts_at(server, now)
         attempts.running[key] = _RunningAttempt()
-        attempts.changed_at = now
+        attempts.changed_at = attempts.started_at = now
         self._overdue_timers.set((server, key), now + overdue_after)
 
     def record_end(self, outcome: AttemptOutcome, now: float) -> bool:
--- a/tests/coordination/balancing/test_balancer.py
+++ b/tests/coordination/balancing/test_balancer.py
@@ -7,7 +7,10 @@
 from attrs import define, evolve, field
 
 from catkinspan.coordination.balancing.balancer import Balancer
-from catkinspan.coordination.balancing.const import MAX_COMPARED_SERVERS
+from catkinspan.coordination.balancing.const import (
+    MAX_COMPARED_SERVERS,
+    TRIALS_PER_SECOND,
+)
 from catkinspan.coordination.balancing.models import NoServerReason, ServerRequest
 from catkinspan.coordination.health.models import ServerView
 from catkinspan.coordination.health.risk import RiskEstimate
@@ -80,6 +83,48 @@
     assert count_choices(balancer, evolve(IDEMPOTENT, allows_trial=False))["bad"] == 0
 
 
+def test_request_that_runs_for_long_does_not_prevent_trials() -> None:
+    """Guards against a hanging request that keeps a recovered server unused."""
+    views = FakeServerViews({"bad": ServerView(1, 0.9, load_age=2.0)})
+    balancer = make_balancer(views, make_upstream("bad"), make_upstream("good"))
+    assert count_choices(balancer, IDEMPOTENT)["bad"] >= 50
+
+
+def count_scheduled(
+    balancer: Balancer, request: ServerRequest, per_second: int, seconds: float
+) -> Counter[str]:
+    return Counter(
+        balancer.choose(request, number / per_second).unwrap().upstream.id
+        for number in range(int(per_second * seconds))
+    )
+
+
+@pytest.mark.parametrize(("hosts", "per_second"), [(1, 400), (100, 40), (1000, 5)])
+def test_trials_of_a_server_do_not_grow_with_fleet_or_requests(
+    hosts: int, per_second: int
+) -> None:
+    """Guards against a bad server that gets more requests in a larger fleet."""
+    views = FakeServerViews({f"s{number}": ServerView(0, 0.5) for number in range(10)})
+    balancer = make_balancer(views, *(make_upstream(f"s{n}") for n in range(60)))
+    balancer.apply_view(FleetView(HostId("a"), LOCAL, known_count=hosts), 0.0)
+    seconds = 20.0 * hosts
+    chosen = count_scheduled(balancer, NON_IDEMPOTENT, per_second, seconds)
+    trials = sum(chosen[f"s{number}"] for number in range(10))
+    limit = 10 * 20.0 * TRIALS_PER_SECOND
+    assert 0.3 * limit <= trials <= limit
+
+
+def test_trial_of_a_request_that_runs_once_is_rarer_the_higher_the_risk() -> None:
+    """Guards against requests that are lost at servers which surely fail."""
+    trials = []
+    for risk in (0.3, 0.9):
+        views = FakeServerViews({"bad": ServerView(0, risk)})
+        balancer = make_balancer(views, make_upstream("bad"), make_upstream("good"))
+        trials.append(count_scheduled(balancer, NON_IDEMPOTENT, 20, 200.0)["bad"])
+    assert trials[0] >= 100
+    assert 0 < trials[1] <= trials[0] / 3
+
+
 def test_high_risk_servers_are_used_if_no_other_is_left() -> None:
     views = FakeServerViews({"a": ServerView(0, 0.9), "b": ServerView(0, 0.9)})
     balancer = make_balancer(views, make_upstream("a"), make_upstream("b"))
--- a/tests/coordination/health/test_fleet.py
+++ b/tests/coordination/health/test_fleet.py
@@ -181,3 +181,73 @@
         traffic.run(fleet.channel.now + 0.05, 120, method=method)
     used = [name for name in failing if sent_to(traffic, name, 12.0, 14.0)]
     assert len(used) >= 0.7 * len(failing)
+
+
+def recovering(
+    failing: set[str], until: float, seconds: float = HANG_SECONDS
+) -> ResponsePolicy:
+    """Return servers that hang for 9 of 10 requests from 4 s on until a time."""
+
+    def respond(attempt: VirtualAttempt, rng: Random) -> tuple[OutcomeKind, float]:
+        is_bad = (
+            attempt.assigned.server in failing and 4.0 <= attempt.started_at < until
+        )
+        if is_bad and rng.random() < 0.9:
+            return OutcomeKind.TIMEOUT, seconds
+        return OutcomeKind.OK, 2 * SERVICE_SECONDS * rng.uniform(0.6, 1.4)
+
+    return respond
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3, 4, 5])
+def test_recovered_servers_are_used_within_four_seconds(seed: int) -> None:
+    """Guards against servers that stay unused since few requests are idempotent.
+
+    The operators count a server as sound 2 s after it has failed by itself, and want
+    0.7 of the sound ones to get requests in the 2 s after that.
+    """
+    failing = {f"server-{n}" for n in range(0, 60, 2)}
+    settings = {"target_latency_ms": 700, "retry_ratio": 0.2}
+    tree = small_settings_tree(servers=60, settings=settings)
+    fleet = virtual_fleet(12, tree, seed, recovering(failing, 9.0))
+    traffic, rng = Traffic(fleet, Random(seed)), Random(seed)
+    while fleet.channel.now < 13.0:
+        method = "GET" if rng.random() < 0.2 else "POST"
+        traffic.run(fleet.channel.now + 0.05, 120, method=method)
+    used = [name for name in failing if sent_to(traffic, name, 11.0, 13.0)]
+    assert len(used) >= 0.7 * len(failing)
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3, 4, 5])
+def test_hanging_request_does_not_keep_a_recovered_server_unused(seed: int) -> None:
+    """Guards against a server without trials until its last hanging request ends."""
+    failing = {f"server-{n}" for n in range(0, 60, 2)}
+    settings = {"target_latency_ms": 700, "retry_ratio": 0.2}
+    tree = small_settings_tree(servers=60, settings=settings)
+    fleet = virtual_fleet(12, tree, seed, recovering(failing, 5.0, seconds=20.0))
+    traffic, rng = Traffic(fleet, Random(seed)), Random(seed)
+    while fleet.channel.now < 9.0:
+        method = "GET" if rng.random() < 0.2 else "POST"
+        traffic.run(fleet.channel.now + 0.05, 120, method=method)
+    used = [name for name in failing if sent_to(traffic, name, 7.0, 9.0)]
+    assert len(used) >= 0.7 * len(failing)
+
+
+@pytest.mark.parametrize("seed", [1, 2, 3])
+def test_servers_in_a_bad_phase_get_few_requests(seed: int) -> None:
+    """Guards against trials that cost more than the servers' return is worth.
+
+    Requests that may run only once are lost there. The target is a tenth of an equal
+    share.
+    """
+    failing = {f"server-{n}" for n in range(0, 60, 4)}
+    settings = {"target_latency_ms": 700, "retry_ratio": 0.2}
+    tree = small_settings_tree(servers=60, settings=settings)
+    fleet = virtual_fleet(12, tree, seed, recovering(failing, 60.0))
+    traffic = Traffic(fleet, Random(seed))
+    traffic.run(14.0, 240, method="POST")
+    bad, all_requests = (
+        sum(len(sent_to(traffic, name, 7.0, 14.0)) for name in names)
+        for names in (failing, {f"server-{n}" for n in range(60)})
+    )
+    assert bad / all_requests <= 0.1 * len(failing) / 60
