--- a/src/catkinspan/coordination/balancing/const.py
+++ b/src/catkinspan/coordination/balancing/const.py
@@ -10,9 +10,10 @@
 FAILURE_COST = 6.0
 """Cost of a certain failure for a non-idempotent request, which is lost."""
 
-BASELINE_RISK = 0.12
-"""Risk without cost: the estimate for a server with little data. If any risk above zero
-had a cost, requests would crowd on the few servers that have just succeeded."""
+BASELINE_RISK = 0.2
+"""Risk without cost. It is above the value to which the risk of a server without
+requests decays (1/6), since otherwise such a server would get no requests while any
+other has just succeeded, and it is the least risk of trials."""
 
 IDEMPOTENT_FAILURE_COST = 1.5
 """Cost of a certain failure for an idempotent request, which a second server can still
@@ -47,8 +48,20 @@
 """Share of the eligible idempotent requests sent to a high-risk server, to find out
 whether it has recovered. A second server answers the request if it has not."""
 
-MIN_TRIAL_RISK = 0.2
+MIN_TRIAL_RISK = BASELINE_RISK
 """Risk from which a server is high-risk and gets trials."""
 
 TRIAL_IN_FLIGHT_LIMIT = 1
 """Requests in flight at which a server gets no further trial."""
+
+TRIAL_WAIT_SECONDS = 1.0
+"""Time after which requests in flight no longer prevent a trial. They hang, or news of
+their end is missing, and a server is to be in use 2 s after it has recovered."""
+
+TRIALS_PER_SECOND = 2.0
+"""Limit of the trials of a high-risk server by the requests of the whole fleet, beside
+those of `TRIAL_SHARE`. At this rate few recovered servers are without a request for 2 s
+by chance."""
+
+MAX_TRIAL_CREDIT = 2.0
+"""Trials that a host without requests may save up."""
--- a/src/catkinspan/coordination/health/observer.py
+++ b/src/catkinspan/coordination/health/observer.py
@@ -55,6 +55,9 @@
     changed_at: float = float("-inf")
     """Monotonic seconds of the last change of the counts."""
 
+    started_at: float = float("-inf")
+    """Monotonic seconds of the start of the latest attempt."""
+
     def record_success(self, now: float) -> None:
         """Count a request that succeeded in time."""
         self.succeeded += 1
@@ -128,7 +131,7 @@
         """Add an attempt that is sent now."""
         attempts = self.attempts_at(server, now)
         attempts.running[key] = _RunningAttempt()
-        attempts.changed_at = now
+        attempts.changed_at = attempts.started_at = now
         self._overdue_timers.set((server, key), now + overdue_after)
 
     def record_end(self, outcome: AttemptOutcome, now: float) -> bool:
