--- a/src/catkinspan/coordination/rates/coordinator.py
+++ b/src/catkinspan/coordination/rates/coordinator.py
@@ -172,8 +172,11 @@
         return TokenBucket(limits.rate / hosts, capacity, 0.0, now)
 
     def _window_share(self, limits: BucketLimits) -> float:
-        """Return this host's share of what the fleet may admit in one window."""
-        available = limits.rate * OWN_USE_WINDOW_SECONDS + limits.capacity
+        """Return this host's share of what the fleet may admit in one window.
+
+        The hosts that hear a hub may use the burst at the same time.
+        """
+        available = limits.rate * OWN_USE_WINDOW_SECONDS + limits.initial
         return available / self._fleet_size()
 
     def _is_admitted(self, state: _WorkspaceState, now: float) -> bool:
--- a/src/catkinspan/coordination/rates/ledger.py
+++ b/src/catkinspan/coordination/rates/ledger.py
@@ -20,7 +20,7 @@
     WorkspaceLevel,
     WorkspaceUsage,
 )
-from catkinspan.coordination.rates.policy import RatePolicy
+from catkinspan.coordination.rates.policy import BucketLimits, RatePolicy
 from catkinspan.coordination.rates.recent_use import RecentUse
 from catkinspan.coordination.reporters import RemoteHubs, Reporter, Reporters
 from catkinspan.state.ids import DataCentre, HostId, WorkspaceId
@@ -63,6 +63,10 @@
 
     def __init__(self, policy: RatePolicy) -> None:
         self._policy = policy
+        self._counts_since: float | None = None
+        """Time of the first report of a host, which may be this host; the use before it
+        is not known."""
+
         self._accounts: dict[WorkspaceId, _WorkspaceAccount] = {}
         self._hosts: Reporters[WorkspaceId, WorkspaceUsage] = Reporters()
         self._remote: RemoteHubs[WorkspaceId, WorkspaceUsage] = RemoteHubs(
@@ -93,13 +97,18 @@
 
     def _update_buckets(self, now: float) -> None:
         for name, account in self._accounts.items():
-            rate, capacity = self._bucket_limits(self._workspaces[name])
+            limits = self._bucket_limits(self._workspaces[name])
+            rate, capacity = limits.rate, limits.capacity
             if (account.bucket.rate, account.bucket.capacity) != (rate, capacity):
                 account.bucket.set_limits(rate, capacity, now)
 
-    def _bucket_limits(self, workspace: Workspace) -> tuple[float, float]:
+    def _bucket_limits(self, workspace: Workspace) -> BucketLimits:
         limits = self._policy.limits(workspace)
-        return limits.rate * self._share, max(1.0, limits.capacity * self._share)
+        return BucketLimits(
+            limits.rate * self._share,
+            max(1.0, limits.capacity * self._share),
+            max(1.0, limits.initial * self._share),
+        )
 
     def count_host_report(
         self,
@@ -109,6 +118,8 @@
         now: float,
     ) -> None:
         """Count the usage reported by a host of this data centre."""
+        if self._counts_since is None:
+            self._counts_since = now
         for usage in _take_increments(
             self._hosts.record_report(host, incarnation, now), usages
         ):
@@ -147,11 +158,19 @@
             workspace = self._workspaces.get(name)
             if workspace is None:
                 return None
-            bucket = TokenBucket.full(*self._bucket_limits(workspace), now)
-            account = self._accounts[name] = _WorkspaceAccount(bucket)
+            account = _WorkspaceAccount(self._new_bucket(workspace, now))
+            self._accounts[name] = account
         account.last_used_at = now
         return account
 
+    def _new_bucket(self, workspace: Workspace, now: float) -> TokenBucket:
+        """Return the bucket of a workspace without use since the first report."""
+        limits = self._bucket_limits(workspace)
+        since = now if self._counts_since is None else self._counts_since
+        bucket = TokenBucket(limits.rate, limits.capacity, limits.initial, since)
+        bucket.refill(now)
+        return bucket
+
     def low_levels(self, now: float) -> Iterator[WorkspaceLevel]:
         """Yield the levels of workspaces that are below `LOW_LEVEL_SHARE`."""
         for name, account in self._accounts.items():
--- a/src/catkinspan/coordination/rates/policy.py
+++ b/src/catkinspan/coordination/rates/policy.py
@@ -4,16 +4,19 @@
 
 from attrs import frozen
 
+from catkinspan.coordination.rates.const import LEVEL_HORIZON_SECONDS
 from catkinspan.state.node import RateWindow
 from catkinspan.state.tree import Workspace
 
 
 @frozen
 class BucketLimits:
-    """Rate in tokens per second and capacity in tokens of the fleet's bucket."""
+    """Limits of the fleet's bucket, in tokens and tokens per second."""
 
     rate: float
     capacity: float
+    initial: float
+    """Level with which a hub starts that does not know the earlier use."""
 
 
 class RatePolicy(Protocol):
@@ -32,23 +35,23 @@
 
     def limits(self, workspace: Workspace) -> BucketLimits:
         """Return the published rate and burst."""
-        return BucketLimits(workspace.rate, max(1.0, workspace.burst))
+        capacity = max(1.0, workspace.burst)
+        return BucketLimits(workspace.rate, capacity, capacity)
 
 
 class WindowedRates:
     """Keeps the admitted requests of each time window below a bound.
 
-    The bound is ``(rate * window + burst) * (1 + overshoot) + slack``; callers below it
-    should not be refused. The bucket uses only a part of the bound. The rest is a
-    margin for what the fleet admits between two exchanges and for a restart with a full
-    bucket.
+    The bound is ``(rate * window + burst) * (1 + overshoot) + slack``; callers within
+    the published rate and burst are not refused. The bucket holds the burst and a
+    reserve, since hubs admit a share of the requests when the level is below what is
+    expected until the next report. The rest of the bound is for a restart of all hubs
+    within the window, which forgets the burst that was used, and for what the fleet
+    admits between two exchanges.
     """
 
-    RATE_SHARE = 0.7
-    """Share of the window's bound available to a steady rate."""
-
-    BURST_SHARE = 0.35
-    """Share of the remaining bound available to the burst."""
+    EXCHANGE_SHARE = 0.09
+    """Share of the window's bound for what is admitted between two exchanges."""
 
     def __init__(self, window: RateWindow) -> None:
         self._window = window
@@ -57,9 +60,14 @@
         """Return limits that keep the requests of each window below its bound."""
         seconds = self._window.length.total_seconds()
         overshoot, slack = self._window.overshoot, self._window.slack
-        bound = (workspace.rate * seconds + workspace.burst) * (1 + overshoot) + slack
-        rate = self.RATE_SHARE * bound / seconds
-        return BucketLimits(rate, max(1.0, self.BURST_SHARE * (bound - rate * seconds)))
+        published, burst = workspace.rate, max(1.0, workspace.burst)
+        bound = (published * seconds + burst) * (1 + overshoot) + slack
+        available = (1 - self.EXCHANGE_SHARE) * bound
+        spare_rate = (available - 2 * burst) / (seconds + LEVEL_HORIZON_SECONDS)
+        rate = max(published, spare_rate)
+        capacity = burst + rate * LEVEL_HORIZON_SECONDS
+        initial = min(capacity, max(1.0, available - rate * seconds - burst))
+        return BucketLimits(rate, capacity, initial)
 
 
 def rate_policy(window: RateWindow | None) -> RatePolicy:
--- a/tests/rates_fleet.py
+++ b/tests/rates_fleet.py
@@ -14,6 +14,7 @@
 from catkinspan.coordination.membership.const import HOST_SILENT_SECONDS
 from catkinspan.coordination.models import PeerMessage, Sender
 from catkinspan.coordination.outbox import Outbox
+from catkinspan.coordination.rates.bucket import TokenBucket
 from catkinspan.coordination.rates.coordinator import RateCoordinator
 from catkinspan.coordination.rates.policy import rate_policy
 from catkinspan.state.hosts import FleetView, HostRecord
@@ -156,8 +157,16 @@
                 host = self._rng.choice(list(self.nodes))
                 self.clients.append(Client(workspace, host))
 
-    def run(self, seconds: float, hot: dict[WorkspaceId, float] | None = None) -> None:
-        """Send each client's requests at random times; `hot` multiplies them."""
+    def run(
+        self,
+        seconds: float,
+        hot: dict[WorkspaceId, float] | None = None,
+        published: dict[WorkspaceId, TokenBucket] | None = None,
+    ) -> None:
+        """Send each client's requests at random times; `hot` multiplies them.
+
+        With `published` buckets, only requests that these admit are sent.
+        """
         until = self.channel.now + seconds
         arrivals = []
         for client in self.clients:
@@ -166,6 +175,8 @@
             while (at := at + self._rng.expovariate(rate)) < until:
                 arrivals.append((at, client.host, client.workspace))
         for at, host, workspace in sorted(arrivals):
+            if published is not None and not published[workspace].try_take(at):
+                continue
             self.channel.run(at)
             coordinator = self.nodes[host].coordinator
             is_admitted = coordinator.admit(workspace, at)
