--- a/src/catkinspan/coordination/membership/coordinator.py
+++ b/src/catkinspan/coordination/membership/coordinator.py
@@ -288,9 +288,9 @@
     def _select_hubs(self, now: float) -> None:
         """Select the first candidates that are not excluded for lack of an answer."""
         for hub in self._hubs:
-            self._exclude_if_unanswered(hub, HUB_SILENT_SECONDS, now)
+            self._exclude_if_unanswered(hub, False, now)
         for hub in self._view.remote_hubs:
-            self._exclude_if_unanswered(hub, HOST_SILENT_SECONDS, now)
+            self._exclude_if_unanswered(hub, True, now)
         if not self._view_outdated:
             return
         candidates = self._table.candidates(self.record.data_centre, now)
@@ -307,9 +307,9 @@
                 self._outbox.send(host, Heartbeat(self.record, None, hubs=hubs))
         self._outbox.emit(HubsChanged(hubs, self._own_rank(now)))
 
-    def _exclude_if_unanswered(self, host: HostId, limit: float, now: float) -> None:
+    def _exclude_if_unanswered(self, host: HostId, is_remote: bool, now: float) -> None:
         peer = self._table.get(host)
-        if peer is not None and peer.exclude_if_unanswered(limit, now):
+        if peer is not None and peer.exclude_if_unanswered(is_remote, now):
             self._change_status(peer, now)
 
     def _own_rank(self, now: float) -> int:
@@ -328,6 +328,8 @@
                 self._outbox.send(hub, Heartbeat(self.record, index))
         for hub in self._view.remote_hubs:
             self._expect_answer(hub, now)
+        for host in self._table.lost_hubs(now) if self._is_hub else ():
+            self._outbox.send(host, Heartbeat(self.record, None, hubs=self._hubs))
 
     def _expect_answer(self, hub: HostId, now: float) -> None:
         peer = self._table.get(hub)
--- a/src/catkinspan/coordination/membership/peers.py
+++ b/src/catkinspan/coordination/membership/peers.py
@@ -9,6 +9,8 @@
     HOST_EXPIRY_SECONDS,
     HOST_SILENT_SECONDS,
     HUB_EXCLUSION_SECONDS,
+    HUB_SILENT_SECONDS,
+    HUBS_PER_DATA_CENTRE,
     LEFT_HOST_EXPIRY_SECONDS,
     REMOTE_HOST_EXPIRY_SECONDS,
 )
@@ -38,6 +40,9 @@
     excluded_at: float = _NEVER
     """Time at which the host was excluded as a hub because it did not answer."""
 
+    excluded_until: float = _NEVER
+    """Time until which the host stays excluded even if it is heard from."""
+
     reports_here: bool = False
     """Whether the host uses this host as a hub, so that its silence has a meaning."""
 
@@ -63,13 +68,19 @@
         """Return whether the host may not be selected as a hub."""
         if self.last_seen_at <= self.excluded_at:
             return True
-        return now < self.excluded_at + HUB_EXCLUSION_SECONDS
+        return now < self.excluded_until
+
+    def exclude_if_unanswered(self, is_remote: bool, now: float) -> bool:
+        """Exclude a hub, here or of another data centre, if it does not answer.
 
-    def exclude_if_unanswered(self, limit: float, now: float) -> bool:
-        """Exclude the host if it has not answered for `limit` seconds."""
+        A path between data centres returns for all hubs at once, so a remote hub that
+        is heard from again is not excluded any more.
+        """
+        limit = HOST_SILENT_SECONDS if is_remote else HUB_SILENT_SECONDS
         if self.unanswered_since is None or now - self.unanswered_since <= limit:
             return False
         self.excluded_at = now
+        self.excluded_until = now + (0.0 if is_remote else HUB_EXCLUSION_SECONDS)
         self.unanswered_since = None
         return True
 
@@ -146,6 +157,17 @@
             records.append(self.own)
         return sorted(records, key=_rank)
 
+    def lost_hubs(self, now: float) -> list[HostId]:
+        """Return the first hosts of each other data centre of which none is alive."""
+        hubs: list[HostId] = []
+        for name in self.remote_data_centres():
+            if self.candidates(name, now):
+                continue
+            known = [peer.record for peer in self.in_data_centre(name)]
+            present = sorted((r for r in known if not r.leaving), key=_rank)
+            hubs += [record.id for record in present[:HUBS_PER_DATA_CENTRE]]
+        return hubs
+
     def is_expired(self, peer: Peer, has_hub: bool, now: float) -> bool:
         """Return whether a host is to be removed."""
         age = now - peer.last_seen_at
