Limit crash reports by bytes, and send those of quarantined requests first

What callers saw: nothing yet. A request that crashes servers is refused by 2 of 135 hosts only, 3 s after its second crash, while two servers a second fail by themselves; any other host lets it crash another server.

Cause: one limit of 0.7 reports a second, with a burst of 40, held for all receivers and all reports of a host. A hub forwards the crashes of the whole fleet, three times to each host, so that at two crashes a second its queue of 64 is full and the reports in it are up to a minute old. The burst is 40 reports x 3 x 55 receivers x 215 bytes, 1.4 MB, more than a second of a link of 10 Mbit/s. Besides, a host that becomes a hub sent up to 64 reports to each follower at once, and each hub forwarded the reports of all data centres to all other hubs.

Change: reports have byte budgets by group of receivers (hubs of the own data centre, hubs of others, followers), 40 KB/s of a hub in all, at any size of the fleet. Reports that start or end a quarantine have budgets of their own and go to all. New reports go before repeated ones, the newest first. The other reports go to primary followers once: they need them only to report a success. A hub forwards a report to other data centres only if it comes from its own one. New peers get the reports within a budget, hubs first, followers only those of quarantined requests.

The tests of the burst and of the budget counted a burst of 40 reports x 3 rounds x receivers as allowed; they have a bound in time of the link instead, which is stricter for both roles, and a case of requests that crash repeatedly. The cases of the hub, and the burst of a follower, fail on the former code. test_new_hub_sends_followers_few_reports_at_once is new; 228 KB at once before. The views of the quarantine tests name primary followers, as those of a fleet do.

--- a/src/catkinspan/coordination/quarantine/models.py
+++ b/src/catkinspan/coordination/quarantine/models.py
@@ -98,6 +98,11 @@
     server: ServerId
     at: float
 
+    def report(self, now: float) -> CrashReport:
+        """Return the report for peers."""
+        age_ms = _age_ms(self.at, now)
+        return CrashReport(self.id, self.fingerprint, self.server, age_ms)
+
 
 @frozen
 class Success:
@@ -106,6 +111,10 @@
     fingerprint: Fingerprint
     at: float
 
+    def clearance(self, now: float) -> Clearance:
+        """Return the report for peers."""
+        return Clearance(self.fingerprint, _age_ms(self.at, now))
+
 
 @define
 class FingerprintState:
@@ -116,4 +125,8 @@
     """End of the quarantine; 0.0 if there is none."""
 
 
+def _age_ms(at: float, now: float) -> int:
+    return max(0, int((now - at) * 1000))
+
+
 MESSAGES: tuple[type[PeerMessage], ...] = (CrashNews,)
--- a/tests/coordination/quarantine/test_coordinator.py
+++ b/tests/coordination/quarantine/test_coordinator.py
@@ -1,15 +1,15 @@
 """Tests that crashing requests are quarantined and other requests are not."""
 
+from collections.abc import Iterable
 from random import Random
 
 import pytest
 
-from catkinspan.coordination.models import Sender
+from catkinspan.coordination.models import Envelope, Sender
 from catkinspan.coordination.outbox import Outbox
 from catkinspan.coordination.quarantine.const import (
     CRASH_RETENTION_SECONDS,
     MAX_FINGERPRINTS_PER_WORKSPACE,
-    MAX_REPORT_BURST,
     MAX_REPORTS_PER_MESSAGE,
     QUARANTINE_SECONDS,
     REPORT_ROUNDS,
@@ -25,6 +25,7 @@
 )
 from catkinspan.state.hosts import FleetView
 from catkinspan.state.ids import HostId, RouteId, ServerId, WorkspaceId
+from catkinspan.state.tree import Address
 from tests.quarantine_fleet import (
     DATA_CENTRES,
     QuarantineFleet,
@@ -46,8 +47,12 @@
 
 REPORT_BYTES = 215
 CONTROL_BYTES_PER_SECOND = 6_000
-HUB_CONTROL_BYTES_PER_SECOND = 0.1 * 10e6 / 8
-"""A tenth of a hub's link of 10 Mbit/s."""
+LINK_BYTES_PER_SECOND = 10e6 / 8
+HUB_CONTROL_BYTES_PER_SECOND = 0.1 * LINK_BYTES_PER_SECOND
+BURST_BYTES = 0.04 * LINK_BYTES_PER_SECOND
+HUB_BURST_BYTES = 0.1 * LINK_BYTES_PER_SECOND
+"""Bytes that may be sent at once: other messages wait for at most this part of a second
+before a link of 10 Mbit/s."""
 
 CRASHING_REQUEST = make_fingerprint("/culprit")
 HOSTS = [HostId(f"h{n:04d}") for n in range(12)]
@@ -60,6 +65,7 @@
     DATA_CENTRES[0],
     hubs=(HostId("a"), HOSTS[0]),
     followers=FOLLOWERS,
+    primary_followers=FOLLOWERS,
     remote_hubs=tuple(HOSTS[1:5]),
 )
 
@@ -226,9 +232,23 @@
     assert quarantine.check(CRASHING_REQUEST, 10.0).is_err()
 
 
-@pytest.mark.parametrize(("view", "peers"), [(FOLLOWER_VIEW, 2), (HUB_VIEW, 55)])
+def report_bytes(envelopes: Iterable[Envelope]) -> int:
+    """Return the size of the crash reports in messages."""
+    count = 0
+    for envelope in envelopes:
+        assert isinstance(envelope.message, CrashNews)
+        assert len(envelope.message.reports) <= MAX_REPORTS_PER_MESSAGE
+        count += len(envelope.message.reports)
+    return count * REPORT_BYTES
+
+
+@pytest.mark.parametrize(
+    ("view", "peers", "burst"),
+    [(FOLLOWER_VIEW, 2, BURST_BYTES), (HUB_VIEW, 55, HUB_BURST_BYTES)],
+    ids=["follower", "hub"],
+)
 def test_burst_of_crashes_is_sent_in_bounded_messages(
-    view: FleetView, peers: int
+    view: FleetView, peers: int, burst: float
 ) -> None:
     """Guards against control traffic that grows with the size of a failure."""
     quarantine, outbox = make_host()
@@ -237,26 +257,24 @@
         quarantine.record_crash(
             make_fingerprint(f"/{number}"), ServerId(f"s{number}"), 0.0
         )
-    recorded = outbox.take_envelopes()
-    assert 0 < len(recorded) <= (MAX_REPORT_BURST + 1) * REPORT_ROUNDS * peers
+    assert 0 < report_bytes(outbox.take_envelopes()) <= burst
     quarantine.tick(0.05)
     envelopes = outbox.take_envelopes()
     assert len(envelopes) <= MAX_ENVELOPES_PER_PEER_AND_TICK * peers
-    for envelope in envelopes:
-        assert isinstance(envelope.message, CrashNews)
-        assert len(envelope.message.reports) <= MAX_REPORTS_PER_MESSAGE
+    report_bytes(envelopes)
 
 
 @pytest.mark.parametrize(
-    ("view", "peers", "budget"),
+    ("view", "budget", "burst"),
     [
-        (FOLLOWER_VIEW, 2, CONTROL_BYTES_PER_SECOND),
-        (HUB_VIEW, 55, HUB_CONTROL_BYTES_PER_SECOND),
+        (FOLLOWER_VIEW, CONTROL_BYTES_PER_SECOND, BURST_BYTES),
+        (HUB_VIEW, HUB_CONTROL_BYTES_PER_SECOND, HUB_BURST_BYTES),
     ],
     ids=["follower", "hub"],
 )
+@pytest.mark.parametrize("requests", [1200, 300], ids=["distinct", "repeated"])
 def test_report_copies_stay_within_the_control_budget(
-    view: FleetView, peers: int, budget: float
+    view: FleetView, budget: float, burst: float, requests: int
 ) -> None:
     """Guards against reports that use up the control traffic of a host.
 
@@ -267,16 +285,32 @@
     sent = 0
     for step in range(1200):
         now = step * 0.05
-        quarantine.record_crash(make_fingerprint(f"/{step}"), ServerId(f"s{step}"), now)
+        request = make_fingerprint(f"/{step % requests}")
+        quarantine.record_crash(request, ServerId(f"s{step}"), now)
         quarantine.tick(now)
-        for envelope in outbox.take_envelopes():
-            assert isinstance(envelope.message, CrashNews)
-            sent += len(envelope.message.reports)
-    burst = MAX_REPORT_BURST * REPORT_ROUNDS * peers
-    assert 0 < (sent - burst) / 60.0 * REPORT_BYTES <= budget / 3
+        sent += report_bytes(outbox.take_envelopes())
+    assert 0 < (sent - burst) / 60.0 <= budget / 3
 
 
-@pytest.mark.parametrize("crashes_per_second", [0.5, 2.0])
+def test_new_hub_sends_followers_few_reports_at_once() -> None:
+    """Guards against a hub that repeats all reports to each follower as it starts."""
+    quarantine, outbox = make_host()
+    quarantine.apply_view(FOLLOWER_VIEW, 0.0)
+    for step in range(20):
+        request, server = make_fingerprint(f"/{step % 10}"), ServerId(f"s{step}")
+        quarantine.record_crash(request, server, 30.0 + step)
+    outbox.take_envelopes()
+    quarantine.apply_view(HUB_VIEW, 50.0)
+    sent: set[HostId | Address] = set()
+    for step in range(round(QUARANTINE_SECONDS / 2 / 0.05)):
+        envelopes = outbox.take_envelopes()
+        assert report_bytes(envelopes) <= HUB_BURST_BYTES
+        sent |= {envelope.to for envelope in envelopes}
+        quarantine.tick(50.0 + step * 0.05)
+    assert sent >= set(FOLLOWERS)
+
+
+@pytest.mark.parametrize("crashes_per_second", [0.5, 2.0, 10.0])
 def test_quarantine_in_time_while_servers_fail(crashes_per_second: float) -> None:
     """Guards against reports that wait behind those of servers that fail by themselves,
     since one rate limit holds for the reports of the whole fleet."""
--- a/tests/quarantine_fleet.py
+++ b/tests/quarantine_fleet.py
@@ -36,6 +36,7 @@
     hubs = {name: _hubs(listed, name) for name in DATA_CENTRES}
     is_hub = self_id in hubs[own]
     members = [host for host in listed if listed[host] == own and host != self_id]
+    followers = tuple(sorted(members)) if is_hub else ()
     remote = [host for name in DATA_CENTRES if name != own for host in hubs[name]]
     return FleetView(
         self_id,
@@ -43,7 +44,8 @@
         records,
         usable=tuple(sorted(listed)),
         hubs=hubs[own],
-        followers=tuple(sorted(members)) if is_hub else (),
+        followers=followers,
+        primary_followers=followers if self_id == hubs[own][0] else (),
         remote_hubs=tuple(remote) if is_hub else (),
     )
 
