Resolve the conversion rules of peer messages once a class

Cause: with the tuple strategy cattrs looks up the rule of each value by its type again, for every value of every message, in Python.

Change: the codec's converter makes the hooks of a class, a tuple and a new type once. It moves to a module of its own.

Test: test_each_value_of_a_message_is_converted_by_one_call.

--- a/src/catkinspan/protocol/peers/codec.py
+++ b/src/catkinspan/protocol/peers/codec.py
@@ -11,32 +11,22 @@
 import binascii
 import zlib
 from collections import OrderedDict
-from collections.abc import Callable, Iterable, Sequence
-from enum import Enum, IntEnum, StrEnum
-from ipaddress import ip_address
+from collections.abc import Iterable, Sequence
 from typing import Any
 
 import orjson
 from attrs import NOTHING, fields, frozen
-from cattrs import UnstructureStrategy
-from cattrs.preconf.orjson import OrjsonConverter, make_converter
+from cattrs.preconf.orjson import OrjsonConverter
 from result import Err, Ok, Result
 
 from catkinspan.coordination.models import (
-    FLOAT_BOUNDS,
     INTEGER_BOUNDS,
     Bounds,
     PeerMessage,
     Sender,
 )
-from catkinspan.protocol.peers.packed_states import (
-    STATES_TYPE,
-    pack_states,
-    unpack_states,
-)
-from catkinspan.protocol.settings.reader import MAX_PORT
+from catkinspan.protocol.peers.converter import make_peer_converter
 from catkinspan.state.ids import HostId
-from catkinspan.state.tree import Address
 
 MAX_FRAME_BYTES = 4 * 1024 * 1024
 """A snapshot chunk contains a document of up to 1 MB; JSON escapes may double it."""
@@ -80,7 +70,7 @@
 
     def __init__(self, classes: Iterable[type[PeerMessage]]) -> None:
         self._classes = {cls.__name__: cls for cls in classes}
-        self._converter = _make_converter()
+        self._converter = make_peer_converter()
         self._defaults = {
             tag: _constant_defaults(cls, self._converter)
             for tag, cls in self._classes.items()
@@ -202,83 +192,3 @@
 
 def _is_integer(value: object, bounds: Bounds) -> bool:
     return type(value) is int and bounds.contains(value)
-
-
-def _make_converter() -> OrjsonConverter:
-    """Return a converter that accepts only the JSON types of the fields.
-
-    By default cattrs converts other types, for example the text "nan" to a float that
-    is within no bounds.
-    """
-    converter = make_converter(unstruct_strat=UnstructureStrategy.AS_TUPLE)
-    converter.register_structure_hook(int, _integer_hook(INTEGER_BOUNDS))
-    converter.register_structure_hook(float, _float_hook(FLOAT_BOUNDS))
-    converter.register_structure_hook(str, _structure_str)
-    converter.register_structure_hook(bool, _structure_bool)
-    # Without these, the hooks of int and str also apply to enums and accept any value.
-    converter.register_structure_hook(IntEnum, _structure_enum)
-    converter.register_structure_hook(StrEnum, _structure_enum)
-    converter.register_structure_hook_factory(_is_bounded, _bounded_hook)
-    converter.register_structure_hook(Address, _structure_address)
-    converter.register_structure_hook_func(_is_states, unpack_states)
-    converter.register_unstructure_hook_func(_is_states, pack_states)
-    return converter
-
-
-def _is_states(kind: Any) -> bool:
-    return bool(kind == STATES_TYPE)
-
-
-def _is_bounded(kind: Any) -> bool:
-    return isinstance(getattr(kind, "__metadata__", (None,))[0], Bounds)
-
-
-def _integer_hook(bounds: Bounds) -> Callable[[Any, Any], int]:
-    low, high = bounds.low, bounds.high
-
-    def structure(value: Any, _: Any) -> int:
-        if type(value) is not int or not low <= value <= high:
-            raise ValueError(f"not an integer from {low} to {high}")
-        return value
-
-    return structure
-
-
-def _float_hook(bounds: Bounds) -> Callable[[Any, Any], float]:
-    def structure(value: Any, _: Any) -> float:
-        if type(value) not in (float, int) or not bounds.contains(value):
-            raise ValueError(f"not a number from {bounds.low} to {bounds.high}")
-        return float(value)
-
-    return structure
-
-
-def _bounded_hook(kind: Any) -> Callable[[Any, Any], Any]:
-    """Return the hook for a number annotated with its bounds."""
-    bounds = kind.__metadata__[0]
-    return _float_hook(bounds) if kind.__origin__ is float else _integer_hook(bounds)
-
-
-def _structure_address(value: Any, _: Any) -> Address:
-    """Accept only numeric addresses; a host name would require a DNS lookup."""
-    ip, port = value
-    ip_address(ip)
-    if type(port) is not int or not 0 <= port <= MAX_PORT:
-        raise ValueError(f"not a port from 0 to {MAX_PORT}")
-    return Address(ip, port)
-
-
-def _structure_str(value: Any, _: Any) -> str:
-    if type(value) is not str:
-        raise TypeError("not a string")
-    return value
-
-
-def _structure_bool(value: Any, _: Any) -> bool:
-    if type(value) is not bool:
-        raise TypeError("not a boolean")
-    return value
-
-
-def _structure_enum(value: Any, kind: type[Enum]) -> Enum:
-    return kind(value)
--- a/tests/protocol/peers/test_codec.py
+++ b/tests/protocol/peers/test_codec.py
@@ -2,7 +2,9 @@
 
 import base64
 import math
+import sys
 import zlib
+from collections.abc import Callable
 from typing import Any
 
 import attrs
@@ -205,3 +207,43 @@
     assert codec.encode(SENDER, [message]) == first
     other = codec.encode(SENDER, [HostCounts(())])
     assert other != first
+
+
+CALLS_PER_OBJECT = 4
+"""Python functions that may build one object, beside those that check its values."""
+
+
+def count_calls(run: Callable[[], object]) -> int:
+    """Return the number of Python functions that `run` calls."""
+    calls = 0
+
+    def count(frame: Any, event: str, argument: Any) -> None:
+        nonlocal calls
+        calls += event == "call"
+
+    sys.setprofile(count)
+    try:
+        run()
+    finally:
+        sys.setprofile(None)
+    return calls
+
+
+def test_each_value_of_a_message_is_converted_by_one_call() -> None:
+    """Guards against conversion rules that are looked up again for every value."""
+
+    def counts(servers: int) -> HostCounts:
+        return HostCounts(
+            tuple(ServerCounts(ServerId(f"s{n}"), 1, 0, 2, 3) for n in range(servers))
+        )
+
+    objects = 100
+    values = objects * len(attrs.fields(ServerCounts))
+    codec = PeerCodec(PEER_MESSAGES)
+    codec.decode(codec.encode(SENDER, [counts(2)]))
+    sent = [counts(objects)]
+    encoding = count_calls(lambda: codec.encode(SENDER, sent))
+    data = codec.encode(SENDER, sent)
+    decoding = count_calls(lambda: codec.decode(data))
+    assert encoding <= values
+    assert decoding <= values + CALLS_PER_OBJECT * objects
