Assess services without estimates of their servers

Cause: each host assesses a service a second, to know since when it is degraded, and built the whole report of each server for it: load, risk and age of the state. The work grew with the hosts times the servers.

Change: the history gets the statuses only, from which the assessment follows. A host begins to estimate a server when it is published, which these reports caused before as a side effect.

The fakes of test_status.py give conditions instead of reports.

--- a/src/catkinspan/coordination/health/coordinator.py
+++ b/src/catkinspan/coordination/health/coordinator.py
@@ -21,12 +21,14 @@
     MissedStatesRequest,
     ServerAvoided,
     ServerBack,
+    ServerCondition,
     ServerDraining,
     ServerMisdirected,
     ServerReport,
     ServerStates,
     ServerStatus,
     ServerView,
+    ServiceConditions,
     ServiceReport,
     ZoneCounts,
     server_digest,
@@ -113,7 +115,7 @@
         self._server_by_digest = _index_digests(servers)
         self._update_local_slots()
         self._avoided &= servers.keys()
-        self._observer.keep_only(set(servers))
+        self._observer.follow(set(servers), now)
         self._assessor.keep_only(set(servers), now)
         self._publisher.keep_only(set(servers))
 
@@ -240,13 +242,27 @@
             return None
         return ServiceReport(service, tuple(self._server_report(n, now) for n in names))
 
+    def conditions(self, service: ServiceId, now: float) -> ServiceConditions | None:
+        """Return the statuses of the servers of a service, None for an unknown one."""
+        names = self._services.get(service)
+        if names is None:
+            return None
+        servers = ((name, self._servers[name]) for name in names)
+        return ServiceConditions(
+            service,
+            tuple(
+                ServerCondition(name, _server_status(server, now), server.avoided_since)
+                for name, server in servers
+            ),
+        )
+
     def _server_report(self, server_id: ServerId, now: float) -> ServerReport:
         server = self._servers[server_id]
         view = self.server_view(server_id, now)
         own = self._observer.attempts_at(server_id, now)
         return ServerReport(
             server_id,
-            _server_status(server, view),
+            _server_status(server, now),
             server.avoided_since,
             round(view.risk, 3),
             round(own.estimate.risk, 3),
@@ -400,13 +416,13 @@
     return {digest: server for digest, server in found.items() if digest not in shared}
 
 
-def _server_status(server: _Server, view: ServerView) -> ServerStatus:
+def _server_status(server: _Server, now: float) -> ServerStatus:
     if server.upstream.leaving:
         return ServerStatus.LEAVING
-    if view.is_draining:
+    if now < server.draining_until:
         return ServerStatus.DRAINING
-    if view.is_misdirected:
+    if now < server.misdirected_until:
         return ServerStatus.MISDIRECTED
     if server.avoided_since is not None:
         return ServerStatus.AVOIDED
-    return ServerStatus.COLD if view.is_cold else ServerStatus.HEALTHY
+    return ServerStatus.COLD if now < server.cold_until else ServerStatus.HEALTHY
--- a/src/catkinspan/coordination/health/models.py
+++ b/src/catkinspan/coordination/health/models.py
@@ -106,6 +106,24 @@
     MISDIRECTED = "misdirected"
 
 
+@frozen
+class ServerCondition:
+    """Status of a server, without the estimates of a `ServerReport`."""
+
+    server: ServerId
+    status: ServerStatus
+    since: float | None
+    """Monotonic seconds at which it became avoided; None if it is not."""
+
+
+@frozen
+class ServiceConditions:
+    """Statuses of the servers of a service."""
+
+    service: ServiceId
+    servers: tuple[ServerCondition, ...]
+
+
 @frozen
 class ServerReport:
     """Health of a server, as shown to operators."""
--- a/src/catkinspan/coordination/health/observer.py
+++ b/src/catkinspan/coordination/health/observer.py
@@ -88,8 +88,13 @@
             if attempts.changed_at >= since or attempts.running
         )
 
-    def keep_only(self, servers: set[ServerId]) -> None:
-        """Drop servers that are no longer published and have no attempt in flight."""
+    def follow(self, servers: set[ServerId], now: float) -> None:
+        """Begin to estimate new servers, and drop those that are not published.
+
+        A server with attempts in flight is dropped later.
+        """
+        for name in servers:
+            self.attempts_at(name, now)
         for name, attempts in list(self._servers.items()):
             if name not in servers and not attempts.running:
                 del self._servers[name]
--- a/src/catkinspan/coordination/reports/assess.py
+++ b/src/catkinspan/coordination/reports/assess.py
@@ -3,8 +3,10 @@
 from attrs import frozen
 
 from catkinspan.coordination.health.models import (
+    ServerCondition,
     ServerReport,
     ServerStatus,
+    ServiceConditions,
     ServiceReport,
 )
 from catkinspan.coordination.metrics.const import MIN_ASSESSED_REQUESTS
@@ -29,6 +31,10 @@
 }
 
 
+ServiceHealth = ServiceConditions | ServiceReport
+"""What an assessment needs; the first one takes less processor time."""
+
+
 @frozen
 class Assessment:
     """State of a service with the reasons for it."""
@@ -37,7 +43,7 @@
     reasons: tuple[str, ...] = ()
 
 
-def assess(health: ServiceReport, recent: ResultCounts) -> Assessment:
+def assess(health: ServiceHealth, recent: ResultCounts) -> Assessment:
     """Assess a service by its servers and by the recent requests of this host.
 
     It is down without a server in use, or if `FAILED_SHARE_DOWN` of the recent requests
@@ -53,7 +59,7 @@
     return Assessment(HealthState.UP)
 
 
-def _down_reasons(health: ServiceReport, recent: ResultCounts) -> tuple[str, ...]:
+def _down_reasons(health: ServiceHealth, recent: ResultCounts) -> tuple[str, ...]:
     reasons = []
     if not health.servers:
         reasons.append("no server is published")
@@ -64,7 +70,7 @@
     return tuple(reasons)
 
 
-def _degraded_reasons(health: ServiceReport, recent: ResultCounts) -> tuple[str, ...]:
+def _degraded_reasons(health: ServiceHealth, recent: ResultCounts) -> tuple[str, ...]:
     reasons = [
         _servers_text(status, servers)
         for status in BAD_STATUSES
@@ -93,7 +99,9 @@
     return f"{recent.eligible} requests of the last {recent.seconds} s"
 
 
-def _servers_text(status: ServerStatus, servers: list[ServerReport]) -> str:
+def _servers_text(
+    status: ServerStatus, servers: list[ServerCondition | ServerReport]
+) -> str:
     shown = ", ".join(server.server for server in servers[:MAX_SERVERS_NAMED])
     more = len(servers) - MAX_SERVERS_NAMED
     rest = f" and {more} more" if more > 0 else ""
--- a/src/catkinspan/coordination/reports/gather.py
+++ b/src/catkinspan/coordination/reports/gather.py
@@ -72,7 +72,7 @@
         return None
     return ServiceFacts(
         health,
-        host.history.assess_report(health, now),
+        host.history.assess_health(health, now),
         host.metrics.recent_of_service(service, now),
         host.metrics.assessed_of_service(service, now),
         host.retries.snapshot(service, now),
--- a/src/catkinspan/coordination/reports/history.py
+++ b/src/catkinspan/coordination/reports/history.py
@@ -5,9 +5,9 @@
 
 from attrs import Factory, frozen
 
-from catkinspan.coordination.health.models import ServerStatus, ServiceReport
+from catkinspan.coordination.health.models import ServerStatus, ServiceConditions
 from catkinspan.coordination.metrics.coordinator import MetricsCoordinator
-from catkinspan.coordination.reports.assess import assess
+from catkinspan.coordination.reports.assess import ServiceHealth, assess
 from catkinspan.coordination.reports.const import ASSESSMENT_INTERVAL_SECONDS
 from catkinspan.coordination.reports.models import HealthState
 from catkinspan.state.ids import ServerId, ServiceId
@@ -15,10 +15,10 @@
 
 
 class HealthSource(Protocol):
-    """Source of health reports on services."""
+    """Source of the statuses of servers."""
 
-    def report(self, service: ServiceId, now: float) -> ServiceReport | None:
-        """Return the health of a service, None for an unknown one."""
+    def conditions(self, service: ServiceId, now: float) -> ServiceConditions | None:
+        """Return the statuses of the servers of a service, None for an unknown one."""
 
 
 @frozen
@@ -65,11 +65,11 @@
 
     def assess_service(self, service: ServiceId, now: float) -> TrackedState | None:
         """Assess a service now and return its state, None for an unknown one."""
-        health = self._health.report(service, now)
-        return None if health is None else self.assess_report(health, now)
+        health = self._health.conditions(service, now)
+        return None if health is None else self.assess_health(health, now)
 
-    def assess_report(self, health: ServiceReport, now: float) -> TrackedState:
-        """Assess a service by a current report of its health."""
+    def assess_health(self, health: ServiceHealth, now: float) -> TrackedState:
+        """Assess a service by its current health."""
         service = health.service
         recent = self._metrics.assessed_of_service(service, now)
         state = assess(health, recent).state
@@ -83,7 +83,7 @@
         return tracked
 
     def _update_ejections(
-        self, health: ServiceReport, previous: TrackedState | None, now: float
+        self, health: ServiceHealth, previous: TrackedState | None, now: float
     ) -> Mapping[ServerId, float]:
         previous_ejected = {} if previous is None else previous.ejected
         found: dict[ServerId, float] = {}
--- a/tests/coordination/reports/test_status.py
+++ b/tests/coordination/reports/test_status.py
@@ -7,8 +7,10 @@
 from catkinspan.coordination.configuration.models import ConfigurationSnapshot
 from catkinspan.coordination.const import TICK_INTERVAL_SECONDS
 from catkinspan.coordination.health.models import (
+    ServerCondition,
     ServerReport,
     ServerStatus,
+    ServiceConditions,
     ServiceReport,
 )
 from catkinspan.coordination.membership.models import MembershipSnapshot
@@ -186,8 +188,10 @@
         self.states: tuple[ServerStatus, ...] = (S.HEALTHY, S.HEALTHY)
         self.since = 0.0
 
-    def report(self, service: ServiceId, now: float) -> ServiceReport:
-        return health_of(*self.states, since=self.since)
+    def conditions(self, service: ServiceId, now: float) -> ServiceConditions:
+        health = health_of(*self.states, since=self.since)
+        servers = (ServerCondition(s.server, s.status, s.since) for s in health.servers)
+        return ServiceConditions(SERVICE, tuple(servers))
 
 
 def test_history_records_starts_of_states_ejections_and_returns() -> None:
@@ -210,9 +214,9 @@
         super().__init__()
         self.reported: list[ServiceId] = []
 
-    def report(self, service: ServiceId, now: float) -> ServiceReport:
+    def conditions(self, service: ServiceId, now: float) -> ServiceConditions:
         self.reported.append(service)
-        return super().report(service, now)
+        return super().conditions(service, now)
 
 
 def test_assessments_take_a_bounded_share_of_the_host_task() -> None:
