Move the running attempts of a request out of its exchange

Which attempts run, which one's response is forwarded and which ones are cancelled is now answered by RunningAttempts. Behaviour is unchanged.

--- a/src/catkinspan/transport/callers/exchange.py
+++ b/src/catkinspan/transport/callers/exchange.py
@@ -30,6 +30,7 @@
 from catkinspan.protocol.http.upstream import upstream_request
 from catkinspan.state.ids import RequestId
 from catkinspan.state.node import HttpLimits
+from catkinspan.transport.callers.attempts import RunningAttempts
 from catkinspan.transport.callers.body import BodyStatus, RequestBody
 from catkinspan.transport.callers.const import MAX_BUFFERING_SECONDS
 from catkinspan.transport.callers.messages import (
@@ -90,9 +91,7 @@
         self._tls = tls
         self._draining = draining
         self._key = head.presented_key
-        self._attempts: dict[int, RunningAttempt] = {}
-        self._attempt_count = 0
-        self._committed_attempt: int | None = None
+        self._attempts = RunningAttempts()
         timeout = limits.body_timeout.total_seconds()
         self._body = RequestBody(stream, head, timeout, clock)
         self._reading_prefix = False
@@ -128,7 +127,7 @@
                 while not self._is_done:
                     await self._async_handle_message()
         finally:
-            self._cancel_attempts()
+            self._attempts.cancel_all()
             if not self._is_done:
                 self._abandon()
         routed = self._last_assigned or self._refused
@@ -139,25 +138,15 @@
             status=self._status,
             kind=self._record_kind,
             seconds=self._clock.monotonic() - started,
-            attempts=self._attempt_count,
+            attempts=self._attempts.started_count,
         )
 
     def _submit(self) -> bool:
-        head = self._head
-        if path_contains_key(head.path, self._key):
+        if path_contains_key(self._head.path, self._key):
             remedy = "send the key in a header only, and withdraw this one"
             self._respond_refusal(bad_request("the path contains the key", remedy))
             return False
-        arrived = RequestArrived(
-            request_id=self._request_id,
-            method=head.method,
-            host=head.host,
-            path=head.path,
-            query=head.query,
-            presented_key=self._key,
-            deadline=head.deadline,
-            content_length=head.content_length,
-        )
+        arrived = _arrived(self._request_id, self._head)
         try:
             self._host.post(RequestSubmitted(arrived, self._mailbox))
         except InboxFullError:
@@ -198,7 +187,7 @@
             case Deliver(request_id=self._request_id):
                 await self._async_deliver(message.attempt)
             case Discard(request_id=self._request_id):
-                self._cancel_attempt(message.attempt)
+                self._attempts.cancel(message.attempt)
             case AttemptEvent():
                 await self._async_on_attempt(message)
             case _:
@@ -211,9 +200,7 @@
         Those were admitted while the key was valid and end by their deadline.
         """
         self._draining = True
-        running = None
-        if self._committed_attempt is not None:
-            running = self._attempts.get(self._committed_attempt)
+        running = self._attempts.committed
         if running is not None and running.is_event_stream:
             logger.info("key withdrawn; resetting the connection of an event stream")
             self._reset_connection()
@@ -221,11 +208,7 @@
     # Timers
 
     def _next_timer_at(self) -> float:
-        times = [
-            running.buffer_deadline
-            for running in self._attempts.values()
-            if running.response is not None and self._committed_attempt is None
-        ]
+        times = list(self._attempts.buffer_deadlines())
         if self._body.read_deadline is not None:
             times.append(self._body.read_deadline)
         idle_deadline = (
@@ -238,14 +221,9 @@
         if self._body.read_deadline is not None and now >= self._body.read_deadline:
             self._on_body_timeout()
             return
-        for number, running in list(self._attempts.items()):
-            buffering = running.response is not None and not running.outcome_reported
-            if (
-                self._committed_attempt is None
-                and buffering
-                and now >= running.buffer_deadline
-            ):
-                await self._async_commit(number)
+        number = self._attempts.first_to_forward(now)
+        if number is not None:
+            await self._async_commit(number)
 
     def _on_body_timeout(self) -> None:
         if self._attempts:
@@ -330,8 +308,8 @@
         )
         attempt = AttemptTask(spec, self._mailbox, self._pool, self._clock, self._tls)
         task = asyncio.create_task(attempt.async_run())
-        self._attempts[assigned.attempt] = RunningAttempt(attempt, task, assigned)
-        self._attempt_count += 1
+        running = RunningAttempt(attempt, task, assigned)
+        self._attempts.add(assigned.attempt, running)
         self._last_assigned = assigned
 
     async def _async_on_attempt(self, event: AttemptEvent) -> None:
@@ -364,7 +342,7 @@
     async def _async_on_data(
         self, number: int, running: RunningAttempt, data: bytes
     ) -> None:
-        if self._committed_attempt == number:
+        if self._attempts.is_committed_to(number):
             await self._async_write(h11.Data(data=data))
             return
         if running.append_to_buffer(data) and not running.outcome_reported:
@@ -377,30 +355,31 @@
         if not running.outcome_reported:
             self._report(outcome)
             await self._async_deliver(number)
-        elif self._committed_attempt == number:
+        elif self._attempts.is_committed_to(number):
             await self._async_deliver(number)
 
     def _on_failed(
         self, number: int, running: RunningAttempt, outcome: AttemptOutcome
     ) -> None:
-        del self._attempts[number]
+        self._attempts.remove(number)
         if self._chunk_requester == number:
             self._chunk_requester = None
         if not running.outcome_reported:
             self._report(outcome)
-        if self._committed_attempt == number or running.outcome_reported:
+        if self._attempts.is_committed_to(number) or running.outcome_reported:
             self._reset_connection()
 
     def _report(self, outcome: AttemptOutcome) -> None:
-        replayable = self._body.is_replayable and self._committed_attempt is None
+        replayable = self._body.is_replayable and not self._attempts.is_committed
         self._host.post_unbounded(RequestUpdate(AttemptFinished(outcome, replayable)))
 
     async def _async_commit(self, number: int) -> None:
         """Start to forward a response; the request cannot be retried afterwards."""
-        running = self._attempts[number]
-        assert running.response is not None
-        self._committed_attempt = number
-        self._cancel_other_attempts(number)
+        running = self._attempts.get(number)
+        assert running is not None and running.response is not None
+        for outcome in self._attempts.commit(number):
+            update = RequestUpdate(AttemptFinished(outcome, replayable=False))
+            self._host.post_unbounded(update)
         length = running.content_length_for(self._head.method)
         self._send_response_head(running.response, length)
         data, running.buffer = bytes(running.buffer), bytearray()
@@ -413,12 +392,12 @@
         if running is None or running.response is None:
             self._reset_connection()
             return
-        if self._committed_attempt is None:
+        if not self._attempts.is_committed:
             await self._async_commit(number)
         if not running.is_complete or self._is_done:
             return
         await self._async_write(h11.EndOfMessage())
-        del self._attempts[number]
+        self._attempts.remove(number)
         self._finish(running.response.status_code, "passed")
 
     def _send_response_head(self, response: h11.Response, length: int | None) -> None:
@@ -448,35 +427,18 @@
 
     def _write_timeout(self) -> float:
         timeout = self._limits.body_timeout.total_seconds()
-        running = self._attempts.get(self._committed_attempt or 0)
+        running = self._attempts.committed
         if running is None:
             return timeout
         return min(timeout, running.seconds_to_follow(self._clock.monotonic()))
 
-    def _cancel_attempt(self, number: int) -> None:
-        running = self._attempts.pop(number, None)
-        if running is not None:
-            running.task.cancel()
-
-    def _cancel_other_attempts(self, committed: int) -> None:
-        for number, running in list(self._attempts.items()):
-            if number == committed:
-                continue
-            running.task.cancel()
-            del self._attempts[number]
-            if not running.outcome_reported:
-                outcome = running.cancelled_outcome()
-                self._host.post_unbounded(
-                    RequestUpdate(AttemptFinished(outcome, replayable=False))
-                )
-
     # End of the request
 
     def _respond_refusal(self, refusal: Refusal) -> None:
         if self._stream.http.our_state is not h11.SEND_RESPONSE:
             self._reset_connection()
             return
-        self._cancel_attempts()
+        self._attempts.cancel_all()
         close = self._draining or not self._body.is_complete
         response, body = refusal_response(
             refusal, self._external_request_id, close, self._names
@@ -508,7 +470,15 @@
         self._abandon()
         self._stream.port.reset()
 
-    def _cancel_attempts(self) -> None:
-        for running in self._attempts.values():
-            running.task.cancel()
-        self._attempts.clear()
+
+def _arrived(request_id: RequestId, head: CallerHead) -> RequestArrived:
+    return RequestArrived(
+        request_id=request_id,
+        method=head.method,
+        host=head.host,
+        path=head.path,
+        query=head.query,
+        presented_key=head.presented_key,
+        deadline=head.deadline,
+        content_length=head.content_length,
+    )
