--- a/src/catkinspan/transport/upstreams/attempt.py
+++ b/src/catkinspan/transport/upstreams/attempt.py
@@ -239,7 +239,7 @@
             elif isinstance(event, h11.EndOfMessage) and self._is_stale_response:
                 self._read_next_response(reader)
             elif self._is_stale_response and isinstance(event, h11.Data):
-                await asyncio.sleep(0)
+                continue
             elif isinstance(event, h11.Data):
                 await self._async_post(AttemptData(self._attempt, bytes(event.data)))
             elif isinstance(event, h11.EndOfMessage):
