Count attempts that end at the deadline of their request

Seen: test_endless_bytes_that_are_no_answer_end_as_a_failure[other-body] found no failure in the metrics beside load, though the caller had got its answer.

Cause: attempts were counted when their end was reported. One that the host ended at the deadline, or with its caller, was reported by nobody.

Change: the coordinator of requests counts each attempt once, at its end.

Test: test_attempts_that_the_deadline_ends_are_counted failed before.

--- a/src/catkinspan/coordination/host/coordinator.py
+++ b/src/catkinspan/coordination/host/coordinator.py
@@ -108,6 +108,7 @@
                 balancer=self.balancer,
                 retries=self.retries,
                 health=self.health,
+                metrics=self.metrics,
             ),
             outbox,
             rng,
@@ -177,7 +178,6 @@
             case BodyReceived():
                 self.requests.receive_body(message, now)
             case AttemptFinished():
-                self.metrics.record_attempt(message.outcome, now)
                 self.requests.finish_attempt(message, now)
             case RequestAbandoned():
                 self.requests.abandon_request(message, now)
--- a/src/catkinspan/coordination/requests/coordinator.py
+++ b/src/catkinspan/coordination/requests/coordinator.py
@@ -387,6 +387,7 @@
         for attempt in request.running_attempts:
             outcome = unreported_outcome(request, attempt, kind)
             self._dependencies.health.record_outcome(outcome, now)
+            self._dependencies.metrics.record_attempt(outcome, now)
         request.running_attempts.clear()
 
     def _hedge(self, request: ActiveRequest, now: float) -> None:
@@ -406,6 +407,7 @@
         self, request: ActiveRequest, outcome: AttemptOutcome, now: float
     ) -> None:
         self._dependencies.health.record_outcome(outcome, now)
+        self._dependencies.metrics.record_attempt(outcome, now)
         if may_have_run(outcome):
             request.ran = Ran.MAYBE
         if request.fingerprint is None:
--- a/src/catkinspan/coordination/requests/dependencies.py
+++ b/src/catkinspan/coordination/requests/dependencies.py
@@ -7,6 +7,7 @@
 from catkinspan.coordination.balancing.balancer import Balancer
 from catkinspan.coordination.health.coordinator import HealthCoordinator
 from catkinspan.coordination.keys.coordinator import KeyCoordinator
+from catkinspan.coordination.metrics.coordinator import MetricsCoordinator
 from catkinspan.coordination.quarantine.coordinator import QuarantineCoordinator
 from catkinspan.coordination.rates.coordinator import RateCoordinator
 from catkinspan.coordination.retries.coordinator import RetryCoordinator
@@ -41,3 +42,4 @@
     balancer: Balancer
     retries: RetryCoordinator
     health: HealthCoordinator
+    metrics: MetricsCoordinator
--- a/tests/coordination/requests/test_timers.py
+++ b/tests/coordination/requests/test_timers.py
@@ -97,3 +97,15 @@
     assert timers.next_due() == 2.0
     assert timers.take_due(2.0) == [REQUEST]
     assert timers.next_due() == float("inf")
+
+
+def test_attempts_that_the_deadline_ends_are_counted() -> None:
+    """Guards against metrics without the servers that hang."""
+    fleet = virtual_fleet(3, respond=_never_ends)
+    fleet.channel.run(2.0)
+    _submit(fleet)
+    fleet.channel.run(2.0 + DEADLINE_SECONDS + 1.0)
+    metrics = fleet.hosts[HOST].coordinator.metrics.snapshot(fleet.channel.now)
+    counts = {kind: count for (_, kind), count in metrics.attempts.items()}
+    started = [a for a in fleet.attempts if a.assigned.request_id == REQUEST]
+    assert counts == {OutcomeKind.TIMEOUT: len(started)}
