--- a/src/catkinspan/coordination/balancing/balancer.py
+++ b/src/catkinspan/coordination/balancing/balancer.py
@@ -86,7 +86,7 @@
     The cost of a failure depends on the request: a non-idempotent one is lost, while an
     idempotent one is answered by another server. Some requests are sent to high-risk
     servers as trials, since only requests show whether a server has recovered: a share
-    of the idempotent ones, and others at a fixed rate for each server.
+    of those that can be hedged, and others at a fixed rate for each server.
     """
 
     def __init__(
@@ -199,11 +199,13 @@
     ) -> _Candidate | None:
         """Return a random server if it is this request's turn to be a trial of it.
 
-        A request that may be lost is sent with the probability that the server is not
-        in a bad phase (Thompson sampling), so that servers which surely fail get few.
+        The request cannot be hedged and may be lost. It is sent with the probability
+        that the server is not in a bad phase (Thompson sampling), so that servers which
+        surely fail get few.
         """
         servers = len(service.upstreams)
-        if request.tried_servers or not servers:
+        is_hedged = request.idempotent and request.allows_trial
+        if is_hedged or request.tried_servers or not servers:
             return None
         schedule = self._schedules.get(request.service)
         if schedule is None:
@@ -214,8 +216,7 @@
         candidate = next(self._usable((examined,), request, now), None)
         if candidate is None or not candidate.is_open_to_trial:
             return None
-        is_hedged = request.idempotent and request.allows_trial
-        if not is_hedged and self._rng.random() < candidate.view.risk:
+        if self._rng.random() < candidate.view.risk:
             return None
         return candidate if _is_in_time(candidate, request) else None
 
--- a/src/catkinspan/coordination/balancing/const.py
+++ b/src/catkinspan/coordination/balancing/const.py
@@ -57,10 +57,10 @@
 """Time after which requests in flight no longer prevent a trial. They hang, or news of
 their end is missing, and a server is to be in use 2 s after it has recovered."""
 
-TRIALS_PER_SECOND = 2.0
-"""Limit of the trials of a high-risk server by the requests of the whole fleet, beside
-those of `TRIAL_SHARE`. At this rate few recovered servers are without a request for 2 s
-by chance."""
+TRIALS_PER_SECOND = 1.5
+"""Limit of the trials of a high-risk server by requests of the whole fleet that cannot
+be hedged. Hedged trials use up the retry budget when much fails, and some services get
+no idempotent requests."""
 
 MAX_TRIAL_CREDIT = 2.0
 """Trials that a host without requests may save up."""
