--- a/src/catkinspan/coordination/health/const.py
+++ b/src/catkinspan/coordination/health/const.py
@@ -104,11 +104,6 @@
 """Weight of a risk beside one request in flight, in the order of sending. It is that of
 a certain failure in the choice of servers."""
 
-WAITING_WEIGHT_PER_SECOND = 4.0
-"""Weight of a second of waiting in the order of sending, beside one request in flight.
-Without it small changes would never be sent while many servers fail, and servers that
-have become idle would count as busy."""
-
 KEEPALIVE_SECONDS = 1.0
 """Interval of messages to followers while no state changes. Without any the followers
 would take the hub for silent and use their own estimates."""
--- a/src/catkinspan/coordination/health/publisher.py
+++ b/src/catkinspan/coordination/health/publisher.py
@@ -25,7 +25,6 @@
     STATE_BYTES,
     STATES_INTERVAL_SECONDS,
     URGENT_RISK_INCREASE,
-    WAITING_WEIGHT_PER_SECOND,
 )
 from catkinspan.coordination.health.models import (
     ServerState,
@@ -54,8 +53,6 @@
     risk_increase: float
     load_difference: int
     is_new: bool
-    waiting_seconds: float = 0.0
-    """Time since followers should have got a newer state."""
 
     @property
     def is_risk_changed(self) -> bool:
@@ -70,13 +67,8 @@
 
     @property
     def priority(self) -> float:
-        """Return the weight of the change; those of large weight are sent first.
-
-        It grows with the time that the change has waited, so that a small change is
-        sent although larger ones follow all the time.
-        """
-        weight = RISK_WEIGHT * abs(self.risk_increase) + abs(self.load_difference)
-        return weight + WAITING_WEIGHT_PER_SECOND * self.waiting_seconds
+        """Return the weight of the change; those of large weight are sent first."""
+        return RISK_WEIGHT * abs(self.risk_increase) + abs(self.load_difference)
 
 
 class StatePublisher:
@@ -91,9 +83,7 @@
     def __init__(self, assessor: Assessor) -> None:
         self._assessor = assessor
         self._sent: dict[ServerId, _SentState] = {}
-        self._pending: dict[ServerId, float] = {}
-        """When each server first changed after its last state was sent."""
-
+        self._pending: dict[ServerId, None] = {}
         self._sequence = 0
         self._load_budget = ByteBudget(HUB_LOAD_BYTES_PER_SECOND)
         self._urgent_budget = ByteBudget(HUB_URGENT_BYTES_PER_SECOND)
@@ -102,9 +92,6 @@
         )
         self._load_message_at = float("-inf")
         self._minor_states_at = float("-inf")
-        self._has_backlog = False
-        """Whether the last message on loads had no room for some changes."""
-
         self._message_at = float("-inf")
 
     def next_message(
@@ -115,8 +102,7 @@
         `local_slots` has the servers of the data centre. Loads of others, and small
         changes of load, are sent at a longer interval.
         """
-        for server in self._assessor.take_changed():
-            self._pending.setdefault(server, now)
+        self._pending.update(dict.fromkeys(self._assessor.take_changed()))
         return self._urgent_message(receivers, now) or self._load_message(
             receivers, local_slots, now
         )
@@ -143,22 +129,18 @@
         if not changes and now - self._message_at < KEEPALIVE_SECONDS:
             return None
         self._load_message_at = now
-        count = len(changes)
-        message = self._publish(changes, self._load_budget, receivers, now)
-        self._has_backlog = len(message.states) < count
-        return message
+        return self._publish(changes, self._load_budget, receivers, now)
 
     def _pending_changes(
         self, local_slots: Mapping[ServerId, int], now: float
     ) -> list[_Change]:
         """Return the changes to send, and forget servers without any."""
-        is_minor_due = now - self._minor_states_at >= MINOR_STATE_SECONDS
-        if is_minor_due:
+        includes_minor = now - self._minor_states_at >= MINOR_STATE_SECONDS
+        if includes_minor:
             self._minor_states_at = now
-        includes_minor = is_minor_due or self._has_backlog
         found = []
-        for server, pending_since in list(self._pending.items()):
-            change = self._change(server, now, now - pending_since)
+        for server in list(self._pending):
+            change = self._change(server, now)
             if not change.is_risk_changed and not change.load_difference:
                 del self._pending[server]
                 continue
@@ -216,17 +198,13 @@
         risk = decayed_risk(sent.risk, now - sent.at)
         return ServerState(server_digest(server), sent.in_flight, _to_step(risk))
 
-    def _change(
-        self, server: ServerId, now: float, waiting_seconds: float = 0.0
-    ) -> _Change:
+    def _change(self, server: ServerId, now: float) -> _Change:
         """Compare the current state of a server to the one that followers have."""
         in_flight, risk = self._assessor.load_and_risk(server, now)
         sent = self._sent.get(server)
         rounded_risk = _to_step(risk)
         if sent is None:
-            return _Change(
-                server, in_flight, rounded_risk, risk, in_flight, True, waiting_seconds
-            )
+            return _Change(server, in_flight, rounded_risk, risk, in_flight, True)
         known_risk = decayed_risk(sent.risk, now - sent.at)
         return _Change(
             server,
@@ -235,7 +213,6 @@
             max(risk, NEGLIGIBLE_RISK) - max(known_risk, NEGLIGIBLE_RISK),
             in_flight - sent.in_flight,
             False,
-            waiting_seconds,
         )
 
     def keep_only(self, servers: set[ServerId]) -> None:
