--- a/src/catkinspan/coordination/balancing/balancer.py
+++ b/src/catkinspan/coordination/balancing/balancer.py
@@ -20,6 +20,7 @@
     MIN_TRIAL_RISK,
     REMOTE_DATA_CENTRE_COST,
     TRIAL_IN_FLIGHT_LIMIT,
+    TRIAL_RISK_EXPONENT,
     TRIAL_SHARE,
     TRIAL_WAIT_SECONDS,
 )
@@ -199,9 +200,8 @@
     ) -> _Candidate | None:
         """Return a random server if it is this request's turn to be a trial of it.
 
-        The request cannot be hedged and may be lost. It is sent with the probability
-        that the server is not in a bad phase (Thompson sampling), so that servers which
-        surely fail get few.
+        The request cannot be hedged and may be lost, so that the probability falls with
+        the risk and servers which surely fail get few.
         """
         servers = len(service.upstreams)
         is_hedged = request.idempotent and request.allows_trial
@@ -216,7 +216,8 @@
         candidate = next(self._usable((examined,), request, now), None)
         if candidate is None or not candidate.is_open_to_trial:
             return None
-        if self._rng.random() < candidate.view.risk:
+        share = (1.0 - candidate.view.risk) ** TRIAL_RISK_EXPONENT
+        if self._rng.random() >= share:
             return None
         return candidate if _is_in_time(candidate, request) else None
 
--- a/src/catkinspan/coordination/balancing/const.py
+++ b/src/catkinspan/coordination/balancing/const.py
@@ -57,10 +57,14 @@
 """Time after which requests in flight no longer prevent a trial. They hang, or news of
 their end is missing, and a server is to be in use 2 s after it has recovered."""
 
-TRIALS_PER_SECOND = 1.5
+TRIALS_PER_SECOND = 5.0
 """Limit of the trials of a high-risk server by requests of the whole fleet that cannot
-be hedged. Hedged trials use up the retry budget when much fails, and some services get
-no idempotent requests."""
+be hedged, at a risk of zero. Hedged trials use up the retry budget when much fails, and
+some services get no idempotent requests."""
+
+TRIAL_RISK_EXPONENT = 2.0
+"""Exponent of the probability that a server is not in a bad phase, in the share of the
+requests that are sent there as trials and may be lost."""
 
 MAX_TRIAL_CREDIT = 2.0
 """Trials that a host without requests may save up."""
