--- a/src/catkinspan/coordination/membership/coordinator.py
+++ b/src/catkinspan/coordination/membership/coordinator.py
@@ -144,11 +144,13 @@
         match message:
             case Heartbeat():
                 self._on_heartbeat(message, sender, now)
-            case Roster(entries, sizes, contacts):
+            case Roster(entries, sizes, contacts, unheard):
                 for entry in entries[:MAX_ROSTER_ENTRIES]:
                     self._merge_record(entry.record, now - entry.age_ms / 1000, now)
                 for size in sizes[:MAX_DATA_CENTRES]:
                     self._view_outdated |= self._sizes.merge(size, now)
+                if sender.host == self._hubs[0]:
+                    self._view_outdated |= self._sizes.apply_unheard(unheard)
                 self._seeds.keep(contacts[:ROSTER_CONTACTS])
                 self.record_message(sender, now)
         if self._view_outdated:
--- a/src/catkinspan/coordination/membership/models.py
+++ b/src/catkinspan/coordination/membership/models.py
@@ -56,6 +56,9 @@
     """Addresses of further hosts of the receiver's data centre, in rotation. A host
     that loses all hub candidates at once finds the others through them."""
 
+    unheard: tuple[DataCentre, ...] = ()
+    """Data centres that the sender does not hear, for hosts of its own data centre."""
+
 
 @frozen
 class HostStatusChanged(Event):
--- a/src/catkinspan/coordination/membership/rosters.py
+++ b/src/catkinspan/coordination/membership/rosters.py
@@ -42,8 +42,10 @@
         for name in listed:
             records += self._table.candidates(name, now)[:HUBS_PER_DATA_CENTRE]
         entries = tuple(self._entry(record, now) for record in records)
-        contacts = self._contacts() if receiver == own else ()
-        return Roster(entries, self._sizes.all_sizes(now), contacts)
+        sizes = self._sizes.all_sizes(now)
+        if receiver != own:
+            return Roster(entries, sizes)
+        return Roster(entries, sizes, self._contacts(), self._sizes.unheard(now))
 
     def _contacts(self) -> tuple[Address, ...]:
         addresses = [
--- a/src/catkinspan/coordination/membership/sizes.py
+++ b/src/catkinspan/coordination/membership/sizes.py
@@ -1,5 +1,8 @@
 """Numbers of hosts in each data centre, as counted by the hubs."""
 
+from collections.abc import Iterable
+from itertools import islice
+
 from catkinspan.coordination.membership.const import (
     DATA_CENTRE_SILENT_SECONDS,
     HOST_EXPIRY_SECONDS,
@@ -60,6 +63,9 @@
     def __init__(self, table: PeerTable) -> None:
         self._table = table
         self._reported = ReportedSizes()
+        self._unheard: frozenset[DataCentre] = frozenset()
+        """Data centres that the hub of this host does not hear."""
+
         self._hub_since: float | None = None
         self._inherited: DataCentreSize | None = None
         """Size of the data centre when this host became a hub."""
@@ -76,6 +82,19 @@
         """Keep a reported size; return whether it changed a count."""
         return self._reported.merge(size, now)
 
+    def apply_unheard(self, data_centres: Iterable[DataCentre]) -> bool:
+        """Keep the data centres that the hub does not hear; return whether they are
+        others than before."""
+        unheard = frozenset(islice(data_centres, MAX_DATA_CENTRES))
+        previous, self._unheard = self._unheard, unheard
+        return self._unheard != previous
+
+    def unheard(self, now: float) -> tuple[DataCentre, ...]:
+        """Return the other data centres that neither this host nor its hub hears."""
+        own = self._table.own.data_centre
+        others = (size.data_centre for size in self._reported.others(own, now))
+        return tuple(n for n in others if not self._is_data_centre_alive(n, now))
+
     def own_size(self, now: float) -> DataCentreSize:
         """Return the size of this host's data centre."""
         data_centre = self._table.own.data_centre
@@ -143,11 +162,11 @@
     def _is_data_centre_alive(self, data_centre: DataCentre, now: float) -> bool:
         """Return whether a hub of another data centre sends messages.
 
-        A host that is not a hub receives none from there and relies on the counts of
-        its hubs, so the answer is always true for it, and for a new hub.
+        A host that is not a hub receives none from there and relies on its hub, and so
+        does a new hub.
         """
         if not self._is_settled(now):
-            return True
+            return data_centre not in self._unheard
         return any(
             now - peer.last_message_at <= DATA_CENTRE_SILENT_SECONDS
             for peer in self._table.in_data_centre(data_centre)
