--- a/src/catkinspan/coordination/membership/isolation.py
+++ b/src/catkinspan/coordination/membership/isolation.py
@@ -49,6 +49,9 @@
         self._outbox = outbox
         self._limit: float | None = None
         self._isolated = False
+        self._known_count = 0
+        """Known hosts when the host was isolated; 0 while it is not. Hosts that it lost
+        are forgotten after a while, which must not end the isolation."""
 
     @property
     def is_isolated(self) -> bool:
@@ -62,11 +65,15 @@
     def tick(self, view: FleetView, now: float) -> None:
         """Update the isolation state from the contact age and the fleet view."""
         age = self._contact.contact_age(now)
-        without_peers = view.known_count == 1 or view.alive_share <= MIN_ALIVE_SHARE
+        known_count = max(view.known_count, self._known_count)
+        without_peers = (
+            known_count == 1 or view.alive_count <= MIN_ALIVE_SHARE * known_count
+        )
         isolated = self._limit is not None and age > self._limit and without_peers
         if isolated == self._isolated:
             return
         self._isolated = isolated
+        self._known_count = view.known_count if isolated else 0
         if isolated and self._limit is not None:
             event: Event = HostIsolated(view.alive_share, age, self._limit)
         else:
--- a/tests/coordination/membership/test_isolation.py
+++ b/tests/coordination/membership/test_isolation.py
@@ -86,3 +86,15 @@
 def _isolated(fleet: VirtualFleet) -> set[HostId]:
     now = fleet.channel.now
     return {h for h, node in fleet.hosts.items() if node.coordinator.is_isolated(now)}
+
+
+def test_host_stays_isolated_when_it_has_forgotten_the_others() -> None:
+    """Guards against a data centre that serves by old settings again because the hosts
+    that it lost are no longer counted."""
+    contact = StubContact(6.0)
+    isolation = monitor(contact)
+    isolation.tick(view(18, 6), 0.0)
+    isolation.tick(view(6, 6), 45.0)
+    assert isolation.is_isolated
+    isolation.tick(view(18, 18), 50.0)
+    assert not isolation.is_isolated
