--- a/src/catkinspan/coordination/budget.py
+++ b/src/catkinspan/coordination/budget.py
@@ -29,8 +29,12 @@
 
     def is_available(self, now: float) -> bool:
         """Return whether a message may be sent."""
+        return self.available(now) >= 0.0
+
+    def available(self, now: float) -> float:
+        """Return the bytes that are left; negative after an overdraft."""
         self._refill(now)
-        return self._level >= 0.0
+        return self._level
 
     def charge(self, size: float, now: float) -> None:
         """Take the bytes of a message."""
--- a/src/catkinspan/coordination/rates/const.py
+++ b/src/catkinspan/coordination/rates/const.py
@@ -48,6 +48,10 @@
 """Bytes that a hub sends on levels. With the budgets of the states of servers it stays
 below a tenth of a link of 10 Mbit/s."""
 
+LEVEL_BURST_SECONDS = 2.0
+"""Time for which bytes that were not sent are kept. When many callers return at once,
+most workspaces are short for a moment."""
+
 LEVEL_BYTES = 30
 """Size of a level in a message, with a name of usual length."""
 
--- a/src/catkinspan/coordination/rates/publisher.py
+++ b/src/catkinspan/coordination/rates/publisher.py
@@ -9,6 +9,7 @@
 from catkinspan.coordination.const import REPORT_INTERVAL_SECONDS
 from catkinspan.coordination.rates.const import (
     HUB_LEVEL_BYTES_PER_SECOND,
+    LEVEL_BURST_SECONDS,
     LEVEL_BYTES,
     LEVEL_KEPT_SECONDS,
     LEVEL_REFRESH_SECONDS,
@@ -35,7 +36,7 @@
 
     def __init__(self) -> None:
         self._sent: dict[WorkspaceId, _SentLevel] = {}
-        self._budget = ByteBudget(HUB_LEVEL_BYTES_PER_SECOND, REPORT_INTERVAL_SECONDS)
+        self._budget = ByteBudget(HUB_LEVEL_BYTES_PER_SECOND, LEVEL_BURST_SECONDS)
 
     def next_message(
         self, short: Mapping[WorkspaceId, WorkspaceLevel], receivers: int, now: float
@@ -45,6 +46,9 @@
         `short` has the workspaces that are short of tokens.
         """
         room = self._room(receivers, now)
+        if len(short) > room:
+            # All requests of the others are admitted, as without a level.
+            short = {n: level for n, level in short.items() if level.admit_share < 1}
         recovered = [name for name in self._sent if name not in short]
         is_partial = len(short) > room
         if is_partial:
@@ -65,9 +69,12 @@
 
     def _room(self, receivers: int, now: float) -> int:
         """Return the number of levels for which the budget pays now."""
-        if not self._budget.is_available(now):
+        available = self._budget.available(now)
+        if available < 0:
             return 0
-        available = self._budget.bytes_per_second * REPORT_INTERVAL_SECONDS
+        available = max(
+            available, self._budget.bytes_per_second * REPORT_INTERVAL_SECONDS
+        )
         return ceil(available / LEVEL_BYTES / max(1, receivers))
 
     def _select(
--- a/tests/coordination/rates/test_level_bytes.py
+++ b/tests/coordination/rates/test_level_bytes.py
@@ -102,3 +102,18 @@
     calm_at = fleet.channel.now
     fleet.run(8.0)
     assert fleet.refused_share(calm_at) <= 0.05
+
+
+@pytest.mark.parametrize("hot", [2.5, 4.0])
+def test_short_moment_of_many_workspaces_is_told_in_full(hot: float) -> None:
+    """Guards against refusals of workspaces that have tokens, because the hub has no
+    bytes for others when all callers return at once after a restart."""
+    fleet = _short_fleet(80, 8.0)
+    fleet.run(8.0)
+    fleet.restart(fleet.nodes)
+    fleet.channel.run(fleet.channel.now + 0.6)
+    since = fleet.channel.now
+    fleet.run(0.6, hot=dict.fromkeys(fleet.workspaces, hot))
+    fleet.run(3.0)
+    refused = [r for r in fleet.requests if r.at >= since and not r.is_admitted]
+    assert all(r.is_over_rate for r in refused)
