--- a/src/catkinspan/coordination/rates/const.py
+++ b/src/catkinspan/coordination/rates/const.py
@@ -70,6 +70,17 @@
 """Time for which a workspace is reported after its last request. Several reports carry
 the same counter, so the loss of one does no harm."""
 
+HOST_USE_BYTES_PER_SECOND = 2_000.0
+"""Bytes that a host sends to its primary hub on its use of rates. With the counts of
+servers it stays below 6 KB/s. The reports to standby hubs have as much."""
+
+REMOTE_USE_BYTES_PER_SECOND = 30_000.0
+"""Bytes that a hub sends to all hubs of other data centres on the use of rates, as much
+as on the counts of servers."""
+
+USAGE_BYTES = 32
+"""Size of a workspace's use in a message, with a name of usual length."""
+
 RECENT_USE_SECONDS = STANDBY_REPORT_INTERVAL_SECONDS + REPORT_INTERVAL_SECONDS
 """Shortest time for which an admission counts as recent: the longest interval between
 two reports to a standby hub. Earlier use reaches a hub late only if another hub counted
--- a/src/catkinspan/coordination/rates/coordinator.py
+++ b/src/catkinspan/coordination/rates/coordinator.py
@@ -1,5 +1,6 @@
 """Coordinator of the admission of requests by the rates of workspaces."""
 
+from collections.abc import Iterable
 from random import Random
 from typing import ClassVar
 
@@ -15,6 +16,7 @@
 from catkinspan.coordination.rates.bucket import TokenBucket
 from catkinspan.coordination.rates.const import (
     ASSUMED_FLEET_HOSTS,
+    HOST_USE_BYTES_PER_SECOND,
     LEVEL_KEPT_SECONDS,
     LEVELS_MAX_AGE_SECONDS,
     OWN_USE_WINDOW_SECONDS,
@@ -34,6 +36,7 @@
 from catkinspan.coordination.rates.policy import BucketLimits, RatePolicy
 from catkinspan.coordination.rates.publisher import LevelPublisher
 from catkinspan.coordination.rates.recent_use import RecentUse
+from catkinspan.coordination.rates.use_reports import UseReports
 from catkinspan.state.hosts import FleetView
 from catkinspan.state.ids import HostId, WorkspaceId
 from catkinspan.state.tree import SettingsTree, Workspace
@@ -91,6 +94,8 @@
         self._policy = policy
         self._ledger = UsageLedger(policy)
         self._publisher = LevelPublisher()
+        self._primary_reports = UseReports(HOST_USE_BYTES_PER_SECOND)
+        self._standby_reports = UseReports(HOST_USE_BYTES_PER_SECOND)
         self._last_report_at = float("-inf")
         self._last_standby_report_at = float("-inf")
         self._levels_received_at = float("-inf")
@@ -163,6 +168,8 @@
             state.recent_use.record(1, now)
         else:
             state.refused += 1
+        for reports in (self._primary_reports, self._standby_reports):
+            reports.record(workspace, int(admitted), 1, now)
         return admitted
 
     def _new_local_bucket(self, limits: BucketLimits, now: float) -> TokenBucket:
@@ -338,33 +345,49 @@
 
     def _report_usage(self, now: float) -> None:
         assert self._view is not None
-        usages = self.usages(now)
-        self._ledger.count_host_report(self._self_id, self._incarnation, usages, now)
-        if not usages:
+        self._ledger.count_host_report(
+            self._self_id, self._incarnation, self.usages(now), now
+        )
+        primary, *standby = self._view.hubs
+        self._send_use([primary], self._primary_reports, now)
+        if now - self._last_standby_report_at >= STANDBY_REPORT_INTERVAL_SECONDS:
+            self._send_use(standby, self._standby_reports, now)
+
+    def _send_use(
+        self, hubs: Iterable[HostId], reports: UseReports, now: float
+    ) -> None:
+        """Report the use of workspaces to other hosts, within the byte budget."""
+        receivers = [hub for hub in hubs if hub != self._self_id]
+        selected = reports.select(len(receivers), self.is_over_rate, now)
+        if not selected:
             return
-        to_standby = (
-            now - self._last_standby_report_at >= STANDBY_REPORT_INTERVAL_SECONDS
+        usages = tuple(
+            self._usage(name, self._states[name], now, unreported)
+            for name, unreported in selected.items()
+            if name in self._states
         )
-        for hub in self._view.hubs if to_standby else self._view.hubs[:1]:
-            if hub != self._self_id:
-                self._outbox.send(hub, HostUse(usages))
+        for hub in receivers:
+            self._outbox.send(hub, HostUse(usages))
 
     def usages(self, now: float) -> tuple[WorkspaceUsage, ...]:
         """Return the use of the workspaces that this host served lately."""
         return tuple(
-            WorkspaceUsage(
-                name,
-                state.admitted,
-                state.admitted + state.refused,
-                state.recent_use.total(now),
-            )
+            self._usage(name, state, now)
             for name, state in self._states.items()
             if now - state.last_used_at <= REPORT_AFTER_USE_SECONDS
         )
 
+    @staticmethod
+    def _usage(
+        name: WorkspaceId, state: _WorkspaceState, now: float, unreported: int = 0
+    ) -> WorkspaceUsage:
+        requested = state.admitted + state.refused
+        recent = max(unreported, state.recent_use.total(now))
+        return WorkspaceUsage(name, state.admitted, requested, recent)
+
     def _report_to_remote_hubs(self, now: float) -> None:
         assert self._view is not None
-        usages = self._ledger.local_usages(now)
+        usages = self._ledger.local_usages(len(self._view.remote_hubs), now)
         if not usages:
             return
         message = ZoneUse(usages)
--- a/src/catkinspan/coordination/rates/ledger.py
+++ b/src/catkinspan/coordination/rates/ledger.py
@@ -12,7 +12,7 @@
     IDLE_EXPIRY_SECONDS,
     LEVEL_HORIZON_SECONDS,
     LOW_LEVEL_SHARE,
-    REPORT_AFTER_USE_SECONDS,
+    REMOTE_USE_BYTES_PER_SECOND,
     SILENT_HOST_WEIGHT,
 )
 from catkinspan.coordination.rates.models import (
@@ -22,6 +22,7 @@
 )
 from catkinspan.coordination.rates.policy import BucketLimits, RatePolicy
 from catkinspan.coordination.rates.recent_use import RecentUse
+from catkinspan.coordination.rates.use_reports import UseReports
 from catkinspan.coordination.reporters import RemoteHubs, Reporter, Reporters
 from catkinspan.state.ids import DataCentre, HostId, WorkspaceId
 from catkinspan.state.tree import Workspace
@@ -36,7 +37,6 @@
     """Requests admitted in this data centre since these counters were created."""
 
     local_recent: RecentUse = field(factory=RecentUse)
-    local_last_used_at: float = float("-inf")
     last_used_at: float = 0.0
     local_requested: int = 0
     demand: float = 0.0
@@ -44,6 +44,11 @@
 
     demand_updated_at: float = 0.0
 
+    @property
+    def is_short(self) -> bool:
+        """Return whether the hosts need to know the level."""
+        return self.bucket.level < self.bucket.capacity * LOW_LEVEL_SHARE
+
     def record_demand(self, count: int, now: float) -> None:
         """Add requests to the exponential moving average of the demand."""
         decay = exp(-max(0.0, now - self.demand_updated_at) / DEMAND_AVERAGING_SECONDS)
@@ -72,6 +77,7 @@
         self._remote: RemoteHubs[WorkspaceId, WorkspaceUsage] = RemoteHubs(
             HUB_REPORT_MAX_AGE_SECONDS
         )
+        self._remote_reports = UseReports(REMOTE_USE_BYTES_PER_SECOND)
         self._workspaces: Mapping[WorkspaceId, Workspace] = {}
         self._share = 1.0
 
@@ -130,7 +136,9 @@
                 account.local_admitted += usage.admitted
                 account.local_recent.record(usage.admitted, now)
                 account.local_requested += usage.requested
-                account.local_last_used_at = now
+                self._remote_reports.record(
+                    usage.workspace, usage.admitted, usage.requested, now
+                )
 
     def count_remote_report(
         self,
@@ -175,27 +183,30 @@
         """Yield the levels of workspaces that are below `LOW_LEVEL_SHARE`."""
         for name, account in self._accounts.items():
             level = account.bucket.refill(now)
-            if self._workspaces[name].is_limited and level < (
-                account.bucket.capacity * LOW_LEVEL_SHARE
-            ):
+            if self._workspaces[name].is_limited and account.is_short:
                 account.record_demand(0, now)
                 expected_requests = max(1.0, account.demand * LEVEL_HORIZON_SECONDS)
                 share = min(1.0, max(0.0, level) / expected_requests)
                 yield WorkspaceLevel(name, round(level, 1), round(share, 3))
 
-    def local_usages(self, now: float) -> tuple[WorkspaceUsage, ...]:
-        """Return the recent usage of this data centre for remote hubs."""
+    def local_usages(self, receivers: int, now: float) -> tuple[WorkspaceUsage, ...]:
+        """Return the usage of this data centre to report to a number of remote hubs."""
+        selected = self._remote_reports.select(receivers, self._is_short, now)
         return tuple(
             WorkspaceUsage(
                 name,
                 account.local_admitted,
                 account.local_requested,
-                account.local_recent.total(now),
+                max(unreported, account.local_recent.total(now)),
             )
-            for name, account in self._accounts.items()
-            if now - account.local_last_used_at <= REPORT_AFTER_USE_SECONDS
+            for name, unreported in selected.items()
+            if (account := self._accounts.get(name)) is not None
         )
 
+    def _is_short(self, name: WorkspaceId) -> bool:
+        account = self._accounts.get(name)
+        return account is not None and account.is_short
+
     def forget_idle(self, now: float) -> None:
         """Drop reporters and workspaces without recent reports."""
         self._hosts.remove_stale(IDLE_EXPIRY_SECONDS, now)
