--- a/src/catkinspan/coordination/rates/policy.py
+++ b/src/catkinspan/coordination/rates/policy.py
@@ -53,6 +53,10 @@
     EXCHANGE_SHARE = 0.09
     """Share of the window's bound for what is admitted between two exchanges."""
 
+    RESERVE_HORIZONS = 1.5
+    """Reserve in the bucket, in horizons of the levels. A steady demand leaves one of
+    them; after a burst the average of the demand falls slowly and asks for more."""
+
     def __init__(self, window: RateWindow) -> None:
         self._window = window
 
@@ -65,7 +69,7 @@
         available = (1 - self.EXCHANGE_SHARE) * bound
         spare_rate = (available - 2 * burst) / (seconds + LEVEL_HORIZON_SECONDS)
         rate = max(published, spare_rate)
-        capacity = burst + rate * LEVEL_HORIZON_SECONDS
+        capacity = burst + rate * self.RESERVE_HORIZONS * LEVEL_HORIZON_SECONDS
         initial = min(capacity, max(1.0, available - rate * seconds - burst))
         return BucketLimits(rate, capacity, initial)
 
