--- a/src/catkinspan/coordination/requests/refusals.py
+++ b/src/catkinspan/coordination/requests/refusals.py
@@ -20,14 +20,15 @@
 _MIN_RETRY_AFTER_SECONDS = 0.1
 """Minimum `Retry-After`: two intervals of the hosts' load reports."""
 
+_UNKNOWING_RETRY_AFTER_SECONDS = 0.3
+"""`Retry-After` of a host that lacks knowledge which other hosts are likely to have."""
+
 NOT_READY = Refusal(
     RefusalKind.NOT_READY,
     "the host has no configuration yet",
     "try again, through another host if possible",
-    retry_after=_DEFAULT_RETRY_AFTER_SECONDS,
+    retry_after=_UNKNOWING_RETRY_AFTER_SECONDS,
 )
-_UNKNOWING_RETRY_AFTER_SECONDS = 0.3
-"""`Retry-After` of a host that lacks knowledge which other hosts are likely to have."""
 
 SETTINGS_KINDS = frozenset(
     {
@@ -44,7 +45,7 @@
     RefusalKind.ISOLATED,
     "the host cannot learn of withdrawn keys",
     "try again, through another host if possible",
-    retry_after=_DEFAULT_RETRY_AFTER_SECONDS,
+    retry_after=_UNKNOWING_RETRY_AFTER_SECONDS,
 )
 OVERLOADED = Refusal(
     RefusalKind.OVERLOADED,
--- a/tests/coordination/requests/test_refusals.py
+++ b/tests/coordination/requests/test_refusals.py
@@ -4,7 +4,13 @@
 
 from catkinspan.coordination.outcomes import OutcomeKind
 from catkinspan.coordination.requests.errors import Ran, RefusalKind
-from catkinspan.coordination.requests.refusals import outcome_refusal
+from catkinspan.coordination.requests.refusals import (
+    ISOLATED,
+    NOT_READY,
+    outcome_refusal,
+    outdated_refusal,
+    unknown_rate_refusal,
+)
 from catkinspan.protocol.http.responses import STATUS, refusal_status
 
 FAILURES = set(OutcomeKind) - {OutcomeKind.OK, OutcomeKind.CANCELLED}
@@ -31,3 +37,11 @@
     promises = {408, 421, 429, 503}
     assert refusal_status(outcome_refusal(kind, Ran.NO)) in promises
     assert refusal_status(outcome_refusal(kind, Ran.MAYBE)) not in promises
+
+
+def test_hosts_without_knowledge_let_callers_return_soon() -> None:
+    """Guards against callers that wait for a second, while other hosts know what a
+    host that starts or is cut off does not."""
+    unknown = [NOT_READY, ISOLATED, unknown_rate_refusal("")]
+    unknown.append(outdated_refusal(NOT_READY))
+    assert {refusal.retry_after for refusal in unknown} == {0.3}
