--- a/src/catkinspan/coordination/rates/coordinator.py
+++ b/src/catkinspan/coordination/rates/coordinator.py
@@ -214,13 +214,14 @@
         return state is not None and state.hub_level is not None
 
     def retry_after(self, workspace: WorkspaceId) -> float:
-        """Return the estimated seconds until a token is available."""
+        """Return the estimated seconds until the workspace's requests are admitted."""
         settings = self._workspaces.get(workspace)
         state = self._states.get(workspace)
         if settings is None or state is None or settings.rate <= 0:
             return 1.0
-        level = 0.0 if state.hub_level is None else state.hub_level.level
-        return max(1.0, 1.0 - level) / settings.rate
+        if state.hub_level is None:
+            return 1.0 / settings.rate
+        return max(1.0, state.hub_level.missing_tokens) / settings.rate
 
     def evidence(self, workspace: WorkspaceId, now: float) -> str:
         """Return the current basis for admission of a workspace, for the log."""
--- a/src/catkinspan/coordination/rates/models.py
+++ b/src/catkinspan/coordination/rates/models.py
@@ -57,6 +57,13 @@
     admit_share: float
     """Share of requests to admit so that the tokens last until the next report."""
 
+    @property
+    def missing_tokens(self) -> float:
+        """Return the tokens by which the level is below the expected requests."""
+        if self.admit_share <= 0 or self.level <= 0:
+            return 1.0 - self.level
+        return self.level / self.admit_share - self.level
+
 
 @frozen
 class Levels(PeerMessage):
