--- a/src/catkinspan/coordination/rates/const.py
+++ b/src/catkinspan/coordination/rates/const.py
@@ -48,6 +48,10 @@
 """Bytes that a hub sends on levels. With the budgets of the states of servers it stays
 below a tenth of a link of 10 Mbit/s."""
 
+LEVEL_BURST_SECONDS = 2.0
+"""Time for which bytes that were not sent are kept. When many callers return at once,
+most workspaces are short for a moment."""
+
 LEVEL_BYTES = 30
 """Size of a level in a message, with a name of usual length."""
 
@@ -66,6 +70,17 @@
 """Time for which a workspace is reported after its last request. Several reports carry
 the same counter, so the loss of one does no harm."""
 
+HOST_USE_BYTES_PER_SECOND = 2_000.0
+"""Bytes that a host sends to its primary hub on its use of rates. With the counts of
+servers it stays below 6 KB/s. The reports to standby hubs have as much."""
+
+REMOTE_USE_BYTES_PER_SECOND = 30_000.0
+"""Bytes that a hub sends to all hubs of other data centres on the use of rates, as much
+as on the counts of servers."""
+
+USAGE_BYTES = 32
+"""Size of a workspace's use in a message, with a name of usual length."""
+
 RECENT_USE_SECONDS = STANDBY_REPORT_INTERVAL_SECONDS + REPORT_INTERVAL_SECONDS
 """Shortest time for which an admission counts as recent: the longest interval between
 two reports to a standby hub. Earlier use reaches a hub late only if another hub counted
