Send large changes of the settings to few hosts at once

What callers saw: nothing yet; found while the same cause was looked for elsewhere. On links of 10 Mbit/s a change of 420 KB makes hosts take their hubs for silent, so that levels are missing and known keys and routes wait.

A hub pushed a change of up to 256 KB to all its followers at once, and answered each request for a larger one at once with all of it. Heartbeats, levels and rosters waited behind them for seconds; silent hubs were replaced and the new ones were asked for the same changes again.

Change: `OutgoingChanges` sends changes in messages of up to 64 K characters, which end with a revision, and keeps on its way to all hosts what the sender's link carries, compressed, in 50 ms. A new message, ChangesReceived, acknowledges each; without one, as from hosts of older versions, others go on after 0.25 s. Hosts that wait are told so, like those that wait for a copy, and half of them move to the other hub. Hubs come first. `Transfers` joins this with the copies.

--- a/src/catkinspan/coordination/configuration/const.py
+++ b/src/catkinspan/coordination/configuration/const.py
@@ -51,8 +51,20 @@
 MAX_HISTORY_CHANGES = 2_000
 """Latest changes that a hub can send without a full copy."""
 
-MAX_PUSH_CHARS = 256 * 1024
-"""Size up to which changes are pushed in one message; larger ones are requested."""
+MAX_CHANGES_CHARS = 64 * 1024
+"""Size up to which several changes are sent in one message. A link of 10 Mbit/s carries
+it, compressed, within 30 ms, so that other messages do not wait for long."""
+
+WINDOW_CHARS_PER_MBPS = 12 * 1024
+"""Size of large changes on their way to other hosts, for each Mbit/s of this host's
+link: what it carries, compressed, within 50 ms."""
+
+ASSUMED_LINK_MBPS = 10.0
+"""Bandwidth of a link of unknown bandwidth."""
+
+ACKNOWLEDGEMENT_SECONDS = 0.25
+"""Time after which changes are sent to further hosts though a host did not acknowledge
+its own; a transfer takes 50 ms and a round trip."""
 
 MAX_PART_CHARS = 32 * 1024
 """Characters in one message of a full copy, unless a single document is larger. A link
--- a/src/catkinspan/coordination/configuration/coordinator.py
+++ b/src/catkinspan/coordination/configuration/coordinator.py
@@ -1,6 +1,6 @@
 """Coordinator of the replica of the store and of the settings in force."""
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Sequence
 from math import ceil
 from typing import ClassVar
 
@@ -10,13 +10,12 @@
 )
 from catkinspan.coordination.configuration.const import (
     FRESHNESS_INTERVAL_SECONDS,
-    MAX_PUSH_CHARS,
     OUTAGE_THRESHOLD_SECONDS,
     OWN_READ_GRACE_SECONDS,
     PUSH_GRACE_SECONDS,
 )
 from catkinspan.coordination.configuration.contacts import StoreContacts
-from catkinspan.coordination.configuration.copies import OutgoingCopies, PartialCopy
+from catkinspan.coordination.configuration.copies import PartialCopy
 from catkinspan.coordination.configuration.echoes import ClockEchoes
 from catkinspan.coordination.configuration.in_force import (
     STORE_SOURCE,
@@ -24,6 +23,7 @@
 )
 from catkinspan.coordination.configuration.models import (
     Changes,
+    ChangesReceived,
     ClockStamp,
     ConfigurationSnapshot,
     CopyPart,
@@ -38,13 +38,10 @@
     StoreContactRegained,
     StoreSnapshot,
 )
-from catkinspan.coordination.configuration.parts import (
-    is_small,
-    split_into_parts,
-    text_chars,
-)
-from catkinspan.coordination.configuration.pulls import PullSchedule, SentCopies
+from catkinspan.coordination.configuration.parts import is_small
+from catkinspan.coordination.configuration.pulls import PullSchedule
 from catkinspan.coordination.configuration.replica import Replica
+from catkinspan.coordination.configuration.transfers import Transfers
 from catkinspan.coordination.coordinator import BaseCoordinator
 from catkinspan.coordination.models import PeerMessage, Sender
 from catkinspan.coordination.outbox import Outbox
@@ -68,6 +65,7 @@
 
     message_types: ClassVar[tuple[type[PeerMessage], ...]] = (
         Changes,
+        ChangesReceived,
         CopyPart,
         CopyRequest,
         Pull,
@@ -98,8 +96,7 @@
 
         self._last_freshness_at = float("-inf")
         self._pulls = PullSchedule()
-        self._sent_copies = SentCopies()
-        self._copies = OutgoingCopies(self._replica, outbox)
+        self._transfers = Transfers(self._replica, outbox, self._changes_message)
         self._partial_copies: dict[HostId, PartialCopy] = {}
 
     @property
@@ -170,7 +167,7 @@
         """Use a changed view of the fleet for forwarding and reader selection."""
         self._view = view
         self._completeness.keep_only(view.hosts.keys())
-        self._copies.apply_view(view)
+        self._transfers.apply_view(view)
 
     # The store
 
@@ -219,7 +216,9 @@
             case Pull():
                 self._answer_pull(sender.host, message, now)
             case CopyRequest():
-                self._copies.continue_copy(sender.host, message, now)
+                self._transfers.continue_copy(sender.host, message, now)
+            case ChangesReceived():
+                self._transfers.continue_changes(sender.host, message, now)
             case Freshness():
                 self._on_freshness(message, sender.host, now)
             case ClockStamp():
@@ -236,6 +235,9 @@
         contact_at = now - message.store_contact_age_ms / 1000
         self._record_peer_contact(contact_at, message.reader or source, source, now)
         changed = self._replica.merge(message.documents, message.revision)
+        if not is_small(message.documents):
+            self._pulls.record_part(source, now)
+            self._outbox.send(source, ChangesReceived(message.revision))
         self._apply_and_forward(changed, source, now)
 
     def _on_copy_part(self, part: CopyPart, source: HostId, now: float) -> None:
@@ -295,8 +297,8 @@
 
     def _request_changes(self, now: float, grace: float) -> None:
         hubs: Sequence[HostId] = () if self._view is None else self._view.hubs
-        if self._replica.revision == NO_REVISION:
-            # Spreads the first copies over the hubs.
+        if self._replica.revision == NO_REVISION or self._pulls.is_pending(now):
+            # Spreads first copies, and changes for which hosts queue, over the hubs.
             hubs = sorted(hubs, key=lambda hub: weight(hub, self._self_id))
         previous = self._pulls.source
         source = self._pulls.next_source(hubs, grace, now)
@@ -307,32 +309,18 @@
             self._outbox.send(source, Pull(self._replica.revision, in_parts=True))
 
     def _answer_pull(self, host: HostId, pull: Pull, now: float) -> None:
-        replica, after = self._replica, pull.after_revision
-        if after >= replica.revision:
-            return
-        changes = replica.changes_after(after) if after > NO_REVISION else None
-        if changes is None and pull.in_parts:
-            self._copies.request(host, now)
-            if self._copies.is_pending(host):
-                self._outbox.send(host, self._freshness_for(host, now))
-            return
-        if changes is None or not is_small(changes):
-            if self._sent_copies.is_on_its_way(host, replica.revision, now):
-                return
-            self._sent_copies.record(host, replica.revision, now)
-        if changes is not None:
-            self._outbox.send(host, self._changes_message(after, changes, now))
-            return
-        parts = split_into_parts(replica.documents.values())
-        for index, documents in enumerate(parts):
-            is_last = index == len(parts) - 1
-            part = CopyPart(replica.revision, index, documents, is_last)
-            self._outbox.send(host, part)
+        self._transfers.answer(host, pull, now)
+        if self._transfers.is_pending(host):
+            self._outbox.send(host, self._freshness_for(host, now))
 
     def _changes_message(
-        self, after: Revision, changes: tuple[Document, ...], now: float
+        self,
+        after: Revision,
+        revision: Revision,
+        changes: tuple[Document, ...],
+        now: float,
     ) -> Changes:
-        revision, age_ms = self._replica.revision, self._age_ms(now)
+        age_ms = self._age_ms(now)
         return Changes(after, revision, changes, age_ms, self._contacts.reader)
 
     def _apply_and_forward(
@@ -351,8 +339,11 @@
         if source is not None and not view.is_hub:
             receivers = set(view.followers)
         receivers -= {self._self_id, source}
+        after = Revision(min(document.revision for document in changed) - 1)
         if is_small(changed):
-            self._push(changed, receivers, now)
+            message = self._changes_message(after, self._replica.revision, changed, now)
+            for host in receivers:
+                self._outbox.send(host, message)
             return
         # A hub sends large changes to its primary followers only. The other ones have
         # another primary hub, and hubs pull what they lack.
@@ -361,28 +352,20 @@
         if source is None and view.rank > 0:
             # It reads because the first candidate does not reach the store.
             pushed |= receivers & set(view.hubs)
-        if text_chars(changed) <= MAX_PUSH_CHARS:
-            self._push(changed, pushed, now)
-            for host in pushed:
-                self._sent_copies.record(host, self._replica.revision, now)
-            pushed, hubs = set(), hubs - pushed
-        for host in pushed | hubs:
+        if self._replica.changes_after(after) is not None:
+            self._transfers.push(sorted(pushed), after, now)
+            hubs -= pushed
+            pushed = {host for host in pushed if self._transfers.is_pending(host)}
+        for host in hubs | pushed:
             self._outbox.send(host, self._freshness_for(host, now))
 
-    def _push(
-        self, changed: tuple[Document, ...], receivers: Iterable[HostId], now: float
-    ) -> None:
-        first_revision = min(document.revision for document in changed)
-        message = self._changes_message(Revision(first_revision - 1), changed, now)
-        for host in receivers:
-            self._outbox.send(host, message)
-
     # Time
 
     def tick(self, now: float) -> None:
         """Announce freshness, update the reader role and drop lapsed servers."""
         self._update_reader_role(now)
         self._request_changes(now, self._push_grace())
+        self._transfers.send_due_changes(now)
         if now - self._last_freshness_at >= FRESHNESS_INTERVAL_SECONDS:
             self._last_freshness_at = now
             self._send_freshness(now)
@@ -405,7 +388,6 @@
         return max(0, round(self.contact_age(now) * 1000))
 
     def _send_freshness(self, now: float) -> None:
-        self._sent_copies.remove_old(now)
         view = self._view
         if view is None:
             return
@@ -413,7 +395,7 @@
         for host in {*view.hubs, *view.remote_hubs} - {self._self_id}:
             self._outbox.send(host, stamp)
         receivers = {*view.followers, *view.remote_hubs}
-        self._copies.tick(now)
+        self._transfers.send_due_copies(now)
         self._echoes.keep_only(receivers)
         for host in receivers:
             self._outbox.send(host, self._freshness_for(host, now))
@@ -434,7 +416,7 @@
             copy_lag_ms,
             newest.revision - self._replica.revision,
             self._reader_fails,
-            self._copies.is_pending(host),
+            self._transfers.is_pending(host),
         )
 
     def _update_reader_role(self, now: float) -> None:
--- a/src/catkinspan/coordination/configuration/copies.py
+++ b/src/catkinspan/coordination/configuration/copies.py
@@ -68,8 +68,16 @@
         end = min(len(self.parts), self.received_count + COPY_WINDOW_PARTS)
         sent = range(self.sent_count, end)
         self.sent_count, self.sent_at = max(self.sent_count, end), now
-        last = len(self.parts) - 1
-        return [CopyPart(self.revision, n, self.parts[n], n == last) for n in sent]
+        return copy_parts(self.revision, self.parts)[sent.start : sent.stop]
+
+
+def copy_parts(revision: Revision, parts: Parts) -> list[CopyPart]:
+    """Return the messages of a copy."""
+    last = len(parts) - 1
+    return [
+        CopyPart(revision, index, documents, index == last)
+        for index, documents in enumerate(parts)
+    ]
 
 
 class OutgoingCopies:
@@ -88,6 +96,8 @@
 
         self._transfers: dict[HostId, _Transfer] = {}
         self._parts: tuple[Revision, Parts] | None = None
+        self._sent_at_once: dict[HostId, float] = {}
+        """Time of the latest copy that was sent to each host without waiting."""
 
     def apply_view(self, view: FleetView) -> None:
         """Use a changed view of the fleet."""
@@ -112,6 +122,17 @@
             transfer.sent_count = transfer.received_count
             self._send(host, transfer.take_parts(now))
 
+    def send_at_once(self, host: HostId, now: float) -> None:
+        """Send all parts to a host of an older version, which requests none.
+
+        Repeated requests add no further copy while one may be on its way.
+        """
+        sent_at = self._sent_at_once.get(host, float("-inf"))
+        if now - sent_at < REPEATED_ANSWER_SECONDS:
+            return
+        self._sent_at_once[host] = now
+        self._send(host, copy_parts(self._replica.revision, self._split()))
+
     def continue_copy(self, host: HostId, request: CopyRequest, now: float) -> None:
         """Send the next parts of a copy, or end it."""
         transfer = self._transfers.get(host)
@@ -136,6 +157,11 @@
         for host, transfer in list(self._transfers.items()):
             if now - transfer.heard_at > COPY_IDLE_SECONDS:
                 del self._transfers[host]
+        self._sent_at_once = {
+            host: sent_at
+            for host, sent_at in self._sent_at_once.items()
+            if now - sent_at < REPEATED_ANSWER_SECONDS
+        }
         if not self._transfers:
             self._parts = None
         self._start_next(now)
--- a/src/catkinspan/coordination/configuration/models.py
+++ b/src/catkinspan/coordination/configuration/models.py
@@ -85,6 +85,13 @@
     """Host that reached the store, as in `Freshness`."""
 
 
+@frozen
+class ChangesReceived(PeerMessage):
+    """Acknowledges large changes; the sender then sends what follows them."""
+
+    revision: Revision
+
+
 @frozen
 class CopyPart(PeerMessage):
     """One part of a full copy of the store; parts arrive in order."""
@@ -115,7 +122,7 @@
     revision: Revision
     received_parts: int
     is_cancelled: bool = False
-    """Whether the sender gets the copy from another host instead."""
+    """Whether the sender gets the copy, or changes, from another host instead."""
 
 
 @frozen
--- /dev/null
+++ b/src/catkinspan/coordination/configuration/outgoing_changes.py
@@ -0,0 +1,162 @@
+"""Large changes that a host sends to others, a limited amount at once."""
+
+from collections.abc import Callable, Iterable
+from itertools import groupby
+
+from attrs import frozen
+
+from catkinspan.coordination.configuration.const import (
+    ACKNOWLEDGEMENT_SECONDS,
+    ASSUMED_LINK_MBPS,
+    MAX_CHANGES_CHARS,
+    REPEATED_ANSWER_SECONDS,
+    SMALL_CHANGE_CHARS,
+    WINDOW_CHARS_PER_MBPS,
+)
+from catkinspan.coordination.configuration.models import Changes, Document
+from catkinspan.coordination.configuration.parts import text_chars
+from catkinspan.coordination.configuration.replica import Replica
+from catkinspan.coordination.outbox import Outbox
+from catkinspan.state.hosts import FleetView
+from catkinspan.state.ids import HostId, Revision
+
+MessageFactory = Callable[[Revision, Revision, tuple[Document, ...], float], Changes]
+"""Returns the message with the changes after a revision up to another one."""
+
+
+@frozen
+class _Unacknowledged:
+    revision: Revision
+    chars: int
+    sent_at: float
+
+    def is_on_its_way(self, now: float) -> bool:
+        """Return whether the changes take room in this host's link."""
+        return now - self.sent_at < ACKNOWLEDGEMENT_SECONDS
+
+    def answers(self, after: Revision, now: float) -> bool:
+        """Return whether a request needs no further answer yet.
+
+        Small changes travel in datagrams and may be lost, so they are sent again.
+        """
+        return (
+            self.chars > SMALL_CHANGE_CHARS
+            and after < self.revision
+            and now - self.sent_at < REPEATED_ANSWER_SECONDS
+        )
+
+
+class OutgoingChanges:
+    """Sends large changes to as many hosts at once as this host's link carries soon.
+
+    A host acknowledges each message and then gets the next one, so that further changes
+    wait here rather than in a full link, before heartbeats and levels.
+    Hosts of older versions do not acknowledge; they are waited for a short time only.
+    """
+
+    def __init__(
+        self, replica: Replica, outbox: Outbox, make_message: MessageFactory
+    ) -> None:
+        self._replica = replica
+        self._outbox = outbox
+        self._make_message = make_message
+        self._window = ASSUMED_LINK_MBPS * WINDOW_CHARS_PER_MBPS
+        self._hubs: tuple[HostId, ...] = ()
+        self._waiting: dict[HostId, Revision] = {}
+        """Revision up to which each host that waits has all changes."""
+
+        self._unacknowledged: dict[HostId, _Unacknowledged] = {}
+
+    def apply_view(self, view: FleetView) -> None:
+        """Adapt the amount to this host's link, and drop hosts that are gone."""
+        own = view.hosts.get(view.self_id)
+        mbps = 0.0 if own is None else own.link_mbps
+        self._hubs = (*view.hubs, *view.remote_hubs)
+        self._window = (mbps or ASSUMED_LINK_MBPS) * WINDOW_CHARS_PER_MBPS
+        self._waiting = {h: r for h, r in self._waiting.items() if h in view.hosts}
+
+    def is_waiting(self, host: HostId) -> bool:
+        """Return whether a host is yet to be sent changes."""
+        return host in self._waiting
+
+    def push(self, hosts: Iterable[HostId], after: Revision, now: float) -> None:
+        """Send hosts the changes after a revision, which they need not request."""
+        for host in hosts:
+            sent = self._unacknowledged.get(host)
+            if sent is None or not sent.is_on_its_way(now):
+                self._waiting.setdefault(host, after)
+        self._send_next(now)
+
+    def request(self, host: HostId, after: Revision, now: float) -> None:
+        """Send a host the changes after the revision up to which it has all.
+
+        Nothing is sent if they are on their way already.
+        """
+        sent = self._unacknowledged.get(host)
+        if sent is not None and sent.answers(after, now):
+            return
+        self._waiting[host] = after
+        self._send_next(now)
+
+    def acknowledge(self, host: HostId, revision: Revision, now: float) -> None:
+        """Record that changes up to a revision have arrived, and send what follows."""
+        sent = self._unacknowledged.get(host)
+        if sent is not None and sent.revision <= revision:
+            del self._unacknowledged[host]
+        if self._replica.revision > revision:
+            # The host that is being served goes on first.
+            self._waiting = {host: revision, **self._waiting}
+            self._waiting[host] = revision
+        self._send_next(now)
+
+    def cancel(self, host: HostId) -> None:
+        """Send nothing to a host, which gets the changes from another one."""
+        self._waiting.pop(host, None)
+
+    def tick(self, now: float) -> None:
+        """Send further changes in place of those that are not acknowledged."""
+        self._unacknowledged = {
+            host: sent
+            for host, sent in self._unacknowledged.items()
+            if now - sent.sent_at < REPEATED_ANSWER_SECONDS
+        }
+        self._send_next(now)
+
+    def _send_next(self, now: float) -> None:
+        sent = self._unacknowledged.values()
+        used = sum(changes.chars for changes in sent if changes.is_on_its_way(now))
+        while self._waiting and used < self._window:
+            # A hub comes first, since it can then send the changes as well.
+            hubs = (hub for hub in self._hubs if hub in self._waiting)
+            host = next(hubs, None) or next(iter(self._waiting))
+            after = self._waiting.pop(host)
+            revision, documents = self._next_changes(after)
+            if not documents:
+                continue
+            chars = text_chars(documents)
+            used += chars
+            self._unacknowledged[host] = _Unacknowledged(revision, chars, now)
+            message = self._make_message(after, revision, documents, now)
+            self._outbox.send(host, message)
+
+    def _next_changes(self, after: Revision) -> tuple[Revision, tuple[Document, ...]]:
+        """Return the changes of one message, and the revision that they lead to.
+
+        There are none if the host has all, or if the history does not reach back.
+        """
+        changes = self._replica.changes_after(after) or ()
+        ordered = sorted(changes, key=_revision)
+        chosen: list[Document] = []
+        chars = 0
+        # Changes of one revision belong together.
+        for _, group in groupby(ordered, key=_revision):
+            documents = list(group)
+            chars += text_chars(documents)
+            if chosen and chars > MAX_CHANGES_CHARS:
+                return chosen[-1].revision, tuple(chosen)
+            chosen += documents
+        return self._replica.revision, tuple(chosen)
+
+
+def _revision(document: Document) -> Revision:
+    return document.revision
--- a/src/catkinspan/coordination/configuration/pulls.py
+++ b/src/catkinspan/coordination/configuration/pulls.py
@@ -7,9 +7,8 @@
     MAX_PULL_RETRY_SECONDS,
     OTHER_PULL_RETRY_SECONDS,
     PULL_RETRY_SECONDS,
-    REPEATED_ANSWER_SECONDS,
 )
-from catkinspan.state.ids import NO_REVISION, HostId, Revision
+from catkinspan.state.ids import HostId, Revision
 
 _NEVER = float("-inf")
 
@@ -59,6 +58,11 @@
             self._has_part = True
             self._attempts = 1
 
+    def is_pending(self, now: float) -> bool:
+        """Return whether the requested host is to send, but has not begun to."""
+        is_answering = now - self._answered_at < ANSWERING_SOURCE_SECONDS
+        return self._source is not None and is_answering and not self._has_part
+
     def record_pending(self, source: HostId, now: float) -> None:
         """Record that a host prepares the copy that was requested from it."""
         if source == self._source:
@@ -105,27 +109,3 @@
         self._source, self._asked_at = source, now
         self._attempts += 1
         return True
-
-
-class SentCopies:
-    """Latest large message to each host, so that repeated requests add no more."""
-
-    def __init__(self) -> None:
-        self._sent: dict[HostId, tuple[Revision, float]] = {}
-
-    def record(self, host: HostId, revision: Revision, now: float) -> None:
-        """Record that the changes up to a revision were sent to a host."""
-        self._sent[host] = (revision, now)
-
-    def is_on_its_way(self, host: HostId, revision: Revision, now: float) -> bool:
-        """Return whether these changes were just sent to a host."""
-        sent, at = self._sent.get(host, (NO_REVISION, _NEVER))
-        return sent >= revision and now - at < REPEATED_ANSWER_SECONDS
-
-    def remove_old(self, now: float) -> None:
-        """Remove what no longer prevents an answer."""
-        self._sent = {
-            host: (revision, at)
-            for host, (revision, at) in self._sent.items()
-            if now - at < REPEATED_ANSWER_SECONDS
-        }
--- a/tests/coordination/configuration/test_large_changes.py
+++ b/tests/coordination/configuration/test_large_changes.py
@@ -1,12 +1,39 @@
 """Tests the propagation of changes that are too large to be pushed to all hosts."""
 
+from random import Random
+
 import pytest
 
-from catkinspan.coordination.configuration.models import Pull
-from catkinspan.coordination.models import PeerMessage
-from catkinspan.state.ids import HostId
+from catkinspan.coordination.configuration.const import (
+    MAX_CHANGES_CHARS,
+    WINDOW_CHARS_PER_MBPS,
+)
+from catkinspan.coordination.configuration.coordinator import ConfigurationCoordinator
+from catkinspan.coordination.configuration.models import (
+    Changes,
+    ChangesReceived,
+    Document,
+    Pull,
+    StoreChanges,
+    StoreSnapshot,
+)
+from catkinspan.coordination.host.coordinator import PEER_MESSAGES
+from catkinspan.coordination.membership.models import HostStatusChanged, HubsChanged
+from catkinspan.coordination.models import PeerMessage, Sender
+from catkinspan.coordination.outbox import Outbox
+from catkinspan.protocol.peers.codec import PeerCodec
+from catkinspan.protocol.settings.documents import TreeDocuments
+from catkinspan.state.hosts import FleetView, HostRecord
+from catkinspan.state.ids import DataCentre, HostId, Revision
+from catkinspan.state.tree import Address
 from catkinspan.testing.hosts import VirtualFleet
-from tests.virtual_fleet import small_settings_tree, store_documents, virtual_fleet
+from catkinspan.testing.links import HostLinks
+from tests.virtual_fleet import (
+    host_records,
+    small_settings_tree,
+    store_documents,
+    virtual_fleet,
+)
 
 LONE_READER_SECONDS = 0.6
 """Time for a change that one host reads: the wait for a push, and two exchanges."""
@@ -15,6 +42,15 @@
 """Time for a change that is published as the store refuses its readers: two takeovers,
 and the time of a lone reader."""
 
+NARROW_MBPS = 10.0
+LINK_BYTES_PER_SECOND = NARROW_MBPS * 1e6 / 8
+LARGE_DOCUMENTS = 1_400
+LARGE_CHANGE_SECONDS = 6.7
+"""Time for 420 KB to each of the 20 hosts of a data centre over the link of one hub."""
+
+HUB = HostId("hub")
+FOLLOWERS = tuple(HostId(f"follower-{n}") for n in range(30))
+
 MANY_SERVERS = 60
 """Servers that make a change large."""
 
@@ -78,3 +114,121 @@
     put_large_change(fleet)
     fleet.channel.run(6.0 + REFUSED_READERS_SECONDS)
     assert hosts_without(fleet) == []
+
+
+def put_many_documents(fleet: VirtualFleet) -> None:
+    rng = Random(2)
+    texts = ("".join(rng.choices("0123456789abcdef", k=300)) for _ in iter(int, 1))
+    fleet.store.put({f"large/{n}": next(texts) for n in range(LARGE_DOCUMENTS)})
+
+
+def test_large_change_leaves_room_on_narrow_links() -> None:
+    """Guards against a change that fills the hubs' links, so that heartbeats are late,
+    hubs change and the change is requested again and again."""
+    links = HostLinks(lambda _: LINK_BYTES_PER_SECOND, PeerCodec(PEER_MESSAGES).size)
+    documents = store_documents(small_settings_tree())
+    fleet = VirtualFleet(
+        host_records(60), documents, TreeDocuments, Random(1), links=links
+    )
+    fleet.channel.run(6.0)
+    for host in fleet.hosts.values():
+        host.events.clear()
+    put_many_documents(fleet)
+    fleet.channel.run(6.0 + LARGE_CHANGE_SECONDS)
+    hosts = [host.coordinator.configuration for host in fleet.hosts.values()]
+    assert min(host.store_revision for host in hosts) >= LARGE_DOCUMENTS
+    disturbances = [
+        event
+        for host in fleet.hosts.values()
+        for event in host.events
+        if isinstance(event, HostStatusChanged | HubsChanged)
+    ]
+    assert disturbances == []
+
+
+def test_large_change_is_completed_from_the_other_hub() -> None:
+    """Guards against hosts that wait for a hub that has failed between two messages."""
+    links = HostLinks(lambda _: LINK_BYTES_PER_SECOND, PeerCodec(PEER_MESSAGES).size)
+    documents = store_documents(small_settings_tree())
+    fleet = VirtualFleet(
+        host_records(30), documents, TreeDocuments, Random(1), links=links
+    )
+    fleet.channel.run(6.0)
+    put_many_documents(fleet)
+    fleet.channel.run(6.6)
+    hosts = [host.coordinator.configuration for host in fleet.hosts.values()]
+    assert min(host.store_revision for host in hosts) < LARGE_DOCUMENTS
+    view = next(iter(fleet.hosts.values())).coordinator.view
+    fleet.crash_host(view.hubs[0])
+    fleet.channel.run(6.6 + LARGE_CHANGE_SECONDS)
+    hosts = [host.coordinator.configuration for host in fleet.hosts.values()]
+    assert min(host.store_revision for host in hosts) >= LARGE_DOCUMENTS
+
+
+def hub_with_large_change(count: int) -> tuple[ConfigurationCoordinator, Outbox]:
+    """Return a hub that has pushed `count` documents of 20,000 characters."""
+    outbox, data_centre = Outbox(), DataCentre("north")
+    hub = ConfigurationCoordinator(HUB, TreeDocuments(), outbox, 0.0)
+    address = Address("127.0.0.1", 1)
+    records = {
+        host: HostRecord(host, data_centre, address, link_mbps=NARROW_MBPS)
+        for host in (HUB, *FOLLOWERS)
+    }
+    view = FleetView(
+        HUB,
+        data_centre,
+        records,
+        hubs=(HUB,),
+        followers=FOLLOWERS,
+        primary_followers=FOLLOWERS,
+    )
+    hub.apply_view(view, 0.0)
+    first = Document("first", Revision(5), "")
+    hub.apply_store_snapshot(StoreSnapshot(Revision(5), (first,)), 0.0)
+    outbox.take_envelopes()
+    documents = tuple(
+        Document(f"large/{n}", Revision(6 + n // 2), "x" * 20_000) for n in range(count)
+    )
+    revision = documents[-1].revision
+    hub.apply_store_changes(StoreChanges(Revision(5), revision, documents), 1.0)
+    return hub, outbox
+
+
+def sent_changes(outbox: Outbox) -> list[tuple[HostId, Changes]]:
+    return [
+        (HostId(str(envelope.to)), envelope.message)
+        for envelope in outbox.take_envelopes()
+        if isinstance(envelope.message, Changes)
+    ]
+
+
+def test_large_change_is_sent_to_few_hosts_at_once() -> None:
+    """Guards against a change that is sent to all followers at once."""
+    hub, outbox = hub_with_large_change(8)
+    sent = sent_changes(outbox)
+    sizes = [sum(len(d.text or "") for d in message.documents) for _, message in sent]
+    assert max(sizes) <= MAX_CHANGES_CHARS
+    assert sum(sizes[:-1]) < NARROW_MBPS * WINDOW_CHARS_PER_MBPS
+    host, message = sent[0]
+    hub.handle(ChangesReceived(message.revision), Sender(host, 1), 1.05)
+    further = sent_changes(outbox)
+    assert [receiver for receiver, _ in further] == [host]
+    assert further[0][1].after_revision == message.revision
+
+
+def test_changes_of_one_revision_are_sent_together() -> None:
+    """Guards against a message that claims a revision of which it has only a part."""
+    _, outbox = hub_with_large_change(8)
+    for _, message in sent_changes(outbox):
+        revisions = [document.revision for document in message.documents]
+        assert revisions.count(message.revision) == 2
+
+
+def test_hosts_of_older_versions_get_large_changes_in_time() -> None:
+    """Guards against a hub that waits for acknowledgements which no host sends."""
+    hub, outbox = hub_with_large_change(2)
+    receivers = {host for host, _ in sent_changes(outbox)}
+    for step in range(50):
+        hub.tick(1.0 + step * 0.05)
+        receivers |= {host for host, _ in sent_changes(outbox)}
+    assert receivers == set(FOLLOWERS)
