Wait for a large document as long as its transfer takes

A single document of 700 KB still made 135 hosts on links of 10 Mbit/s report 1,659 silent hosts and 1,941 changes of hubs, and took 8.3 s.

Cause: a host that did not acknowledge within 0.25 s no longer counted, but the document takes 0.4 s on the sender's link and as long on the receiver's, so that the hub went on to the next hosts.

Change: the time grows with the size of the message.

The new test fails before: 4 further hosts get the document meanwhile.

--- a/src/catkinspan/coordination/configuration/const.py
+++ b/src/catkinspan/coordination/configuration/const.py
@@ -63,8 +63,8 @@
 """Bandwidth of a link of unknown bandwidth."""
 
 ACKNOWLEDGEMENT_SECONDS = 0.25
-"""Time after which changes are sent to further hosts though a host did not acknowledge
-its own; a transfer takes 50 ms and a round trip."""
+"""Time, beside that of the transfer, after which changes are sent to further hosts
+though a host did not acknowledge its own."""
 
 MAX_PART_CHARS = 32 * 1024
 """Characters in one message of a full copy, unless a single document is larger. A link
--- a/src/catkinspan/coordination/configuration/outgoing_changes.py
+++ b/src/catkinspan/coordination/configuration/outgoing_changes.py
@@ -32,7 +32,9 @@
 
     def is_on_its_way(self, now: float) -> bool:
         """Return whether the changes take room in this host's link."""
-        return now - self.sent_at < ACKNOWLEDGEMENT_SECONDS
+        transfer = self.chars / (ASSUMED_LINK_MBPS * 1e6 / 8)
+        # The links of the sender and of the receiver, if neither is fast.
+        return now - self.sent_at < ACKNOWLEDGEMENT_SECONDS + 2 * transfer
 
     def answers(self, after: Revision, now: float) -> bool:
         """Return whether a request needs no further answer yet.
@@ -42,9 +44,13 @@
         return (
             self.chars > SMALL_CHANGE_CHARS
             and after < self.revision
-            and now - self.sent_at < REPEATED_ANSWER_SECONDS
+            and (self.is_on_its_way(now) or self.is_recent(now))
         )
 
+    def is_recent(self, now: float) -> bool:
+        """Return whether the changes were sent a short time ago."""
+        return now - self.sent_at < REPEATED_ANSWER_SECONDS
+
 
 class OutgoingChanges:
     """Sends large changes to as many hosts at once as this host's link carries soon.
@@ -118,7 +124,7 @@
         self._unacknowledged = {
             host: sent
             for host, sent in self._unacknowledged.items()
-            if now - sent.sent_at < REPEATED_ANSWER_SECONDS
+            if sent.is_on_its_way(now) or sent.is_recent(now)
         }
         self._send_next(now)
 
--- a/tests/coordination/configuration/test_large_changes.py
+++ b/tests/coordination/configuration/test_large_changes.py
@@ -165,8 +165,10 @@
     assert min(host.store_revision for host in hosts) >= LARGE_DOCUMENTS
 
 
-def hub_with_large_change(count: int) -> tuple[ConfigurationCoordinator, Outbox]:
-    """Return a hub that has pushed `count` documents of 20,000 characters."""
+def hub_with_large_change(
+    count: int, chars: int = 20_000
+) -> tuple[ConfigurationCoordinator, Outbox]:
+    """Return a hub that has pushed `count` documents."""
     outbox, data_centre = Outbox(), DataCentre("north")
     hub = ConfigurationCoordinator(HUB, TreeDocuments(), outbox, 0.0)
     address = Address("127.0.0.1", 1)
@@ -187,7 +189,7 @@
     hub.apply_store_snapshot(StoreSnapshot(Revision(5), (first,)), 0.0)
     outbox.take_envelopes()
     documents = tuple(
-        Document(f"large/{n}", Revision(6 + n // 2), "x" * 20_000) for n in range(count)
+        Document(f"large/{n}", Revision(6 + n // 2), "x" * chars) for n in range(count)
     )
     revision = documents[-1].revision
     hub.apply_store_changes(StoreChanges(Revision(5), revision, documents), 1.0)
@@ -232,3 +234,17 @@
         hub.tick(1.0 + step * 0.05)
         receivers |= {host for host, _ in sent_changes(outbox)}
     assert receivers == set(FOLLOWERS)
+
+
+def test_large_document_is_sent_to_one_host_at_a_time() -> None:
+    """Guards against a hub that goes on to the next host while the links still carry
+    the document, until the links are full."""
+    chars = 700_000
+    hub, outbox = hub_with_large_change(1, chars)
+    assert len(sent_changes(outbox)) == 1
+    transfer_seconds = 2 * chars / LINK_BYTES_PER_SECOND
+    for step in range(round(transfer_seconds / 0.05)):
+        hub.tick(1.0 + step * 0.05)
+    assert sent_changes(outbox) == []
+    hub.handle(ChangesReceived(Revision(6)), Sender(FOLLOWERS[0], 1), 3.0)
+    assert len(sent_changes(outbox)) == 1
