Forget the changes that a lost host offered

What callers saw: nothing.

Cause: offers were kept by host without an end. If a host failed that alone had heard of a revision, others requested it every 2.4 s from then on, and for later changes the wait for a push counted as over.

Change: offers of hosts that are no longer known are forgotten, and with the last one the time.

--- a/src/catkinspan/coordination/configuration/coordinator.py
+++ b/src/catkinspan/coordination/configuration/coordinator.py
@@ -167,6 +167,7 @@
         """Use a changed view of the fleet for forwarding and reader selection."""
         self._view = view
         self._completeness.keep_only(view.hosts.keys())
+        self._pulls.keep_only(view.hosts.keys())
         self._transfers.apply_view(view)
 
     # The store
--- a/src/catkinspan/coordination/configuration/pulls.py
+++ b/src/catkinspan/coordination/configuration/pulls.py
@@ -1,6 +1,6 @@
 """Requests for missing changes, and the answers to them."""
 
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 
 from catkinspan.coordination.configuration.const import (
     ANSWERING_SOURCE_SECONDS,
@@ -45,11 +45,16 @@
 
     def update(self, revision: Revision) -> None:
         """Forget what is no longer missing."""
-        if not self._offers:
-            return
-        self._offers = {h: r for h, r in self._offers.items() if r > revision}
-        if not self._offers:
+        self._keep({h: r for h, r in self._offers.items() if r > revision})
+
+    def keep_only(self, hosts: Collection[HostId]) -> None:
+        """Forget the offers of all other hosts, which do not answer any more."""
+        self._keep({h: r for h, r in self._offers.items() if h in hosts})
+
+    def _keep(self, offers: dict[HostId, Revision]) -> None:
+        if self._offers and not offers:
             self.reset()
+        self._offers = offers
 
     def record_part(self, source: HostId, now: float) -> None:
         """Record a part of a copy, which shows that the rest is on its way."""
--- a/tests/coordination/configuration/test_large_changes.py
+++ b/tests/coordination/configuration/test_large_changes.py
@@ -13,6 +13,7 @@
     Changes,
     ChangesReceived,
     Document,
+    Freshness,
     Pull,
     StoreChanges,
     StoreSnapshot,
@@ -49,6 +50,7 @@
 """Time for 420 KB to each of the 20 hosts of a data centre over the link of one hub."""
 
 HUB = HostId("hub")
+ADDRESS = Address("127.0.0.1", 1)
 FOLLOWERS = tuple(HostId(f"follower-{n}") for n in range(30))
 
 MANY_SERVERS = 60
@@ -171,9 +173,8 @@
     """Return a hub that has pushed `count` documents."""
     outbox, data_centre = Outbox(), DataCentre("north")
     hub = ConfigurationCoordinator(HUB, TreeDocuments(), outbox, 0.0)
-    address = Address("127.0.0.1", 1)
     records = {
-        host: HostRecord(host, data_centre, address, link_mbps=NARROW_MBPS)
+        host: HostRecord(host, data_centre, ADDRESS, link_mbps=NARROW_MBPS)
         for host in (HUB, *FOLLOWERS)
     }
     view = FleetView(
@@ -248,3 +249,32 @@
     assert sent_changes(outbox) == []
     hub.handle(ChangesReceived(Revision(6)), Sender(FOLLOWERS[0], 1), 3.0)
     assert len(sent_changes(outbox)) == 1
+
+
+def test_offer_of_a_host_that_is_gone_is_forgotten() -> None:
+    """Guards against a host that goes on requesting changes that only a lost host had,
+    and then no longer waits for a push of later ones."""
+    hub, outbox = hub_with_large_change(2)
+    gone, stays = FOLLOWERS[0], FOLLOWERS[1]
+    hub.handle(Freshness(Revision(9), 0), Sender(gone, 1), 2.0)
+    hub.tick(3.0)
+    assert pull_receivers(outbox) == [gone]
+    view = FleetView(
+        HUB,
+        DataCentre("north"),
+        {h: HostRecord(h, DataCentre("north"), ADDRESS) for h in (HUB, stays)},
+        hubs=(HUB,),
+    )
+    hub.apply_view(view, 3.0)
+    for step in range(100):
+        hub.tick(3.0 + step * 0.05)
+    assert pull_receivers(outbox) == []
+    hub.handle(Freshness(Revision(10), 0), Sender(stays, 1), 9.0)
+    assert pull_receivers(outbox) == []
+    hub.tick(9.5)
+    assert pull_receivers(outbox) == [stays]
+
+
+def pull_receivers(outbox: Outbox) -> list[HostId]:
+    envelopes = outbox.take_envelopes()
+    return [HostId(str(e.to)) for e in envelopes if isinstance(e.message, Pull)]
