--- a/src/catkinspan/coordination/configuration/pulls.py
+++ b/src/catkinspan/coordination/configuration/pulls.py
@@ -1,15 +1,14 @@
 """Requests for missing changes, and the answers to them."""
 
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 
 from catkinspan.coordination.configuration.const import (
     ANSWERING_SOURCE_SECONDS,
     MAX_PULL_RETRY_SECONDS,
     OTHER_PULL_RETRY_SECONDS,
     PULL_RETRY_SECONDS,
-    REPEATED_ANSWER_SECONDS,
 )
-from catkinspan.state.ids import NO_REVISION, HostId, Revision
+from catkinspan.state.ids import HostId, Revision
 
 _NEVER = float("-inf")
 
@@ -46,11 +45,16 @@
 
     def update(self, revision: Revision) -> None:
         """Forget what is no longer missing."""
-        if not self._offers:
-            return
-        self._offers = {h: r for h, r in self._offers.items() if r > revision}
-        if not self._offers:
+        self._keep({h: r for h, r in self._offers.items() if r > revision})
+
+    def keep_only(self, hosts: Collection[HostId]) -> None:
+        """Forget the offers of all other hosts, which do not answer any more."""
+        self._keep({h: r for h, r in self._offers.items() if h in hosts})
+
+    def _keep(self, offers: dict[HostId, Revision]) -> None:
+        if self._offers and not offers:
             self.reset()
+        self._offers = offers
 
     def record_part(self, source: HostId, now: float) -> None:
         """Record a part of a copy, which shows that the rest is on its way."""
@@ -59,6 +63,11 @@
             self._has_part = True
             self._attempts = 1
 
+    def is_pending(self, now: float) -> bool:
+        """Return whether the requested host is to send, but has not begun to."""
+        is_answering = now - self._answered_at < ANSWERING_SOURCE_SECONDS
+        return self._source is not None and is_answering and not self._has_part
+
     def record_pending(self, source: HostId, now: float) -> None:
         """Record that a host prepares the copy that was requested from it."""
         if source == self._source:
@@ -105,27 +114,3 @@
         self._source, self._asked_at = source, now
         self._attempts += 1
         return True
-
-
-class SentCopies:
-    """Latest large message to each host, so that repeated requests add no more."""
-
-    def __init__(self) -> None:
-        self._sent: dict[HostId, tuple[Revision, float]] = {}
-
-    def record(self, host: HostId, revision: Revision, now: float) -> None:
-        """Record that the changes up to a revision were sent to a host."""
-        self._sent[host] = (revision, now)
-
-    def is_on_its_way(self, host: HostId, revision: Revision, now: float) -> bool:
-        """Return whether these changes were just sent to a host."""
-        sent, at = self._sent.get(host, (NO_REVISION, _NEVER))
-        return sent >= revision and now - at < REPEATED_ANSWER_SECONDS
-
-    def remove_old(self, now: float) -> None:
-        """Remove what no longer prevents an answer."""
-        self._sent = {
-            host: (revision, at)
-            for host, (revision, at) in self._sent.items()
-            if now - at < REPEATED_ANSWER_SECONDS
-        }
