Check the hubs of server states once for all servers

Cause: a choice compares 16 servers, and for each it looked for the current hubs and their ages again.

Evidence: 5% of the samples of 116 virtual hosts in trouble were the age of the states, which is the same for all servers.

Change: the subscriber keeps the current streams of one time until a message, another time or other hubs.

--- a/src/catkinspan/coordination/health/subscriber.py
+++ b/src/catkinspan/coordination/health/subscriber.py
@@ -1,6 +1,6 @@
 """The states of servers that a host has received from its hubs."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 
 from attrs import define, field, frozen
 
@@ -78,11 +78,22 @@
         return now - self.current_at <= MAX_STATE_AGE_SECONDS
 
 
+@frozen
+class _CurrentStreams:
+    """The streams of the current hubs at one time."""
+
+    hubs: tuple[HostId, ...]
+    now: float
+    states: tuple[Mapping[int, ReceivedState], ...]
+    age: float | None
+
+
 class StateSubscriber:
     """Keeps the states of each hub, ordered by sequence number."""
 
     def __init__(self) -> None:
         self._streams: dict[HostId, _HubStream] = {}
+        self._current: _CurrentStreams | None = None
 
     def receive(
         self,
@@ -95,6 +106,7 @@
 
         `own_in_flight` has the requests of this host in its last report, by server.
         """
+        self._current = None
         stream = self._streams.get(sender.host)
         if stream is None or stream.incarnation != sender.incarnation:
             stream = self._streams[sender.host] = _HubStream(sender.incarnation)
@@ -136,32 +148,44 @@
         return found
 
     def state(
-        self, server: int, hubs: Iterable[HostId], now: float
+        self, server: int, hubs: tuple[HostId, ...], now: float
     ) -> ReceivedState | None:
         """Return the state of a server from the first current hub that has one."""
-        for hub in hubs:
-            stream = self._streams.get(hub)
-            if stream is None or not stream.is_current(now):
-                continue
-            state = stream.states.get(server)
+        for states in self._current_streams(hubs, now).states:
+            state = states.get(server)
             if state is not None:
                 return state
         return None
 
-    def age(self, hubs: Iterable[HostId], now: float) -> float | None:
+    def age(self, hubs: tuple[HostId, ...], now: float) -> float | None:
         """Return the age in seconds of the latest news of a current hub, if any."""
-        ages = (
-            now - stream.current_at
+        return self._current_streams(hubs, now).age
+
+    def _current_streams(self, hubs: tuple[HostId, ...], now: float) -> _CurrentStreams:
+        """Return the current streams, which are the same for all servers."""
+        known = self._current
+        if known is not None and known.now == now and known.hubs is hubs:
+            return known
+        streams = [
+            stream
             for hub in hubs
             if (stream := self._streams.get(hub)) and stream.is_current(now)
+        ]
+        self._current = _CurrentStreams(
+            hubs,
+            now,
+            tuple(stream.states for stream in streams),
+            min((now - stream.current_at for stream in streams), default=None),
         )
-        return min(ages, default=None)
+        return self._current
 
     def keep_only(self, hubs: Iterable[HostId]) -> None:
         """Drop the states of hosts that are no longer hubs."""
+        self._current = None
         for host in self._streams.keys() - set(hubs):
             del self._streams[host]
 
     def clear(self) -> None:
         """Drop all states."""
+        self._current = None
         self._streams.clear()
--- a/tests/coordination/health/test_subscriber.py
+++ b/tests/coordination/health/test_subscriber.py
@@ -1,12 +1,15 @@
 """Tests of the order and the identity of received server states."""
 
+import pytest
+
+from catkinspan.coordination.health.const import MAX_STATE_AGE_SECONDS
 from catkinspan.coordination.health.coordinator import HealthCoordinator
 from catkinspan.coordination.health.models import (
     ServerState,
     ServerStates,
     server_digest,
 )
-from catkinspan.coordination.health.subscriber import StateSubscriber
+from catkinspan.coordination.health.subscriber import StateSubscriber, _HubStream
 from catkinspan.coordination.models import Sender
 from catkinspan.coordination.outbox import Outbox
 from catkinspan.state.hosts import FleetView
@@ -76,3 +79,40 @@
     subscriber.receive(states(0, 1, 1000, 1), SENDER, {}, 1.0)
     assert load(subscriber, 3.4) == 1
     assert load(subscriber, 3.6) is None
+
+
+def test_freshness_of_hubs_is_checked_once_for_all_servers(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Guards against a choice that checks each hub again for every server."""
+    checks = 0
+    is_current = _HubStream.is_current
+
+    def count(self: _HubStream, now: float) -> bool:
+        nonlocal checks
+        checks += 1
+        return is_current(self, now)
+
+    hubs = (HUB, HostId("standby"))
+    subscriber = StateSubscriber()
+    for hub in hubs:
+        subscriber.receive(states(0, 1, 1000, 2), Sender(hub, 1), {}, 10.0)
+    monkeypatch.setattr(_HubStream, "is_current", count)
+    for server in range(100):
+        subscriber.state(server, hubs, 10.1)
+        subscriber.age(hubs, 10.1)
+    assert checks == len(hubs)
+
+
+def test_states_are_never_taken_from_an_earlier_time() -> None:
+    """Guards against a cached state after a message, a later time or a pause."""
+    subscriber = StateSubscriber()
+    assert load(subscriber, 10.0) is None
+    subscriber.receive(states(0, 1, 1000, 2), SENDER, {}, 10.0)
+    assert load(subscriber, 10.0) == 2
+    subscriber.receive(states(1, 2, 1000, 3), SENDER, {}, 10.0)
+    assert load(subscriber, 10.0) == 3
+    assert load(subscriber, 10.1 + MAX_STATE_AGE_SECONDS) is None
+    assert load(subscriber, 10.0) == 3
+    subscriber.clear()
+    assert load(subscriber, 10.0) is None
