Visit only changed servers in a report of counts

Cause: each report of a host, up to twenty a second, looked at every published server to find those whose counts have changed.

Evidence: 5.6% of the samples of 116 virtual hosts with 200 servers in trouble.

Change: the observer keeps the servers in the order of their latest change.

Tests: test_report_visits_only_the_servers_that_have_changed; before, a report of one change visited 400 of 400 servers. test_report_has_each_change_once passed before and guards the order.

--- a/src/catkinspan/coordination/health/observer.py
+++ b/src/catkinspan/coordination/health/observer.py
@@ -92,6 +92,9 @@
 
     def __init__(self) -> None:
         self._servers: dict[ServerId, ServerAttempts] = {}
+        self._changed: dict[ServerId, None] = {}
+        """Servers whose counts have changed, the latest change last."""
+
         self._overdue_timers: Timers[tuple[ServerId, AttemptKey]] = Timers()
 
     def attempts_at(self, server: ServerId, now: float) -> ServerAttempts:
@@ -105,11 +108,13 @@
 
     def report(self, since: float, now: float) -> tuple[ServerCounts, ...]:
         """Return the counts that changed since a time."""
-        return tuple(
-            attempts.report(server, now)
-            for server, attempts in self._servers.items()
-            if attempts.changed_at >= since
-        )
+        changed = []
+        for server in reversed(self._changed):
+            attempts = self._servers[server]
+            if attempts.changed_at < since:
+                break
+            changed.append(attempts.report(server, now))
+        return tuple(reversed(changed))
 
     def report_active(self, since: float, now: float) -> tuple[ServerCounts, ...]:
         """Return the counts that changed since a time or have requests in flight."""
@@ -129,6 +134,7 @@
         for name, attempts in list(self._servers.items()):
             if name not in servers and not attempts.running:
                 del self._servers[name]
+                self._changed.pop(name, None)
 
     def record_start(
         self, server: ServerId, key: AttemptKey, overdue_after: float, now: float
@@ -136,7 +142,8 @@
         """Add an attempt that is sent now."""
         attempts = self.attempts_at(server, now)
         attempts.running[key] = _RunningAttempt()
-        attempts.changed_at = attempts.started_at = now
+        attempts.started_at = now
+        self._mark_changed(server, attempts, now)
         self._overdue_timers.set((server, key), now + overdue_after)
 
     def record_end(self, outcome: AttemptOutcome, now: float) -> bool:
@@ -147,7 +154,7 @@
         if running is None:
             return False
         self._overdue_timers.remove((outcome.server, key))
-        attempts.changed_at = now
+        self._mark_changed(outcome.server, attempts, now)
         if running.is_overdue:
             attempts.overdue -= 1
         if outcome.kind is OutcomeKind.OK and not running.is_overdue:
@@ -168,6 +175,13 @@
             attempts = self._servers[server]
             attempts.running[key].is_overdue = True
             attempts.overdue += 1
-            attempts.changed_at = now
+            self._mark_changed(server, attempts, now)
             attempts.record_failure(now)
         return bool(overdue)
+
+    def _mark_changed(
+        self, server: ServerId, attempts: ServerAttempts, now: float
+    ) -> None:
+        attempts.changed_at = now
+        self._changed.pop(server, None)
+        self._changed[server] = None
