--- a/src/catkinspan/coordination/requests/coordinator.py
+++ b/src/catkinspan/coordination/requests/coordinator.py
@@ -21,16 +21,11 @@
 from catkinspan.coordination.requests import refusals
 from catkinspan.coordination.requests.admission import Admission
 from catkinspan.coordination.requests.arrivals import Arrivals
-from catkinspan.coordination.requests.const import (
-    HEDGE_LATENCY_MULTIPLE,
-    MIN_HEDGE_DELAY_SECONDS,
-    MIN_TRIAL_BUDGET,
-    TRIAL_HEDGE_LATENCY_MULTIPLE,
-)
+from catkinspan.coordination.requests.assignments import assignment, hedge_delay
+from catkinspan.coordination.requests.const import MIN_TRIAL_BUDGET
 from catkinspan.coordination.requests.dependencies import RequestDependencies
 from catkinspan.coordination.requests.errors import Ran, Refusal
 from catkinspan.coordination.requests.models import (
-    Assigned,
     AttemptFinished,
     BodyReceived,
     BodyWanted,
@@ -245,7 +240,6 @@
             request.route.id, request.target_latency
         )
         is_first_attempt = not request.attempts_made
-        can_hedge = self._can_hedge(request)
         budget = (
             self._dependencies.retries.remaining(request.service, now)
             if is_first_attempt
@@ -257,7 +251,9 @@
             tried_servers=frozenset(request.tried_servers),
             expected_latency=expected_latency,
             remaining_seconds=request.deadline - now,
-            allows_trial=is_first_attempt and can_hedge and budget > MIN_TRIAL_BUDGET,
+            allows_trial=(
+                is_first_attempt and request.can_hedge and budget > MIN_TRIAL_BUDGET
+            ),
         )
 
     def _server_refusal(
@@ -284,10 +280,11 @@
             request.id, attempt, request.service, server, request.route.id
         )
         self._dependencies.health.record_start(started, request.target_latency, now)
-        self._schedule_hedge(request, choice, expected_latency, now)
+        if attempt == 1 and request.can_hedge:
+            request.hedge_at = now + hedge_delay(choice, expected_latency)
         self._timers.set(request.id, request.due_at)
         self._outbox.add_directive(
-            self._build_assignment(request, attempt, choice, expected_latency)
+            assignment(request, choice, expected_latency, self._tree.revision)
         )
 
     def _recheck(self, request: ActiveRequest, now: float) -> Refusal | None:
@@ -299,67 +296,6 @@
         refusal = self._admission.recheck_key(request, now)
         return None if refusal is None else self._arrivals.final_refusal(refusal, now)
 
-    def _build_assignment(
-        self,
-        request: ActiveRequest,
-        attempt: int,
-        choice: ServerChoice,
-        expected_latency: float,
-    ) -> Assigned:
-        policy = request.route.policy
-        upstream = choice.upstream
-        return Assigned(
-            request_id=request.id,
-            attempt=attempt,
-            service=request.service,
-            route=request.route.id,
-            workspace=request.workspace,
-            server=upstream.id,
-            address=upstream.address,
-            deadline=request.deadline,
-            attempt_timeout=policy.attempt_timeout.total_seconds(),
-            usual=expected_latency,
-            hold_bytes=policy.hold_bytes,
-            idempotent=request.is_idempotent,
-            max_body_bytes=policy.max_body_bytes,
-            connection_limit=choice.connection_limit,
-            key_query_parameter=policy.key_query_parameter,
-            risk=round(choice.risk, 3),
-            in_flight=choice.in_flight,
-            state_age=choice.state_age,
-            is_trial=choice.is_trial,
-            revision=self._tree.revision,
-        )
-
-    def _can_hedge(self, request: ActiveRequest) -> bool:
-        """Return whether the request may be hedged.
-
-        A body that is streamed to one server cannot be sent to a second one.
-        """
-        policy = request.route.policy
-        return (
-            policy.hedges
-            and policy.max_attempts > 1
-            and request.is_idempotent
-            and request.arrived.content_length == 0
-        )
-
-    def _schedule_hedge(
-        self,
-        request: ActiveRequest,
-        choice: ServerChoice,
-        expected_latency: float,
-        now: float,
-    ) -> None:
-        if request.attempts_made > 1 or not self._can_hedge(request):
-            return
-        multiple = (
-            TRIAL_HEDGE_LATENCY_MULTIPLE if choice.is_trial else HEDGE_LATENCY_MULTIPLE
-        )
-        queue_rounds = 1 + choice.in_flight // max(1, choice.upstream.slots)
-        wait = multiple * expected_latency * queue_rounds
-        request.hedge_at = now + max(MIN_HEDGE_DELAY_SECONDS, wait)
-
     def _handle_timer(self, request: ActiveRequest, now: float) -> None:
         """Continue a request that is due."""
         if request.stage is Stage.BODY:
--- a/src/catkinspan/coordination/requests/records.py
+++ b/src/catkinspan/coordination/requests/records.py
@@ -77,6 +77,20 @@
             return policy.idempotent
         return self.arrived.method in policy.idempotent_methods
 
+    @property
+    def can_hedge(self) -> bool:
+        """Return whether a second server may get the request while the first one runs.
+
+        A body that is streamed to one server cannot be sent to a second one.
+        """
+        policy = self.route.policy
+        return (
+            policy.hedges
+            and policy.max_attempts > 1
+            and self.is_idempotent
+            and self.arrived.content_length == 0
+        )
+
     @property
     def counted_attempts(self) -> int:
         """Return the attempts that count towards the route's `max_attempts`."""
