--- a/src/catkinspan/coordination/balancing/balancer.py
+++ b/src/catkinspan/coordination/balancing/balancer.py
@@ -13,6 +13,7 @@
     FAILURE_COST,
     FULL_LOAD_COST,
     IDEMPOTENT_FAILURE_COST,
+    IDEMPOTENT_TRIAL_RISK_EXPONENT,
     MAX_AFFINITY_COST,
     MAX_COMPARED_SERVERS,
     MAX_RANDOM_COST,
@@ -216,8 +217,12 @@
         candidate = next(self._usable((examined,), request, now), None)
         if candidate is None or not candidate.is_open_to_trial:
             return None
-        share = (1.0 - candidate.view.risk) ** TRIAL_RISK_EXPONENT
-        if self._rng.random() >= share:
+        exponent = (
+            IDEMPOTENT_TRIAL_RISK_EXPONENT
+            if request.idempotent
+            else TRIAL_RISK_EXPONENT
+        )
+        if self._rng.random() >= (1.0 - candidate.view.risk) ** exponent:
             return None
         return candidate if _is_in_time(candidate, request) else None
 
--- a/src/catkinspan/coordination/balancing/const.py
+++ b/src/catkinspan/coordination/balancing/const.py
@@ -63,8 +63,10 @@
 some services get no idempotent requests."""
 
 TRIAL_RISK_EXPONENT = 2.0
-"""Exponent of the probability that a server is not in a bad phase, in the share of the
-requests that are sent there as trials and may be lost."""
+IDEMPOTENT_TRIAL_RISK_EXPONENT = 1.0
+"""Exponents of the probability that a server is not in a bad phase, in the share of the
+requests without a hedge that are sent there as trials. The caller can repeat an
+idempotent request."""
 
 MAX_TRIAL_CREDIT = 2.0
 """Trials that a host without requests may save up."""
--- a/tests/coordination/balancing/test_balancer.py
+++ b/tests/coordination/balancing/test_balancer.py
@@ -121,6 +121,15 @@
     assert count_scheduled(balancer, IDEMPOTENT, 20, 50.0)["bad"] <= 0.4 * 20 * 50
 
 
+def test_idempotent_requests_are_trials_without_retry_budget_too() -> None:
+    """Guards against servers without trials where few requests leave no budget."""
+    views = FakeServerViews({"bad": ServerView(0, 0.8)})
+    balancer = make_balancer(views, make_upstream("bad"), make_upstream("good"))
+    request = evolve(IDEMPOTENT, allows_trial=False)
+    # The target is a trial within 2 s.
+    assert count_scheduled(balancer, request, 20, 100.0)["bad"] >= 50
+
+
 def test_trial_of_a_request_that_runs_once_is_rarer_the_higher_the_risk() -> None:
     """Guards against requests that are lost at servers which surely fail."""
     trials = []
