--- a/src/catkinspan/coordination/rates/ledger.py
+++ b/src/catkinspan/coordination/rates/ledger.py
@@ -180,10 +180,13 @@
         return bucket
 
     def low_levels(self, now: float) -> Iterator[WorkspaceLevel]:
-        """Yield the levels of workspaces that are below `LOW_LEVEL_SHARE`."""
+        """Yield the levels of workspaces that are below `LOW_LEVEL_SHARE`, or below the
+        requests that are expected until the next report."""
         for name, account in self._accounts.items():
             level = account.bucket.refill(now)
-            if self._workspaces[name].is_limited and account.is_short:
+            expected = account.demand * LEVEL_HORIZON_SECONDS
+            is_low = account.is_short or level < expected
+            if self._workspaces[name].is_limited and is_low:
                 account.record_demand(0, now)
                 expected_requests = max(1.0, account.demand * LEVEL_HORIZON_SECONDS)
                 share = min(1.0, max(0.0, level) / expected_requests)
