Send changes that follow a copy at once

What callers saw: nothing.

Cause: it had been sent these changes before its copy was complete, when it could not use them. After the copy it waited 0.6 s as for a lost answer, and its hub would not have answered a request within 1 s of the first sending.

Change: a complete copy makes the next request due at once. A request from before the changes that were sent is answered.

Both new tests fail before.

--- a/src/catkinspan/coordination/configuration/coordinator.py
+++ b/src/catkinspan/coordination/configuration/coordinator.py
@@ -255,6 +255,8 @@
             del self._partial_copies[source]
             changed = self._replica.replace(partial.documents(), part.revision)
             self._apply_and_forward(changed, source, now)
+            self._pulls.record_copy()
+            self._request_changes(now, self._push_grace())
 
     def _on_freshness(self, message: Freshness, source: HostId, now: float) -> None:
         self._contacts.record_hub(now)
--- a/src/catkinspan/coordination/configuration/outgoing_changes.py
+++ b/src/catkinspan/coordination/configuration/outgoing_changes.py
@@ -26,6 +26,7 @@
 
 @frozen
 class _Unacknowledged:
+    after: Revision
     revision: Revision
     chars: int
     sent_at: float
@@ -39,11 +40,12 @@
     def answers(self, after: Revision, now: float) -> bool:
         """Return whether a request needs no further answer yet.
 
-        Small changes travel in datagrams and may be lost, so they are sent again.
+        Small changes travel in datagrams and may be lost, so they are sent again. A
+        host that lacks earlier changes cannot use these.
         """
         return (
             self.chars > SMALL_CHANGE_CHARS
-            and after < self.revision
+            and self.after <= after < self.revision
             and (self.is_on_its_way(now) or self.is_recent(now))
         )
 
@@ -141,7 +143,7 @@
                 continue
             chars = text_chars(documents)
             used += chars
-            self._unacknowledged[host] = _Unacknowledged(revision, chars, now)
+            self._unacknowledged[host] = _Unacknowledged(after, revision, chars, now)
             message = self._make_message(after, revision, documents, now)
             self._outbox.send(host, message)
 
--- a/src/catkinspan/coordination/configuration/pulls.py
+++ b/src/catkinspan/coordination/configuration/pulls.py
@@ -63,6 +63,11 @@
             self._has_part = True
             self._attempts = 1
 
+    def record_copy(self) -> None:
+        """Record that a copy is complete; changes that followed it are due at once."""
+        self._asked_at = self._answered_at = _NEVER
+        self._has_part = False
+
     def is_pending(self, now: float) -> bool:
         """Return whether the requested host is to send, but has not begun to."""
         is_answering = now - self._answered_at < ANSWERING_SOURCE_SECONDS
--- a/tests/coordination/configuration/test_large_changes.py
+++ b/tests/coordination/configuration/test_large_changes.py
@@ -3,6 +3,7 @@
 from random import Random
 
 import pytest
+from attrs import evolve
 
 from catkinspan.coordination.configuration.const import (
     MAX_CHANGES_CHARS,
@@ -12,6 +13,7 @@
 from catkinspan.coordination.configuration.models import (
     Changes,
     ChangesReceived,
+    CopyPart,
     Document,
     Freshness,
     Pull,
@@ -275,6 +277,61 @@
     assert pull_receivers(outbox) == [stays]
 
 
+def test_changes_that_follow_a_copy_are_requested_at_once() -> None:
+    """Guards against a host that starts during a change and gets it only after the wait
+    for a lost answer."""
+    hub, outbox = hub_with_large_change(2)
+    host = FOLLOWERS[0]
+    receiver_outbox = Outbox()
+    receiver = ConfigurationCoordinator(host, TreeDocuments(), receiver_outbox, 1.0)
+    receiver.apply_view(FleetView(host, DataCentre("north"), hubs=(HUB,)), 1.0)
+    pushed = next(message for to, message in sent_changes(outbox) if to == host)
+    receiver.handle(Freshness(Revision(5), 0), Sender(HUB, 1), 1.0)
+    receiver.handle(pushed, Sender(HUB, 1), 1.1)
+    receiver_outbox.take_envelopes()
+    documents = (Document("first", Revision(5), ""),)
+    copy = CopyPart(Revision(5), 0, documents, is_last=True)
+    receiver.handle(copy, Sender(HUB, 1), 1.15)
+    pulls = [
+        envelope.message
+        for envelope in receiver_outbox.take_envelopes()
+        if isinstance(envelope.message, Pull)
+    ]
+    assert [pull.after_revision for pull in pulls] == [Revision(5)]
+
+
+def test_host_that_cannot_use_a_push_gets_what_it_lacks() -> None:
+    """Guards against a request that is taken for a repeated one, since later changes
+    were just sent to the host."""
+    hub, outbox = hub_with_large_change(2)
+    host = FOLLOWERS[0]
+    deliver_all(hub, outbox, 1.1)
+    document = Document("large/9", Revision(7), "x" * 20_000)
+    hub.apply_store_changes(StoreChanges(Revision(6), Revision(7), (document,)), 1.2)
+    assert deliver_all(hub, outbox, 1.2)[host] == [6]
+    hub.apply_store_changes(
+        StoreChanges(Revision(7), Revision(8), (evolve(document, revision=8),)), 1.3
+    )
+    sent = [message for to, message in sent_changes(outbox) if to == host]
+    assert [message.after_revision for message in sent] == [7]
+    hub.handle(Pull(Revision(5), in_parts=True), Sender(host, 1), 1.4)
+    hub.tick(2.0)
+    assert deliver_all(hub, outbox, 2.0)[host] == [5, 7]
+
+
+def deliver_all(
+    hub: ConfigurationCoordinator, outbox: Outbox, now: float
+) -> dict[HostId, list[Revision]]:
+    """Acknowledge all changes; return the revisions after which each host got them."""
+    delivered: dict[HostId, list[Revision]] = {}
+    while sent := sent_changes(outbox):
+        for receiver, message in sent:
+            delivered.setdefault(receiver, []).append(message.after_revision)
+            received = ChangesReceived(message.revision)
+            hub.handle(received, Sender(receiver, 1), now)
+    return delivered
+
+
 def pull_receivers(outbox: Outbox) -> list[HostId]:
     envelopes = outbox.take_envelopes()
     return [HostId(str(e.to)) for e in envelopes if isinstance(e.message, Pull)]
