Answer requests for a revision that changed nothing

What callers saw: nothing; found on reading again. Keys and routes that are not known would have waited for up to 2 s, and hosts would have repeated a request, after a full read of the store by some readers.

Change: the empty message is sent again. The new test fails before.

--- a/src/catkinspan/coordination/configuration/outgoing_changes.py
+++ b/src/catkinspan/coordination/configuration/outgoing_changes.py
@@ -138,21 +138,20 @@
             hubs = (hub for hub in self._hubs if hub in self._waiting)
             host = next(hubs, None) or next(iter(self._waiting))
             after = self._waiting.pop(host)
-            revision, documents = self._next_changes(after)
-            if not documents:
+            changes = self._replica.changes_after(after)
+            if changes is None or after >= self._replica.revision:
                 continue
+            revision, documents = self._first_message(changes)
             chars = text_chars(documents)
             used += chars
             self._unacknowledged[host] = _Unacknowledged(after, revision, chars, now)
             message = self._make_message(after, revision, documents, now)
             self._outbox.send(host, message)
 
-    def _next_changes(self, after: Revision) -> tuple[Revision, tuple[Document, ...]]:
-        """Return the changes of one message, and the revision that they lead to.
-
-        There are none if the host has all, or if the history does not reach back.
-        """
-        changes = self._replica.changes_after(after) or ()
+    def _first_message(
+        self, changes: Iterable[Document]
+    ) -> tuple[Revision, tuple[Document, ...]]:
+        """Return the changes of one message, and the revision that they lead to."""
         ordered = sorted(changes, key=_revision)
         chosen: list[Document] = []
         chars = 0
--- a/tests/coordination/configuration/test_large_changes.py
+++ b/tests/coordination/configuration/test_large_changes.py
@@ -319,6 +319,23 @@
     assert deliver_all(hub, outbox, 2.0)[host] == [5, 7]
 
 
+def test_revision_without_changes_is_answered() -> None:
+    """Guards against hosts that request for ever a revision of the store which the hub
+    knows from a full read, and which changed nothing."""
+    hub, outbox = hub_with_large_change(2)
+    host = FOLLOWERS[0]
+    deliver_all(hub, outbox, 1.1)
+    documents = tuple(
+        Document(f"large/{n}", Revision(6), "x" * 20_000) for n in range(2)
+    )
+    first = Document("first", Revision(5), "")
+    hub.apply_store_snapshot(StoreSnapshot(Revision(9), (first, *documents)), 1.2)
+    outbox.take_envelopes()
+    hub.handle(Pull(Revision(6), in_parts=True), Sender(host, 1), 1.3)
+    sent = [message for to, message in sent_changes(outbox) if to == host]
+    assert [(m.after_revision, m.revision, m.documents) for m in sent] == [(6, 9, ())]
+
+
 def deliver_all(
     hub: ConfigurationCoordinator, outbox: Outbox, now: float
 ) -> dict[HostId, list[Revision]]:
