--- a/src/catkinspan/coordination/configuration/outgoing_changes.py
+++ b/src/catkinspan/coordination/configuration/outgoing_changes.py
@@ -26,6 +26,7 @@
 
 @frozen
 class _Unacknowledged:
+    after: Revision
     revision: Revision
     chars: int
     sent_at: float
@@ -39,11 +40,12 @@
     def answers(self, after: Revision, now: float) -> bool:
         """Return whether a request needs no further answer yet.
 
-        Small changes travel in datagrams and may be lost, so they are sent again.
+        Small changes travel in datagrams and may be lost, so they are sent again. A
+        host that lacks earlier changes cannot use these.
         """
         return (
             self.chars > SMALL_CHANGE_CHARS
-            and after < self.revision
+            and self.after <= after < self.revision
             and (self.is_on_its_way(now) or self.is_recent(now))
         )
 
@@ -136,21 +138,20 @@
             hubs = (hub for hub in self._hubs if hub in self._waiting)
             host = next(hubs, None) or next(iter(self._waiting))
             after = self._waiting.pop(host)
-            revision, documents = self._next_changes(after)
-            if not documents:
+            changes = self._replica.changes_after(after)
+            if changes is None or after >= self._replica.revision:
                 continue
+            revision, documents = self._first_message(changes)
             chars = text_chars(documents)
             used += chars
-            self._unacknowledged[host] = _Unacknowledged(revision, chars, now)
+            self._unacknowledged[host] = _Unacknowledged(after, revision, chars, now)
             message = self._make_message(after, revision, documents, now)
             self._outbox.send(host, message)
 
-    def _next_changes(self, after: Revision) -> tuple[Revision, tuple[Document, ...]]:
-        """Return the changes of one message, and the revision that they lead to.
-
-        There are none if the host has all, or if the history does not reach back.
-        """
-        changes = self._replica.changes_after(after) or ()
+    def _first_message(
+        self, changes: Iterable[Document]
+    ) -> tuple[Revision, tuple[Document, ...]]:
+        """Return the changes of one message, and the revision that they lead to."""
         ordered = sorted(changes, key=_revision)
         chosen: list[Document] = []
         chars = 0
