--- a/src/catkinspan/coordination/rates/const.py
+++ b/src/catkinspan/coordination/rates/const.py
@@ -63,6 +63,14 @@
 """Time for which a host uses a level that later messages leave out for want of budget:
 two refreshes, so that one message may be lost."""
 
+LEVEL_SYNC_SECONDS = 2.0
+"""Time for which a new hub asks the other hubs for their levels and applies them. They
+need the next roster to know it, and use of earlier seconds is refilled by then."""
+
+MAX_SYNC_LEVELS = 250
+"""Levels in an answer to a new hub, the lowest ones. Up to seven hubs answer at once,
+which together takes a link of 10 Mbit/s for less than 50 ms."""
+
 DEMAND_AVERAGING_SECONDS = 0.6
 """Time constant of the moving average of a workspace's demand."""
 
--- a/src/catkinspan/coordination/rates/coordinator.py
+++ b/src/catkinspan/coordination/rates/coordinator.py
@@ -1,6 +1,6 @@
 """Coordinator of the admission of requests by the rates of workspaces."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from random import Random
 from typing import ClassVar
 
@@ -19,12 +19,16 @@
     HOST_USE_BYTES_PER_SECOND,
     LEVEL_KEPT_SECONDS,
     LEVELS_MAX_AGE_SECONDS,
+    MAX_SYNC_LEVELS,
     OWN_USE_WINDOW_SECONDS,
     REPORT_AFTER_USE_SECONDS,
 )
 from catkinspan.coordination.rates.ledger import UsageLedger
+from catkinspan.coordination.rates.level_sync import LevelSync
 from catkinspan.coordination.rates.models import (
     HostUse,
+    HubLevels,
+    HubLevelsRequest,
     Levels,
     RatesSnapshot,
     WorkspaceLevel,
@@ -56,6 +60,9 @@
     own_use: OwnUse
     recent_use: RecentUse = field(factory=RecentUse)
     admitted: int = 0
+    unconfirmed: int = 0
+    """Requests admitted since levels last arrived."""
+
     refused: int = 0
     last_used_at: float = 0.0
     hub_level: WorkspaceLevel | None = None
@@ -74,7 +81,13 @@
     partitioned from the rest admits only its share of the rate.
     """
 
-    message_types: ClassVar[tuple[type[PeerMessage], ...]] = (HostUse, ZoneUse, Levels)
+    message_types: ClassVar[tuple[type[PeerMessage], ...]] = (
+        HostUse,
+        ZoneUse,
+        Levels,
+        HubLevelsRequest,
+        HubLevels,
+    )
 
     def __init__(
         self,
@@ -96,6 +109,7 @@
         self._publisher = LevelPublisher()
         self._primary_reports = UseReports(HOST_USE_BYTES_PER_SECOND)
         self._standby_reports = UseReports(HOST_USE_BYTES_PER_SECOND)
+        self._sync = LevelSync()
         self._last_report_at = float("-inf")
         self._last_standby_report_at = float("-inf")
         self._levels_received_at = float("-inf")
@@ -121,6 +135,8 @@
     def apply_view(self, view: FleetView, now: float) -> None:
         """Apply a changed size of the fleet."""
         self._view = view
+        if self._sync.set_hub_role(view.is_hub, now):
+            self._ledger.forget_reporters()
         self._ledger.apply_alive_share(
             view.alive_share if view.known_count > 1 else 1.0, now
         )
@@ -164,6 +180,7 @@
         admitted = not settings.is_limited or self._is_admitted(state, now)
         if admitted:
             state.admitted += 1
+            state.unconfirmed += 1
             state.own_use.record(now)
             state.recent_use.record(1, now)
         else:
@@ -279,6 +296,22 @@
                     )
             case Levels():
                 self._apply_levels(sender.host, message, now)
+            case HubLevelsRequest() | HubLevels():
+                self._synchronise(message, sender.host, now)
+
+    def _synchronise(
+        self, message: HubLevelsRequest | HubLevels, sender: HostId, now: float
+    ) -> None:
+        """Answer a new hub, or apply the answer as a new hub."""
+        if self._view is None or sender not in self._view.hosts:
+            return
+        match message:
+            case HubLevelsRequest() if self._sync.can_answer(now):
+                levels = sorted(self._ledger.low_levels(now), key=lambda x: x.level)
+                self._outbox.send(sender, HubLevels(tuple(levels[:MAX_SYNC_LEVELS])))
+            case HubLevels(levels) if self._sync.is_active(now):
+                self._sync.record_answer()
+                self._ledger.reduce_levels(levels, now)
 
     def _apply_levels(self, hub: HostId, message: Levels, now: float) -> None:
         """Apply a hub's levels unless a hub of lower index sent some recently."""
@@ -297,6 +330,7 @@
         levels = {level.workspace: level for level in message.levels}
         recovered = frozenset(message.recovered)
         for name, state in self._states.items():
+            state.unconfirmed = 0
             level = levels.get(name)
             if level is not None:
                 state.hub_level, state.hub_level_at = level, now
@@ -320,22 +354,35 @@
             return
         self._last_report_at = now
         self._report_usage(now)
+        self._request_levels(now)
         hosts, is_standby_due = self._view.primary_followers, False
         if now - self._last_standby_report_at >= STANDBY_REPORT_INTERVAL_SECONDS:
             self._last_standby_report_at = now
             hosts, is_standby_due = self._view.followers, True
+        if not self._sync.holds_levels_back(now):
+            self._send_levels(hosts, now)
+        if self._view.hubs[0] == self._self_id or is_standby_due:
+            self._report_to_remote_hubs(now)
+        self._ledger.forget_idle(now)
+
+    def _request_levels(self, now: float) -> None:
+        """Ask the other hubs for their levels, as a new hub."""
+        assert self._view is not None
+        if not self._workspaces or not self._sync.is_request_due(now):
+            return
+        for hub in (*self._view.hubs, *self._view.remote_hubs):
+            if hub != self._self_id:
+                self._outbox.send(hub, HubLevelsRequest())
+
+    def _send_levels(self, hosts: Sequence[HostId], now: float) -> None:
+        assert self._view is not None
         short = {level.workspace: level for level in self._ledger.low_levels(now)}
         if hosts:
             message = self._publisher.next_message(short, len(hosts), now)
             for host in hosts:
                 self._outbox.send(host, message)
-        if self._view.hubs[0] == self._self_id:
-            if not self._is_cut_off(self._view):
-                self._apply_levels(self._self_id, Levels(tuple(short.values())), now)
-            self._report_to_remote_hubs(now)
-        elif is_standby_due:
-            self._report_to_remote_hubs(now)
-        self._ledger.forget_idle(now)
+        if self._view.hubs[0] == self._self_id and not self._is_cut_off(self._view):
+            self._apply_levels(self._self_id, Levels(tuple(short.values())), now)
 
     def resume(self, gap: float, now: float) -> None:
         """Discard hub levels from before the pause; cap local buckets at one token."""
@@ -384,7 +431,8 @@
     ) -> WorkspaceUsage:
         requested = state.admitted + state.refused
         recent = max(unreported, state.recent_use.total(now))
-        return WorkspaceUsage(name, state.admitted, requested, recent)
+        unconfirmed = max(unreported, state.unconfirmed)
+        return WorkspaceUsage(name, state.admitted, requested, recent, unconfirmed)
 
     def _report_to_remote_hubs(self, now: float) -> None:
         assert self._view is not None
--- a/src/catkinspan/coordination/rates/ledger.py
+++ b/src/catkinspan/coordination/rates/ledger.py
@@ -62,8 +62,8 @@
     Cumulative counters make a lost or repeated report harmless. The total of a sender
     that is new here, or that was not heard for long, has use that another hub counted.
     So a report adds at most the sender's recent use, and a first total with older use
-    adds nothing. Of the hubs of a remote data centre only one is counted at a time,
-    since they report the same usage.
+    adds only what no other hub may have counted. Of the hubs of a remote data centre
+    only one is counted at a time, since they report the same usage.
     """
 
     def __init__(self, policy: RatePolicy) -> None:
@@ -116,6 +116,11 @@
             max(1.0, limits.initial * self._share),
         )
 
+    def forget_reporters(self) -> None:
+        """Take the next totals as first ones, since another hub counted meanwhile."""
+        self._hosts = Reporters()
+        self._remote = RemoteHubs(HUB_REPORT_MAX_AGE_SECONDS)
+
     def count_host_report(
         self,
         host: HostId,
@@ -189,6 +194,14 @@
                 share = min(1.0, max(0.0, level) / expected_requests)
                 yield WorkspaceLevel(name, round(level, 1), round(share, 3))
 
+    def reduce_levels(self, levels: Iterable[WorkspaceLevel], now: float) -> None:
+        """Reduce levels to those of another hub, which has counted earlier use."""
+        for level in levels:
+            account = self._account_for(level.workspace, now)
+            if account is not None:
+                current = account.bucket.refill(now)
+                account.bucket.level = min(current, level.level)
+
     def local_usages(self, receivers: int, now: float) -> tuple[WorkspaceUsage, ...]:
         """Return the usage of this data centre to report to a number of remote hubs."""
         selected = self._remote_reports.select(receivers, self._is_short, now)
@@ -236,8 +249,12 @@
     """Return what a report adds, without older use that was counted elsewhere."""
     name, admitted, requested = usage.workspace, usage.admitted, usage.requested
     if previous is None:
-        is_recent = usage.recent is not None and admitted <= usage.recent
-        return UsageIncrement(name, *((admitted, requested) if is_recent else (0, 0)))
+        if usage.recent is None:
+            return UsageIncrement(name, 0, 0)
+        if admitted <= usage.recent:
+            return UsageIncrement(name, admitted, requested)
+        uncounted = min(usage.unconfirmed, usage.recent)
+        return UsageIncrement(name, uncounted, uncounted)
     if requested >= previous.requested:
         # Otherwise a hub dropped the counters of an idle workspace and restarted.
         admitted = max(0, admitted - previous.admitted)
--- a/src/catkinspan/coordination/rates/models.py
+++ b/src/catkinspan/coordination/rates/models.py
@@ -24,6 +24,9 @@
     """Admissions of the last seconds, which bound what is new in a total that the
     receiver has not followed; None from hosts of older versions."""
 
+    unconfirmed: int = 0
+    """Admissions since the sender last heard a hub, which may have reached no hub."""
+
 
 @frozen
 class UsageIncrement:
@@ -85,6 +88,18 @@
     those that it has no level of by its own recent use."""
 
 
+@frozen
+class HubLevelsRequest(PeerMessage):
+    """Request of a new hub for the levels that another hub has counted."""
+
+
+@frozen
+class HubLevels(PeerMessage):
+    """The lowest levels of a hub, for a new hub."""
+
+    levels: tuple[WorkspaceLevel, ...]
+
+
 @frozen
 class WorkspaceRates:
     """Rate state of a workspace on one host, for operators."""
