--- a/src/catkinspan/coordination/rates/bucket.py
+++ b/src/catkinspan/coordination/rates/bucket.py
@@ -41,6 +41,13 @@
         self.level -= 1.0
         return True
 
+    def debit_request(self, count: float) -> None:
+        """Subtract tokens for requests, admitted or not, down to one empty capacity.
+
+        Requests that were refused leave no lasting debt.
+        """
+        self.level = max(-self.capacity, self.level - count)
+
     def debit(self, count: float) -> None:
         """Subtract tokens for requests that were already admitted."""
         self.level -= count
--- a/src/catkinspan/coordination/rates/const.py
+++ b/src/catkinspan/coordination/rates/const.py
@@ -55,6 +55,9 @@
 LEVEL_BYTES = 30
 """Size of a level in a message, with a name of usual length."""
 
+RESERVED_LEVEL_BYTES = 4
+"""Size of the index of a reserved level in a message."""
+
 LEVEL_REFRESH_SECONDS = 0.6
 """Age from which the level that hosts have is sent again before others, if not all fit
 into the budget."""
--- a/src/catkinspan/coordination/rates/coordinator.py
+++ b/src/catkinspan/coordination/rates/coordinator.py
@@ -4,8 +4,6 @@
 from random import Random
 from typing import ClassVar
 
-from attrs import define, field
-
 from catkinspan.coordination.const import (
     REPORT_INTERVAL_SECONDS,
     STANDBY_REPORT_INTERVAL_SECONDS,
@@ -22,6 +20,7 @@
     MAX_SYNC_LEVELS,
     OWN_USE_WINDOW_SECONDS,
     REPORT_AFTER_USE_SECONDS,
+    RESERVED_LEVEL_BYTES,
 )
 from catkinspan.coordination.rates.ledger import UsageLedger
 from catkinspan.coordination.rates.level_sync import LevelSync
@@ -31,7 +30,6 @@
     HubLevelsRequest,
     Levels,
     RatesSnapshot,
-    WorkspaceLevel,
     WorkspaceRates,
     WorkspaceUsage,
     ZoneUse,
@@ -39,38 +37,13 @@
 from catkinspan.coordination.rates.own_use import OwnUse
 from catkinspan.coordination.rates.policy import BucketLimits, RatePolicy
 from catkinspan.coordination.rates.publisher import LevelPublisher
-from catkinspan.coordination.rates.recent_use import RecentUse
 from catkinspan.coordination.rates.use_reports import UseReports
+from catkinspan.coordination.rates.workspace_state import WorkspaceState
 from catkinspan.state.hosts import FleetView
 from catkinspan.state.ids import HostId, WorkspaceId
 from catkinspan.state.tree import SettingsTree, Workspace
 
 
-@define
-class _WorkspaceState:
-    """State of a workspace in use on this host."""
-
-    limits: BucketLimits
-    """Limits of the fleet's bucket."""
-
-    bucket: TokenBucket
-    """Bucket for this host's share of the rate, used without recent levels of a hub for
-    a workspace that the host did not serve before."""
-
-    own_use: OwnUse
-    recent_use: RecentUse = field(factory=RecentUse)
-    admitted: int = 0
-    unconfirmed: int = 0
-    """Requests admitted since levels last arrived."""
-
-    refused: int = 0
-    last_used_at: float = 0.0
-    hub_level: WorkspaceLevel | None = None
-    """Level last reported by the hub; None while the workspace has enough tokens."""
-
-    hub_level_at: float = 0.0
-
-
 class RateCoordinator(BaseCoordinator):
     """Limits each workspace by a fleet-wide bucket of which every hub keeps a copy.
 
@@ -102,7 +75,7 @@
         self._outbox = outbox
         self._workspaces: dict[WorkspaceId, Workspace] = {}
         self._view: FleetView | None = None
-        self._states: dict[WorkspaceId, _WorkspaceState] = {}
+        self._states: dict[WorkspaceId, WorkspaceState] = {}
         self._rng = rng
         self._policy = policy
         self._ledger = UsageLedger(policy)
@@ -174,7 +147,7 @@
         if state is None:
             limits = self._policy.limits(settings)
             bucket = self._new_local_bucket(limits, now)
-            state = _WorkspaceState(limits, bucket, OwnUse(now))
+            state = WorkspaceState(limits, bucket, OwnUse(now))
             self._states[workspace] = state
         state.last_used_at = now
         admitted = not settings.is_limited or self._is_admitted(state, now)
@@ -203,7 +176,7 @@
         available = limits.rate * OWN_USE_WINDOW_SECONDS + limits.initial
         return available / self._fleet_size()
 
-    def _is_admitted(self, state: _WorkspaceState, now: float) -> bool:
+    def _is_admitted(self, state: WorkspaceState, now: float) -> bool:
         is_unknown = self._levels_leave_out and state.hub_level is None
         if is_unknown or not self._has_levels(now):
             return self._is_admitted_without_levels(state, now)
@@ -214,7 +187,7 @@
     def _has_levels(self, now: float) -> bool:
         return now - self._levels_received_at <= LEVELS_MAX_AGE_SECONDS
 
-    def _is_admitted_without_levels(self, state: _WorkspaceState, now: float) -> bool:
+    def _is_admitted_without_levels(self, state: WorkspaceState, now: float) -> bool:
         own_use, is_short = state.own_use, state.hub_level is not None
         share = self._window_share(state.limits)
         limit = own_use.limit(share, is_short, self._rng, now)
@@ -223,10 +196,16 @@
         return limit == 0 and state.bucket.try_take(now)
 
     def is_over_rate(self, workspace: WorkspaceId) -> bool:
-        """Return whether a hub reported that a workspace is short of tokens.
+        """Return whether a hub reported that a workspace exceeds its rate.
 
-        Otherwise a refusal has its cause in what the host does not know.
+        Otherwise a refusal has its cause in what the host or its hub does not know.
         """
+        state = self._states.get(workspace)
+        if state is None or state.hub_level is None:
+            return False
+        return not state.is_reserved
+
+    def _is_short(self, workspace: WorkspaceId) -> bool:
         state = self._states.get(workspace)
         return state is not None and state.hub_level is not None
 
@@ -253,6 +232,11 @@
             return f"left out by the hub, own use {count} of {limit} in a window"
         if state.hub_level is None:
             return f"enough tokens, reported {age:.2f} s ago"
+        if state.is_reserved:
+            return (
+                f"level {state.hub_level.level:.1f}, reported {age:.2f} s ago, within "
+                f"the rate; a part is kept for hosts that are not heard from"
+            )
         return (
             f"level {state.hub_level.level:.1f}, "
             f"share {state.hub_level.admit_share:.2f}, reported {age:.2f} s ago"
@@ -328,12 +312,19 @@
         self._levels_hub = hub
         self._levels_leave_out = message.leaves_out
         levels = {level.workspace: level for level in message.levels}
+        indices = set(message.reserved)
+        reserved = {
+            level.workspace
+            for index, level in enumerate(message.levels)
+            if index in indices
+        }
         recovered = frozenset(message.recovered)
         for name, state in self._states.items():
             state.unconfirmed = 0
             level = levels.get(name)
             if level is not None:
                 state.hub_level, state.hub_level_at = level, now
+                state.is_reserved = name in reserved
                 state.own_use.thaw()
             elif name in recovered or not message.is_partial:
                 state.hub_level = None
@@ -341,7 +332,7 @@
             else:
                 self._apply_omission(state, now)
 
-    def _apply_omission(self, state: _WorkspaceState, now: float) -> None:
+    def _apply_omission(self, state: WorkspaceState, now: float) -> None:
         """Keep the level that a partial message leaves out for a while."""
         if now - state.hub_level_at > LEVEL_KEPT_SECONDS:
             state.hub_level = None
@@ -379,10 +370,14 @@
         short = {level.workspace: level for level in self._ledger.low_levels(now)}
         if hosts:
             message = self._publisher.next_message(short, len(hosts), now)
+            message = self._ledger.mark_reserved(message, now)
+            size = RESERVED_LEVEL_BYTES * len(message.reserved)
+            self._publisher.charge(size * len(hosts), now)
             for host in hosts:
                 self._outbox.send(host, message)
         if self._view.hubs[0] == self._self_id and not self._is_cut_off(self._view):
-            self._apply_levels(self._self_id, Levels(tuple(short.values())), now)
+            own = self._ledger.mark_reserved(Levels(tuple(short.values())), now)
+            self._apply_levels(self._self_id, own, now)
 
     def resume(self, gap: float, now: float) -> None:
         """Discard hub levels from before the pause; cap local buckets at one token."""
@@ -406,7 +401,7 @@
     ) -> None:
         """Report the use of workspaces to other hosts, within the byte budget."""
         receivers = [hub for hub in hubs if hub != self._self_id]
-        selected = reports.select(len(receivers), self.is_over_rate, now)
+        selected = reports.select(len(receivers), self._is_short, now)
         if not selected:
             return
         usages = tuple(
@@ -427,7 +422,7 @@
 
     @staticmethod
     def _usage(
-        name: WorkspaceId, state: _WorkspaceState, now: float, unreported: int = 0
+        name: WorkspaceId, state: WorkspaceState, now: float, unreported: int = 0
     ) -> WorkspaceUsage:
         requested = state.admitted + state.refused
         recent = max(unreported, state.recent_use.total(now))
--- a/src/catkinspan/coordination/rates/ledger.py
+++ b/src/catkinspan/coordination/rates/ledger.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable, Iterator, Mapping
 from math import exp
 
-from attrs import define, field
+from attrs import define, evolve, field
 
 from catkinspan.coordination.rates.bucket import TokenBucket
 from catkinspan.coordination.rates.const import (
@@ -16,6 +16,7 @@
     SILENT_HOST_WEIGHT,
 )
 from catkinspan.coordination.rates.models import (
+    Levels,
     UsageIncrement,
     WorkspaceLevel,
     WorkspaceUsage,
@@ -33,6 +34,10 @@
     """Token bucket and usage counters of one workspace."""
 
     bucket: TokenBucket
+    requests: TokenBucket
+    """Bucket of the published rate for all requests, admitted or not. It tells whether
+    the callers are within the rate while `bucket` has a part of it."""
+
     local_admitted: int = 0
     """Requests admitted in this data centre since these counters were created."""
 
@@ -49,6 +54,13 @@
         """Return whether the hosts need to know the level."""
         return self.bucket.level < self.bucket.capacity * LOW_LEVEL_SHARE
 
+    def record(self, usage: UsageIncrement, now: float) -> None:
+        """Count requests of any host."""
+        self.bucket.debit(usage.admitted)
+        self.requests.refill(now)
+        self.requests.debit_request(usage.requested)
+        self.record_demand(usage.requested, now)
+
     def record_demand(self, count: int, now: float) -> None:
         """Add requests to the exponential moving average of the demand."""
         decay = exp(-max(0.0, now - self.demand_updated_at) / DEMAND_AVERAGING_SECONDS)
@@ -101,8 +113,25 @@
         self._share = share
         self._update_buckets(now)
 
+    def mark_reserved(self, message: Levels, now: float) -> Levels:
+        """Add which workspaces are short only for what is kept for other hosts."""
+        if self._share >= 1.0:
+            return message
+        reserved = [
+            index
+            for index, level in enumerate(message.levels)
+            if self._accounts[level.workspace].requests.refill(now) >= 0.0
+        ]
+        return evolve(message, reserved=tuple(reserved))
+
     def _update_buckets(self, now: float) -> None:
         for name, account in self._accounts.items():
+            published = self._workspaces[name]
+            if (account.requests.rate, account.requests.capacity) != (
+                published.rate,
+                published.burst,
+            ):
+                account.requests.set_limits(published.rate, published.burst, now)
             limits = self._bucket_limits(self._workspaces[name])
             rate, capacity = limits.rate, limits.capacity
             if (account.bucket.rate, account.bucket.capacity) != (rate, capacity):
@@ -136,8 +165,7 @@
         ):
             account = self._account_for(usage.workspace, now)
             if account is not None:
-                account.bucket.debit(usage.admitted)
-                account.record_demand(usage.requested, now)
+                account.record(usage, now)
                 account.local_admitted += usage.admitted
                 account.local_recent.record(usage.admitted, now)
                 account.local_requested += usage.requested
@@ -162,8 +190,7 @@
         for usage in increments:
             account = self._account_for(usage.workspace, now)
             if account is not None:
-                account.bucket.debit(usage.admitted)
-                account.record_demand(usage.requested, now)
+                account.record(usage, now)
 
     def _account_for(self, name: WorkspaceId, now: float) -> _WorkspaceAccount | None:
         account = self._accounts.get(name)
@@ -171,7 +198,10 @@
             workspace = self._workspaces.get(name)
             if workspace is None:
                 return None
-            account = _WorkspaceAccount(self._new_bucket(workspace, now))
+            account = _WorkspaceAccount(
+                self._new_bucket(workspace, now),
+                TokenBucket.full(workspace.rate, workspace.burst, now),
+            )
             self._accounts[name] = account
         account.last_used_at = now
         return account
--- a/src/catkinspan/coordination/rates/models.py
+++ b/src/catkinspan/coordination/rates/models.py
@@ -87,6 +87,10 @@
     """Whether some workspaces that are short are in no recent message. A host limits
     those that it has no level of by its own recent use."""
 
+    reserved: tuple[int, ...] = ()
+    """Indices of the levels of workspaces whose requests are within the rate. They are
+    short because a part of the rate is kept for hosts that are not heard from."""
+
 
 @frozen
 class HubLevelsRequest(PeerMessage):
--- a/src/catkinspan/coordination/rates/publisher.py
+++ b/src/catkinspan/coordination/rates/publisher.py
@@ -67,6 +67,10 @@
             return Levels(levels)
         return Levels(levels, True, tuple(recovered), self._leaves_out(short, now))
 
+    def charge(self, size: float, now: float) -> None:
+        """Take further bytes that were sent from the budget."""
+        self._budget.charge(size, now)
+
     def _room(self, receivers: int, now: float) -> int:
         """Return the number of levels for which the budget pays now."""
         available = self._budget.available(now)
--- a/tests/rates_fleet.py
+++ b/tests/rates_fleet.py
@@ -122,6 +122,18 @@
         noticed_at = self.channel.now + HOST_SILENT_SECONDS
         self.channel.call_at(noticed_at, lambda: self._apply_views(heard))
 
+    def lose_hosts(self, hosts: Iterable[HostId]) -> None:
+        """Stop some hosts; their callers use others, and the hubs notice later."""
+        dead = set(hosts)
+        heard = [host for host in self.nodes if host not in dead]
+        for host in dead:
+            self.channel.detach(host)
+        for client in self.clients:
+            if client.host in dead:
+                client.host = self._rng.choice(heard)
+        noticed_at = self.channel.now + HOST_SILENT_SECONDS
+        self.channel.call_at(noticed_at, lambda: self._apply_views(heard))
+
     def _apply_views(self, heard: list[HostId]) -> None:
         for host in heard:
             view = evolve(self._view(host), alive_count=len(heard))
