--- a/src/catkinspan/coordination/rates/const.py
+++ b/src/catkinspan/coordination/rates/const.py
@@ -55,6 +55,9 @@
 LEVEL_BYTES = 30
 """Size of a level in a message, with a name of usual length."""
 
+RESERVED_LEVEL_BYTES = 4
+"""Size of the index of a reserved level in a message."""
+
 LEVEL_REFRESH_SECONDS = 0.6
 """Age from which the level that hosts have is sent again before others, if not all fit
 into the budget."""
@@ -63,6 +66,14 @@
 """Time for which a host uses a level that later messages leave out for want of budget:
 two refreshes, so that one message may be lost."""
 
+LEVEL_SYNC_SECONDS = 2.0
+"""Time for which a new hub asks the other hubs for their levels and applies them. They
+need the next roster to know it, and use of earlier seconds is refilled by then."""
+
+MAX_SYNC_LEVELS = 250
+"""Levels in an answer to a new hub, the lowest ones. Up to seven hubs answer at once,
+which together takes a link of 10 Mbit/s for less than 50 ms."""
+
 DEMAND_AVERAGING_SECONDS = 0.6
 """Time constant of the moving average of a workspace's demand."""
 
--- a/src/catkinspan/coordination/rates/ledger.py
+++ b/src/catkinspan/coordination/rates/ledger.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable, Iterator, Mapping
 from math import exp
 
-from attrs import define, field
+from attrs import define, evolve, field
 
 from catkinspan.coordination.rates.bucket import TokenBucket
 from catkinspan.coordination.rates.const import (
@@ -16,6 +16,7 @@
     SILENT_HOST_WEIGHT,
 )
 from catkinspan.coordination.rates.models import (
+    Levels,
     UsageIncrement,
     WorkspaceLevel,
     WorkspaceUsage,
@@ -33,6 +34,10 @@
     """Token bucket and usage counters of one workspace."""
 
     bucket: TokenBucket
+    requests: TokenBucket
+    """Bucket of the published rate for all requests, admitted or not. It tells whether
+    the callers are within the rate while `bucket` has a part of it."""
+
     local_admitted: int = 0
     """Requests admitted in this data centre since these counters were created."""
 
@@ -49,6 +54,13 @@
         """Return whether the hosts need to know the level."""
         return self.bucket.level < self.bucket.capacity * LOW_LEVEL_SHARE
 
+    def record(self, usage: UsageIncrement, now: float) -> None:
+        """Count requests of any host."""
+        self.bucket.debit(usage.admitted)
+        self.requests.refill(now)
+        self.requests.debit_request(usage.requested)
+        self.record_demand(usage.requested, now)
+
     def record_demand(self, count: int, now: float) -> None:
         """Add requests to the exponential moving average of the demand."""
         decay = exp(-max(0.0, now - self.demand_updated_at) / DEMAND_AVERAGING_SECONDS)
@@ -62,8 +74,8 @@
     Cumulative counters make a lost or repeated report harmless. The total of a sender
     that is new here, or that was not heard for long, has use that another hub counted.
     So a report adds at most the sender's recent use, and a first total with older use
-    adds nothing. Of the hubs of a remote data centre only one is counted at a time,
-    since they report the same usage.
+    adds only what no other hub may have counted. Of the hubs of a remote data centre
+    only one is counted at a time, since they report the same usage.
     """
 
     def __init__(self, policy: RatePolicy) -> None:
@@ -101,8 +113,25 @@
         self._share = share
         self._update_buckets(now)
 
+    def mark_reserved(self, message: Levels, now: float) -> Levels:
+        """Add which workspaces are short only for what is kept for other hosts."""
+        if self._share >= 1.0:
+            return message
+        reserved = [
+            index
+            for index, level in enumerate(message.levels)
+            if self._accounts[level.workspace].requests.refill(now) >= 0.0
+        ]
+        return evolve(message, reserved=tuple(reserved))
+
     def _update_buckets(self, now: float) -> None:
         for name, account in self._accounts.items():
+            published = self._workspaces[name]
+            if (account.requests.rate, account.requests.capacity) != (
+                published.rate,
+                published.burst,
+            ):
+                account.requests.set_limits(published.rate, published.burst, now)
             limits = self._bucket_limits(self._workspaces[name])
             rate, capacity = limits.rate, limits.capacity
             if (account.bucket.rate, account.bucket.capacity) != (rate, capacity):
@@ -116,6 +145,11 @@
             max(1.0, limits.initial * self._share),
         )
 
+    def forget_reporters(self) -> None:
+        """Take the next totals as first ones, since another hub counted meanwhile."""
+        self._hosts = Reporters()
+        self._remote = RemoteHubs(HUB_REPORT_MAX_AGE_SECONDS)
+
     def count_host_report(
         self,
         host: HostId,
@@ -131,8 +165,7 @@
         ):
             account = self._account_for(usage.workspace, now)
             if account is not None:
-                account.bucket.debit(usage.admitted)
-                account.record_demand(usage.requested, now)
+                account.record(usage, now)
                 account.local_admitted += usage.admitted
                 account.local_recent.record(usage.admitted, now)
                 account.local_requested += usage.requested
@@ -157,8 +190,7 @@
         for usage in increments:
             account = self._account_for(usage.workspace, now)
             if account is not None:
-                account.bucket.debit(usage.admitted)
-                account.record_demand(usage.requested, now)
+                account.record(usage, now)
 
     def _account_for(self, name: WorkspaceId, now: float) -> _WorkspaceAccount | None:
         account = self._accounts.get(name)
@@ -166,7 +198,10 @@
             workspace = self._workspaces.get(name)
             if workspace is None:
                 return None
-            account = _WorkspaceAccount(self._new_bucket(workspace, now))
+            account = _WorkspaceAccount(
+                self._new_bucket(workspace, now),
+                TokenBucket.full(workspace.rate, workspace.burst, now),
+            )
             self._accounts[name] = account
         account.last_used_at = now
         return account
@@ -192,6 +227,14 @@
                 share = min(1.0, max(0.0, level) / expected_requests)
                 yield WorkspaceLevel(name, round(level, 1), round(share, 3))
 
+    def reduce_levels(self, levels: Iterable[WorkspaceLevel], now: float) -> None:
+        """Reduce levels to those of another hub, which has counted earlier use."""
+        for level in levels:
+            account = self._account_for(level.workspace, now)
+            if account is not None:
+                current = account.bucket.refill(now)
+                account.bucket.level = min(current, level.level)
+
     def local_usages(self, receivers: int, now: float) -> tuple[WorkspaceUsage, ...]:
         """Return the usage of this data centre to report to a number of remote hubs."""
         selected = self._remote_reports.select(receivers, self._is_short, now)
@@ -239,8 +282,12 @@
     """Return what a report adds, without older use that was counted elsewhere."""
     name, admitted, requested = usage.workspace, usage.admitted, usage.requested
     if previous is None:
-        is_recent = usage.recent is not None and admitted <= usage.recent
-        return UsageIncrement(name, *((admitted, requested) if is_recent else (0, 0)))
+        if usage.recent is None:
+            return UsageIncrement(name, 0, 0)
+        if admitted <= usage.recent:
+            return UsageIncrement(name, admitted, requested)
+        uncounted = min(usage.unconfirmed, usage.recent)
+        return UsageIncrement(name, uncounted, uncounted)
     if requested >= previous.requested:
         # Otherwise a hub dropped the counters of an idle workspace and restarted.
         admitted = max(0, admitted - previous.admitted)
--- a/src/catkinspan/coordination/rates/models.py
+++ b/src/catkinspan/coordination/rates/models.py
@@ -24,6 +24,9 @@
     """Admissions of the last seconds, which bound what is new in a total that the
     receiver has not followed; None from hosts of older versions."""
 
+    unconfirmed: int = 0
+    """Admissions since the sender last heard a hub, which may have reached no hub."""
+
 
 @frozen
 class UsageIncrement:
@@ -84,6 +87,22 @@
     """Whether some workspaces that are short are in no recent message. A host limits
     those that it has no level of by its own recent use."""
 
+    reserved: tuple[int, ...] = ()
+    """Indices of the levels of workspaces whose requests are within the rate. They are
+    short because a part of the rate is kept for hosts that are not heard from."""
+
+
+@frozen
+class HubLevelsRequest(PeerMessage):
+    """Request of a new hub for the levels that another hub has counted."""
+
+
+@frozen
+class HubLevels(PeerMessage):
+    """The lowest levels of a hub, for a new hub."""
+
+    levels: tuple[WorkspaceLevel, ...]
+
 
 @frozen
 class WorkspaceRates:
