Push large changes to hosts that were sent small ones

What callers saw: nothing; found on reading again. A large change that came within 0.25 s of an answer with small changes reached the host only by the next announcement, up to 0.75 s later.

Cause: the push waited for an acknowledgement, which hosts send for large changes only.

Change: only messages that are acknowledged are waited for. The new test fails before.

--- a/src/catkinspan/coordination/configuration/outgoing_changes.py
+++ b/src/catkinspan/coordination/configuration/outgoing_changes.py
@@ -37,6 +37,10 @@
         # The links of the sender and of the receiver, if neither is fast.
         return now - self.sent_at < ACKNOWLEDGEMENT_SECONDS + 2 * transfer
 
+    def will_be_acknowledged(self, now: float) -> bool:
+        """Return whether the host is still expected to ask for what follows."""
+        return self.chars > SMALL_CHANGE_CHARS and self.is_on_its_way(now)
+
     def answers(self, after: Revision, now: float) -> bool:
         """Return whether a request needs no further answer yet.
 
@@ -91,7 +95,7 @@
         """Send hosts the changes after a revision, which they need not request."""
         for host in hosts:
             sent = self._unacknowledged.get(host)
-            if sent is None or not sent.is_on_its_way(now):
+            if sent is None or not sent.will_be_acknowledged(now):
                 self._waiting.setdefault(host, after)
         self._send_next(now)
 
--- a/tests/coordination/configuration/test_large_changes.py
+++ b/tests/coordination/configuration/test_large_changes.py
@@ -336,6 +336,22 @@
     assert [(m.after_revision, m.revision, m.documents) for m in sent] == [(6, 9, ())]
 
 
+def test_large_change_follows_an_answered_request_at_once() -> None:
+    """Guards against a push that waits for the acknowledgement of small changes, which
+    no host sends."""
+    hub, outbox = hub_with_large_change(2)
+    host = FOLLOWERS[0]
+    deliver_all(hub, outbox, 1.1)
+    small = Document("small", Revision(7), "x")
+    hub.apply_store_changes(StoreChanges(Revision(6), Revision(7), (small,)), 1.2)
+    outbox.take_envelopes()
+    hub.handle(Pull(Revision(6), in_parts=True), Sender(host, 1), 1.3)
+    assert [m.revision for to, m in sent_changes(outbox) if to == host] == [7]
+    large = Document("large/9", Revision(8), "x" * 20_000)
+    hub.apply_store_changes(StoreChanges(Revision(7), Revision(8), (large,)), 1.35)
+    assert deliver_all(hub, outbox, 1.35)[host] == [7]
+
+
 def deliver_all(
     hub: ConfigurationCoordinator, outbox: Outbox, now: float
 ) -> dict[HostId, list[Revision]]:
