--- a/src/catkinspan/coordination/budget.py
+++ b/src/catkinspan/coordination/budget.py
@@ -29,12 +29,18 @@
 
     def is_available(self, now: float) -> bool:
         """Return whether a message may be sent."""
-        return self.available(now) >= 0.0
-
-    def available(self, now: float) -> float:
-        """Return the bytes that are left; negative after an overdraft."""
         self._refill(now)
-        return self._level
+        return self._level >= 0.0
+
+    def spendable(self, interval: float, now: float) -> float:
+        """Return the bytes for a message that is sent at an interval, in seconds.
+
+        These are all that are left, and at least those of an interval, but none after
+        an overdraft.
+        """
+        if not self.is_available(now):
+            return 0.0
+        return max(self._level, self.bytes_per_second * interval)
 
     def charge(self, size: float, now: float) -> None:
         """Take the bytes of a message."""
--- a/src/catkinspan/coordination/rates/publisher.py
+++ b/src/catkinspan/coordination/rates/publisher.py
@@ -69,12 +69,7 @@
 
     def _room(self, receivers: int, now: float) -> int:
         """Return the number of levels for which the budget pays now."""
-        available = self._budget.available(now)
-        if available < 0:
-            return 0
-        available = max(
-            available, self._budget.bytes_per_second * REPORT_INTERVAL_SECONDS
-        )
+        available = self._budget.spendable(REPORT_INTERVAL_SECONDS, now)
         return ceil(available / LEVEL_BYTES / max(1, receivers))
 
     def _select(
--- a/src/catkinspan/coordination/rates/use_reports.py
+++ b/src/catkinspan/coordination/rates/use_reports.py
@@ -88,12 +88,7 @@
 
     def _room(self, receivers: int, now: float) -> int:
         """Return the number of workspaces for which the budget pays now."""
-        available = self._budget.available(now)
-        if available < 0:
-            return 0
-        available = max(
-            available, self._budget.bytes_per_second * REPORT_INTERVAL_SECONDS
-        )
+        available = self._budget.spendable(REPORT_INTERVAL_SECONDS, now)
         return ceil(available / USAGE_BYTES / receivers)
 
     def _forget_reported(self, now: float) -> None:
