Compare the loads of fewer servers, of low risk

Cause: loads are about as old as a request takes. Of 16 servers compared, each host takes the one with the best report, and so does the next host.

Change: a choice looks among eight servers of each group for four of low risk and compares these.

--- a/src/catkinspan/coordination/balancing/balancer.py
+++ b/src/catkinspan/coordination/balancing/balancer.py
@@ -16,6 +16,7 @@
     IDEMPOTENT_TRIAL_RISK_EXPONENT,
     MAX_AFFINITY_COST,
     MAX_COMPARED_SERVERS,
+    MAX_EXAMINED_SERVERS,
     MAX_RANDOM_COST,
     MIN_CONNECTIONS_PER_HOST,
     MIN_TRIAL_RISK,
@@ -173,15 +174,11 @@
         same server (Mitzenmacher, "How useful is old information?", 2000), and keeps
         the cost of a choice independent of the size of the service.
         """
-        return [
-            candidate
-            for group in (service.own, service.others)
-            for candidate in self._usable(
-                self._rng.sample(group, min(len(group), MAX_COMPARED_SERVERS)),
-                request,
-                now,
-            )
-        ]
+        compared = []
+        for group in (service.own, service.others):
+            examined = self._rng.sample(group, min(len(group), MAX_EXAMINED_SERVERS))
+            compared += _first_of_low_risk(self._usable(examined, request, now))
+        return compared
 
     def _fallback(
         self, service: _Service, request: ServerRequest, now: float
@@ -279,6 +276,18 @@
         )
 
 
+def _first_of_low_risk(examined: Iterable[_Candidate]) -> list[_Candidate]:
+    """Return the first candidates of low risk, or all if these are too few."""
+    candidates, of_low_risk = [], []
+    for candidate in examined:
+        candidates.append(candidate)
+        if candidate.view.risk < BASELINE_RISK:
+            of_low_risk.append(candidate)
+        if len(of_low_risk) == MAX_COMPARED_SERVERS:
+            return of_low_risk
+    return candidates
+
+
 def _expected_wait(candidate: _Candidate, request: ServerRequest) -> float:
     return candidate.queue_rounds * request.expected_latency
 
--- a/src/catkinspan/coordination/balancing/const.py
+++ b/src/catkinspan/coordination/balancing/const.py
@@ -34,10 +34,14 @@
 """Maximum random cost. Load reports arrive with a delay, and without a random cost all
 hosts would choose the same server."""
 
-MAX_COMPARED_SERVERS = 8
-"""Servers of the own data centre, and as many of the others, that a choice compares. If
-each host compared all servers, one with a good report would get the requests of the
-whole fleet until the next report."""
+MAX_COMPARED_SERVERS = 4
+"""Servers of the own data centre, and as many of the others, whose loads a choice
+compares. Loads are about as old as a request takes; the more servers each host
+compares, the more requests of the fleet the one with the best report gets."""
+
+MAX_EXAMINED_SERVERS = 8
+"""Servers of the own data centre, and as many of the others, among which a choice looks
+for the compared ones, which are to be of low risk."""
 
 MIN_CONNECTIONS_PER_HOST = 2
 """Connections that a host may open to a server in a fleet of any size: one with a
