--- a/src/catkinspan/coordination/rates/ledger.py
+++ b/src/catkinspan/coordination/rates/ledger.py
@@ -22,8 +22,9 @@
     WorkspaceUsage,
 )
 from catkinspan.coordination.rates.policy import BucketLimits, RatePolicy
-from catkinspan.coordination.rates.recent_use import RecentUse
 from catkinspan.coordination.rates.use_reports import UseReports
+from catkinspan.coordination.rates.workspace_state import recent_use_count
+from catkinspan.coordination.recent_count import RecentCount
 from catkinspan.coordination.reporters import RemoteHubs, Reporter, Reporters
 from catkinspan.state.ids import DataCentre, HostId, WorkspaceId
 from catkinspan.state.tree import Workspace
@@ -41,7 +42,7 @@
     local_admitted: int = 0
     """Requests admitted in this data centre since these counters were created."""
 
-    local_recent: RecentUse = field(factory=RecentUse)
+    local_recent: RecentCount = field(factory=recent_use_count)
     last_used_at: float = 0.0
     local_requested: int = 0
     demand: float = 0.0
--- a/src/catkinspan/coordination/rates/workspace_state.py
+++ b/src/catkinspan/coordination/rates/workspace_state.py
@@ -3,10 +3,16 @@
 from attrs import define, field
 
 from catkinspan.coordination.rates.bucket import TokenBucket
+from catkinspan.coordination.rates.const import RECENT_USE_SECONDS
 from catkinspan.coordination.rates.models import WorkspaceLevel
 from catkinspan.coordination.rates.own_use import OwnUse
 from catkinspan.coordination.rates.policy import BucketLimits
-from catkinspan.coordination.rates.recent_use import RecentUse
+from catkinspan.coordination.recent_count import RecentCount
+
+
+def recent_use_count() -> RecentCount:
+    """Return a count of recent admissions."""
+    return RecentCount(RECENT_USE_SECONDS)
 
 
 @define
@@ -21,7 +27,7 @@
     a workspace that the host did not serve before."""
 
     own_use: OwnUse
-    recent_use: RecentUse = field(factory=RecentUse)
+    recent_use: RecentCount = field(factory=recent_use_count)
     admitted: int = 0
     unconfirmed: int = 0
     """Requests admitted since levels last arrived."""
