Name what changes state and what a message's age says

A method that changed state had the name of a question, three names were figurative, and the age of a hub's message stood as the age of a state.

--- a/src/catkinspan/coordination/balancing/models.py
+++ b/src/catkinspan/coordination/balancing/models.py
@@ -36,10 +36,11 @@
     in_flight: int
     is_trial: bool
     connection_limit: int
-    """Share of this host in the connections that the server accepts."""
+    """Connections that this host may have open to the server."""
 
     state_age: float | None = None
-    """Age in seconds of the hub's news on the server; None for own counts only."""
+    """Age in seconds of the hub's latest message, which may leave out the server; None
+    for own counts only."""
 
 
 class NoServerReason(StrEnum):
--- a/src/catkinspan/coordination/configuration/completeness.py
+++ b/src/catkinspan/coordination/configuration/completeness.py
@@ -91,7 +91,7 @@
         """Return the newest revision known of, and when it had all changes.
 
         A host that lacks a revision which it has heard of names that one, so that it
-        does not vouch for its copy.
+        does not confirm its copy.
         """
         claim = self._newest_claim(now)
         if claim is None:
--- a/src/catkinspan/coordination/configuration/pulls.py
+++ b/src/catkinspan/coordination/configuration/pulls.py
@@ -104,18 +104,19 @@
             may_change = is_primary and not self._has_part
             sources = [preferred[0] if may_change else self._source]
         for source in sources:
-            if self._should_ask(source, now):
+            if self._is_due(source, now):
+                self._record_request(source, now)
                 return source
         return None
 
-    def _should_ask(self, source: HostId, now: float) -> bool:
+    def _is_due(self, source: HostId, now: float) -> bool:
         wait = OTHER_PULL_RETRY_SECONDS
         if source == self._source:
             doublings = min(self._attempts - 1, 8)
             wait = min(MAX_PULL_RETRY_SECONDS, PULL_RETRY_SECONDS * 2.0**doublings)
-        if now - self._asked_at < wait:
-            return False
+        return now - self._asked_at >= wait
+
+    def _record_request(self, source: HostId, now: float) -> None:
         self._has_part &= source == self._source
         self._source, self._asked_at = source, now
         self._attempts += 1
-        return True
--- a/src/catkinspan/coordination/health/models.py
+++ b/src/catkinspan/coordination/health/models.py
@@ -99,7 +99,8 @@
     """Whether a different server answers at its address."""
 
     state_age: float | None = None
-    """Age in seconds of the latest news of a hub; None for own counts only."""
+    """Age in seconds of the hub's latest message, which may leave out the server; None
+    for own counts only."""
 
     load_age: float = 0.0
     """Seconds since `in_flight` has changed, as far as this host knows."""
--- a/src/catkinspan/coordination/rates/coordinator.py
+++ b/src/catkinspan/coordination/rates/coordinator.py
@@ -325,10 +325,10 @@
             if level is not None:
                 state.hub_level, state.hub_level_at = level, now
                 state.is_reserved = name in reserved
-                state.own_use.thaw()
+                state.own_use.clear_limit()
             elif name in recovered or not message.is_partial:
                 state.hub_level = None
-                state.own_use.thaw()
+                state.own_use.clear_limit()
             else:
                 self._apply_omission(state, now)
 
@@ -337,7 +337,7 @@
         if now - state.hub_level_at > LEVEL_KEPT_SECONDS:
             state.hub_level = None
         if not self._levels_leave_out:
-            state.own_use.thaw()
+            state.own_use.clear_limit()
 
     def tick(self, now: float) -> None:
         """Report usage and, as a hub, send levels and the totals of the data centre."""
--- a/src/catkinspan/coordination/rates/own_use.py
+++ b/src/catkinspan/coordination/rates/own_use.py
@@ -51,7 +51,7 @@
         self._weight *= factor
         self._limit = None
 
-    def thaw(self) -> None:
+    def clear_limit(self) -> None:
         """Drop the frozen limit, because levels have arrived."""
         self._limit = None
 
--- a/src/catkinspan/coordination/requests/models.py
+++ b/src/catkinspan/coordination/requests/models.py
@@ -119,7 +119,8 @@
     """Requests of the whole fleet in flight at the server when it was chosen."""
 
     state_age: float | None = None
-    """Age in seconds of the hub's news on the server; None for own counts only."""
+    """Age in seconds of the hub's latest message, which may leave out the server; None
+    for own counts only."""
 
     is_trial: bool = False
     """Whether the request is also a trial of a high-risk server."""
--- a/tests/coordination/requests/test_false_claims.py
+++ b/tests/coordination/requests/test_false_claims.py
@@ -96,7 +96,7 @@
     assert _refusal_kinds(fleet, "key-1") == set()
 
 
-def test_hub_that_lags_for_long_does_not_vouch_for_its_copy() -> None:
+def test_hub_that_lags_for_long_does_not_confirm_its_copy() -> None:
     """Guards against an expired claim that lets an old copy count as confirmed."""
     fleet = virtual_fleet(HOSTS)
     views = {h: node.coordinator.view for h, node in fleet.hosts.items()}
--- a/tests/coordination/requests/test_outdated.py
+++ b/tests/coordination/requests/test_outdated.py
@@ -116,7 +116,7 @@
     )
 
 
-def test_hub_that_lags_does_not_vouch_for_its_copy() -> None:
+def test_hub_that_lags_does_not_confirm_its_copy() -> None:
     """Guards against hosts that take an old copy for current because its hub does."""
     fleet = virtual_fleet(12)
     views = {h: node.coordinator.view for h, node in fleet.hosts.items()}
--- a/tests/rates_fleet.py
+++ b/tests/rates_fleet.py
@@ -116,9 +116,9 @@
 
     def lose_levels(self, hosts: Iterable[HostId] | None = None) -> None:
         """Cut some hosts, or all, off from all others; the others notice later."""
-        deaf = set(self.nodes if hosts is None else hosts)
-        self.channel.partition(deaf, self.nodes)
-        heard = [host for host in self.nodes if host not in deaf]
+        cut_off = set(self.nodes if hosts is None else hosts)
+        self.channel.partition(cut_off, self.nodes)
+        heard = [host for host in self.nodes if host not in cut_off]
         noticed_at = self.channel.now + HOST_SILENT_SECONDS
         self.channel.call_at(noticed_at, lambda: self._apply_views(heard))
 
