Refuse server addresses that cannot be connected to

Cause: an entry of another writer with port 0, an unspecified or multicast address, an unbracketed IPv6 address or a port with leading zeros was taken for a server. Requests were sent there until the failures showed.

Change: the address of a server entry names one host and a port from 1 to 65535. Listening addresses may still have port 0. Brackets enclose IPv6 addresses only.

--- a/src/catkinspan/platform/servers.py
+++ b/src/catkinspan/platform/servers.py
@@ -59,7 +59,7 @@
         ServiceId(info.string(names.SERVICE)),
         Upstream(
             id=ServerId(server_id),
-            address=reader.address(names.ADDRESS),
+            address=reader.destination(names.ADDRESS),
             data_centre=DataCentre(info.string(names.ZONE)),
             slots=info.integer(names.SLOTS, None, 1, MAX_SLOTS),
             leaving=state == names.DRAINING,
--- a/src/catkinspan/protocol/settings/reader.py
+++ b/src/catkinspan/protocol/settings/reader.py
@@ -1,5 +1,6 @@
 """Validating access to decoded JSON that collects every fault with its path."""
 
+import re
 from collections.abc import Callable, Iterator, Mapping
 from datetime import timedelta
 from ipaddress import ip_address
@@ -15,7 +16,8 @@
 T = TypeVar("T")
 
 MAX_PORT = 65535
-MAX_PORT_DIGITS = 5
+_PORT_PATTERN = re.compile(r"0|[1-9][0-9]{0,4}")
+_BROADCAST_IP = "255.255.255.255"
 MAX_DURATION_MS = 24 * 3600 * 1000
 
 
@@ -185,7 +187,13 @@
         value = self.raw_value(name)
         if value is None and default is not None:
             return default
-        parsed = parse_address(value)
+        return self._checked_address(name, parse_address(value))
+
+    def destination(self, name: str) -> Address:
+        """Return a numeric address of the form IP:PORT that can be connected to."""
+        return self._checked_address(name, parse_destination(self.raw_value(name)))
+
+    def _checked_address(self, name: str, parsed: Result[Address, str]) -> Address:
         if isinstance(parsed, Ok):
             return parsed.ok_value
         self.add_fault(
@@ -215,21 +223,33 @@
     return isinstance(value, int | float) and not isinstance(value, bool)
 
 
-def _is_port(text: str) -> bool:
-    return text.isascii() and text.isdecimal() and int(text) <= MAX_PORT
-
-
 def parse_address(value: object) -> Result[Address, str]:
-    """Parse ``IP:PORT`` or ``[IPv6]:PORT``."""
+    """Parse ``IP:PORT`` or ``[IPv6]:PORT``; port 0 lets the system choose one."""
     if not isinstance(value, str):
         return Err("missing or not a string")
-    ip, separator, port = value.rpartition(":")
-    ip = ip.strip("[]")
+    host, separator, port = value.rpartition(":")
+    is_bracketed = host.startswith("[") and host.endswith("]")
+    ip = host[1:-1] if is_bracketed else host
     try:
-        ip_address(ip)
+        version = ip_address(ip).version
     except ValueError:
         return Err("not a numeric IP address")
-    # Check the length first: int() raises ValueError for thousands of digits.
-    if not separator or len(port) > MAX_PORT_DIGITS or not _is_port(port):
-        return Err("not a port from 0 to 65535")
+    if is_bracketed != (version == 6):
+        return Err("not a numeric IP address; brackets enclose IPv6 addresses only")
+    if not separator or not _PORT_PATTERN.fullmatch(port) or int(port) > MAX_PORT:
+        return Err(f"not a port from 0 to {MAX_PORT}")
     return Ok(Address(ip, int(port)))
+
+
+def parse_destination(value: object) -> Result[Address, str]:
+    """Parse an address that can be connected to: one host and a port above 0."""
+    parsed = parse_address(value)
+    if isinstance(parsed, Err):
+        return parsed
+    address = parsed.ok_value
+    ip = ip_address(address.ip)
+    if address.port == 0:
+        return Err(f"not a port from 1 to {MAX_PORT}")
+    if ip.is_unspecified or ip.is_multicast or address.ip == _BROADCAST_IP:
+        return Err("not the IP address of a single host")
+    return parsed
