Serve the rest of a configuration with an unknown word

Callers of a deployment with routes of kind "download" got 503 for every request: 44 of 44 hosts never became ready.

Cause: the reader of the platform's configuration took each unusable value for a fault of the whole document, so that a host without an earlier configuration had none at all.

Change: each value is classed by what an unusable one leads to. A kind, time-out, number of attempts, priority or limit gets a cautious default (requests of an unknown kind run at most once). A route without a readable destination, and a tenant without readable limits, are refused with 503. If a route's host or path, or a tenant's keys, cannot be read, no request is refused as unknown (401, 404). Only a document without a version, without its tables or without any usable route is rejected. Versions have up to 15 hexadecimal digits, since a longer one could not be sent on. Faults are events, lines of status and config, and a metric.

--- a/src/catkinspan/coordination/audit/texts.py
+++ b/src/catkinspan/coordination/audit/texts.py
@@ -13,6 +13,7 @@
     ReadingChanged,
     ServersChanged,
     ServersLapsed,
+    SettingsFaultTolerated,
     StoreContactLost,
     StoreContactRegained,
 )
@@ -81,6 +82,10 @@
     return f"store entry ignored: {event.fault}"
 
 
+def _settings_fault_tolerated(event: SettingsFaultTolerated) -> str:
+    return f"revision {event.revision} is in force except for {event.fault}"
+
+
 def _servers_changed(event: ServersChanged) -> str:
     parts = (
         ("added", event.added),
@@ -214,6 +219,7 @@
     ConfigurationAccepted: _configuration_accepted,
     ConfigurationRejected: _configuration_rejected,
     EntryIgnored: _entry_ignored,
+    SettingsFaultTolerated: _settings_fault_tolerated,
     ServersChanged: _servers_changed,
     ServersLapsed: _servers_lapsed,
     StoreContactLost: _store_contact_lost,
--- a/src/catkinspan/coordination/configuration/coordinator.py
+++ b/src/catkinspan/coordination/configuration/coordinator.py
@@ -161,6 +161,7 @@
             age if self._contacts.was_reached else None,
             self.is_ready(),
             len(self._replica.documents),
+            self._settings.faults,
         )
 
     def apply_view(self, view: FleetView, now: float) -> None:
--- a/src/catkinspan/coordination/configuration/in_force.py
+++ b/src/catkinspan/coordination/configuration/in_force.py
@@ -11,7 +11,10 @@
     describe_differences,
     describe_server_changes,
 )
-from catkinspan.coordination.configuration.errors import RejectedConfiguration
+from catkinspan.coordination.configuration.errors import (
+    RejectedConfiguration,
+    SettingsFault,
+)
 from catkinspan.coordination.configuration.models import (
     AppliedRevision,
     ConfigurationAccepted,
@@ -21,6 +24,7 @@
     EntryIgnored,
     ParsedDocuments,
     ServersLapsed,
+    SettingsFaultTolerated,
 )
 from catkinspan.coordination.configuration.replica import Replica
 from catkinspan.coordination.outbox import Outbox
@@ -73,6 +77,11 @@
         """Return why the newest settings were rejected; None if they are in force."""
         return self._parsed.rejected
 
+    @property
+    def faults(self) -> tuple[SettingsFault, ...]:
+        """Return the faults of single values and entries; the rest is in force."""
+        return self._parsed.tolerated + self._parsed.ignored
+
     def is_ready(self) -> bool:
         """Return whether settings are in force and list at least one server."""
         services = self._tree.services.values()
@@ -112,6 +121,10 @@
         for fault in parsed.ignored:
             if fault not in before.ignored:
                 self._outbox.emit(EntryIgnored(fault))
+        for fault in parsed.tolerated:
+            if fault not in before.tolerated:
+                revision = parsed.tree.revision
+                self._outbox.emit(SettingsFaultTolerated(revision, fault))
         self._report_rejection(parsed, source)
         if parsed.tree.revision < self._tree.revision:
             return
--- a/src/catkinspan/coordination/configuration/models.py
+++ b/src/catkinspan/coordination/configuration/models.py
@@ -39,6 +39,9 @@
     ignored: tuple[SettingsFault, ...] = ()
     """Faults of single entries; these add no server and leave other entries intact."""
 
+    tolerated: tuple[SettingsFault, ...] = ()
+    """Faults of single values of the accepted settings; each tells what follows."""
+
 
 class DocumentParser(Protocol):
     """Validates documents and builds the settings tree from them."""
@@ -200,6 +203,8 @@
 
     ready: bool
     documents: int
+    faults: tuple[SettingsFault, ...] = ()
+    """Faults of single values and entries that leave the rest in force."""
 
 
 @frozen
@@ -231,6 +236,14 @@
     fault: SettingsFault
 
 
+@frozen
+class SettingsFaultTolerated(Event):
+    """A value of the accepted settings is unusable; the others are in force."""
+
+    revision: Revision
+    fault: SettingsFault
+
+
 @frozen
 class ServersChanged(Event):
     """Servers were added, started to leave or were removed."""
--- a/src/catkinspan/coordination/metrics/endings.py
+++ b/src/catkinspan/coordination/metrics/endings.py
@@ -39,6 +39,7 @@
         {
             RefusalKind.NOT_READY,
             RefusalKind.SETTINGS_OUTDATED,
+            RefusalKind.SETTINGS_UNUSABLE,
             RefusalKind.ISOLATED,
             RefusalKind.RATE_UNKNOWN,
         }
--- a/src/catkinspan/coordination/reports/config.py
+++ b/src/catkinspan/coordination/reports/config.py
@@ -3,7 +3,7 @@
 from catkinspan.coordination.configuration.errors import RejectedConfiguration
 from catkinspan.coordination.reports.clock_reading import ClockReading
 from catkinspan.coordination.reports.gather import HostFacts
-from catkinspan.coordination.reports.heads import report_header
+from catkinspan.coordination.reports.heads import fault_lines, report_header
 from catkinspan.coordination.reports.models import (
     ConfigReport,
     RejectedLine,
@@ -36,6 +36,7 @@
         servers=sum(len(s.upstreams) for s in tree.services.values()),
         isolation_seconds=None if isolation is None else isolation.total_seconds(),
         unknown=unknown_to_host(facts),
+        settings_faults=fault_lines(facts),
     )
 
 
--- a/src/catkinspan/coordination/reports/const.py
+++ b/src/catkinspan/coordination/reports/const.py
@@ -17,5 +17,6 @@
 MAX_WORKSPACES_SHOWN = 200
 """Workspaces in one report; those that are held back come first."""
 
+MAX_FAULTS_SHOWN = 5
 MAX_SERVERS_NAMED = 5
 MAX_HOSTS_NAMED = 5
--- a/src/catkinspan/coordination/reports/heads.py
+++ b/src/catkinspan/coordination/reports/heads.py
@@ -3,8 +3,13 @@
 from catkinspan.coordination.metrics.const import RECENT_SECONDS
 from catkinspan.coordination.metrics.models import ResultCategory, ResultCounts
 from catkinspan.coordination.reports.clock_reading import ClockReading
+from catkinspan.coordination.reports.const import MAX_FAULTS_SHOWN
 from catkinspan.coordination.reports.gather import HostFacts
-from catkinspan.coordination.reports.models import ReportHeader, RequestLine
+from catkinspan.coordination.reports.models import (
+    FaultLines,
+    ReportHeader,
+    RequestLine,
+)
 
 
 def report_header(facts: HostFacts, clock_reading: ClockReading) -> ReportHeader:
@@ -16,6 +21,15 @@
     return ReportHeader(view.self_id, view.self_data_centre, at, revision)
 
 
+def fault_lines(facts: HostFacts) -> FaultLines:
+    """Return the first faults of the settings and of single entries."""
+    faults = facts.configuration.faults
+    return FaultLines(
+        tuple(map(str, faults[:MAX_FAULTS_SHOWN])),
+        max(0, len(faults) - MAX_FAULTS_SHOWN),
+    )
+
+
 def request_line(recent: ResultCounts) -> RequestLine:
     """Return the recent requests of a service or workspace."""
     return RequestLine(
--- a/src/catkinspan/coordination/reports/models.py
+++ b/src/catkinspan/coordination/reports/models.py
@@ -155,6 +155,20 @@
     keys: tuple[KeyLine, ...]
 
 
+@frozen
+class FaultLines:
+    """Values and entries of the store that are unusable, while the rest is in force."""
+
+    shown: tuple[str, ...] = ()
+    left_out: int = 0
+    """Number of faults that are not listed."""
+
+    @property
+    def count(self) -> int:
+        """Return the number of all faults."""
+        return len(self.shown) + self.left_out
+
+
 @frozen
 class StatusReport:
     """Response of the ``status`` command."""
@@ -179,6 +193,8 @@
     unknown: tuple[str, ...]
     """What the answering host cannot determine at the moment."""
 
+    settings_faults: FaultLines = FaultLines()
+
 
 @frozen
 class ServiceStatusReport:
@@ -283,6 +299,7 @@
     servers: int
     isolation_seconds: float | None
     unknown: tuple[str, ...]
+    settings_faults: FaultLines = FaultLines()
 
 
 @frozen
--- a/src/catkinspan/coordination/reports/status.py
+++ b/src/catkinspan/coordination/reports/status.py
@@ -11,7 +11,11 @@
     ServiceFacts,
     WorkspaceFacts,
 )
-from catkinspan.coordination.reports.heads import report_header, request_line
+from catkinspan.coordination.reports.heads import (
+    fault_lines,
+    report_header,
+    request_line,
+)
 from catkinspan.coordination.reports.models import (
     HealthState,
     ServerLine,
@@ -52,6 +56,7 @@
         held_back[:MAX_WORKSPACES_SHOWN],
         max(0, len(held_back) - MAX_WORKSPACES_SHOWN),
         unknown_to_host(facts),
+        fault_lines(facts),
     )
 
 
--- a/src/catkinspan/coordination/requests/admission.py
+++ b/src/catkinspan/coordination/requests/admission.py
@@ -4,11 +4,13 @@
 
 from result import Err, Ok, Result
 
+from catkinspan.coordination.keys.errors import KeyRefusal
 from catkinspan.coordination.requests import refusals
 from catkinspan.coordination.requests.dependencies import RequestDependencies
 from catkinspan.coordination.requests.errors import Refusal
 from catkinspan.coordination.requests.models import RequestArrived
 from catkinspan.coordination.requests.records import ActiveRequest
+from catkinspan.coordination.routing.errors import RouteNotFound, RouteRefusal
 from catkinspan.state.ids import ANONYMOUS_WORKSPACE, ServiceId, WorkspaceId
 from catkinspan.state.tree import Route, SettingsTree
 
@@ -41,12 +43,17 @@
             arrived.method, arrived.host, arrived.path
         )
         if isinstance(matched, Err):
-            return Err(refusals.route_refusal(matched.err_value))
+            return Err(self._unmatched_refusal(matched.err_value))
         route = matched.ok_value
+        if route.fault:
+            return Err(refusals.unusable_settings_refusal(route.fault))
         key = _presented_key(arrived, route)
         workspace = self._authenticate(route, key, now)
         if isinstance(workspace, Err):
             return workspace
+        fault = self._tree.unusable_workspaces.get(workspace.ok_value)
+        if fault is not None:
+            return Err(refusals.unusable_settings_refusal(fault))
         if self._is_at_limit(workspace.ok_value):
             return Err(refusals.WORKSPACE_OVERLOADED)
         timeout = route.policy.deadline
@@ -99,7 +106,19 @@
         if self._dependencies.gate.is_isolated(now):
             return Err(refusals.ISOLATED)
         found = self._dependencies.keys.workspace_for(key or "", now)
-        return found.map_err(lambda error: refusals.key_refusal(error, key))
+        return found.map_err(lambda error: self._key_refusal(error, key))
+
+    def _key_refusal(self, error: KeyRefusal, key: str | None) -> Refusal:
+        """Return the refusal; final only if all published keys are known."""
+        if key and not self._tree.has_all_keys:
+            return refusals.unusable_settings_refusal(refusals.MISSING_KEY)
+        return refusals.key_refusal(error, key)
+
+    def _unmatched_refusal(self, error: RouteRefusal) -> Refusal:
+        """Return the refusal; final only if all published routes are known."""
+        if isinstance(error, RouteNotFound) and not self._tree.has_all_routes:
+            return refusals.unusable_settings_refusal(refusals.MISSING_ROUTE)
+        return refusals.route_refusal(error)
 
     def _is_at_limit(self, workspace_id: WorkspaceId) -> bool:
         workspace = self._tree.workspaces.get(workspace_id)
--- a/src/catkinspan/coordination/requests/errors.py
+++ b/src/catkinspan/coordination/requests/errors.py
@@ -26,6 +26,7 @@
     KEY_WITHDRAWN = "key_withdrawn"
     NOT_READY = "not_ready"
     SETTINGS_OUTDATED = "settings_outdated"
+    SETTINGS_UNUSABLE = "settings_unusable"
     ISOLATED = "isolated"
     OVERLOADED = "overloaded"
     RATE_EXCEEDED = "rate_exceeded"
--- a/src/catkinspan/coordination/requests/refusals.py
+++ b/src/catkinspan/coordination/requests/refusals.py
@@ -16,6 +16,9 @@
 )
 from catkinspan.state.tree import Workspace
 
+MISSING_ROUTE = "no route matches, and some published routes cannot be read"
+MISSING_KEY = "the key is not known, and some published keys cannot be read"
+
 _DEFAULT_RETRY_AFTER_SECONDS = 1.0
 _MIN_RETRY_AFTER_SECONDS = 0.1
 """Minimum `Retry-After`: two intervals of the hosts' load reports."""
@@ -37,6 +40,7 @@
         RefusalKind.KEY_MISSING,
         RefusalKind.KEY_UNKNOWN,
         RefusalKind.KEY_WITHDRAWN,
+        RefusalKind.SETTINGS_UNUSABLE,
     }
 )
 """Refusals that newer settings may turn into an admission."""
@@ -178,6 +182,17 @@
     )
 
 
+def unusable_settings_refusal(fault: str) -> Refusal:
+    """Return the refusal of a request whose published settings cannot be used."""
+    return Refusal(
+        RefusalKind.SETTINGS_UNUSABLE,
+        "the published settings for the request are not usable",
+        "ask the operators to correct the settings that `catkinspan status` names",
+        retry_after=_DEFAULT_RETRY_AFTER_SECONDS,
+        evidence=fault,
+    )
+
+
 def quarantine_refusal(error: Quarantined) -> Refusal:
     """Return the refusal of a request that crashed upstreams."""
     return Refusal(
--- a/src/catkinspan/daemon/cli/text/common.py
+++ b/src/catkinspan/daemon/cli/text/common.py
@@ -3,7 +3,7 @@
 from collections.abc import Iterable, Sequence
 from datetime import datetime
 
-from catkinspan.coordination.reports.models import ReportHeader
+from catkinspan.coordination.reports.models import FaultLines, ReportHeader
 from catkinspan.coordination.reports.unknown import format_duration
 
 MAX_ROWS = 40
@@ -50,6 +50,14 @@
     return [f"not known here: {line}" for line in unknown]
 
 
+def settings_fault_lines(faults: FaultLines) -> list[str]:
+    """Return a line for each shown fault of the settings and of single entries."""
+    lines = [f"not usable: {fault}" for fault in faults.shown]
+    if faults.left_out:
+        lines.append(f"and {faults.left_out} more faults; see `catkinspan audit`")
+    return lines
+
+
 def _row(cells: Sequence[str], widths: Sequence[int]) -> str:
     padded = [cell.ljust(width) for cell, width in zip(cells, widths, strict=True)]
     return ("  " + "  ".join(padded)).rstrip()
--- a/src/catkinspan/daemon/cli/text/fleet.py
+++ b/src/catkinspan/daemon/cli/text/fleet.py
@@ -14,6 +14,7 @@
     format_table,
     format_time,
     header_line,
+    settings_fault_lines,
     unknown_lines,
 )
 
@@ -105,6 +106,7 @@
     if report.rejected is not None:
         lines.append(f"REJECTED revision {report.rejected.revision}:")
         lines += [f"  {fault}" for fault in report.rejected.faults]
+    lines += settings_fault_lines(report.settings_faults)
     lines.append("latest revisions in force at this host:")
     rows = [(r.revision, format_time(r.at), r.source) for r in report.recent]
     lines += format_table(("revision", "since", "from"), rows)
--- a/src/catkinspan/daemon/cli/text/status.py
+++ b/src/catkinspan/daemon/cli/text/status.py
@@ -14,6 +14,7 @@
     MAX_ROWS,
     format_since,
     header_line,
+    settings_fault_lines,
     unknown_lines,
 )
 
@@ -32,6 +33,7 @@
     if len(report.services) > MAX_ROWS:
         lines.append(f"and {len(report.services) - MAX_ROWS} more services; see --json")
     lines += _held_back_lines(report.held_back, report.held_back_more)
+    lines += settings_fault_lines(report.settings_faults)
     return "\n".join([*lines, *unknown_lines(report.unknown)])
 
 
--- a/src/catkinspan/platform/configuration.py
+++ b/src/catkinspan/platform/configuration.py
@@ -1,9 +1,7 @@
 """Converts the platform's configuration and server entries to a settings tree."""
 
-from collections.abc import Iterator, Mapping
-from datetime import timedelta
-from hashlib import sha256
-from typing import Any
+import re
+from collections.abc import Mapping
 
 from attrs import evolve, frozen
 
@@ -13,39 +11,27 @@
 )
 from catkinspan.coordination.configuration.models import Document, ParsedDocuments
 from catkinspan.platform import names
+from catkinspan.platform.routes import PublishedRoutes, read_routes
 from catkinspan.platform.servers import ServerEntry, parse_server_entry
+from catkinspan.platform.tenants import read_tenants
 from catkinspan.protocol.settings.reader import FaultList, ObjectReader, decode_json
-from catkinspan.state.ids import (
-    NO_REVISION,
-    KeyId,
-    Revision,
-    RouteId,
-    ServiceId,
-    WorkspaceId,
-)
-from catkinspan.state.policy import POLICY_FIELDS, Policy
-from catkinspan.state.tree import (
-    FleetSettings,
-    KeyEntry,
-    Route,
-    RouteMatch,
-    Service,
-    SettingsTree,
-    Upstream,
-    WeightedService,
-    Workspace,
-)
+from catkinspan.state.ids import NO_REVISION, Revision, ServiceId
+from catkinspan.state.policy import Policy
+from catkinspan.state.tree import FleetSettings, Service, SettingsTree, Upstream
 
 RETRY_RATIO = 0.2
 """Largest ratio of retries to requests that the platform allows."""
 
 DEFAULT_MAX_CONNECTIONS = 300
-MAX_NUMBER = 1e9
+MAX_CONNECTIONS = 1_000_000
 MAX_BODY_BYTES = 1 << 40
 STORE_KEY_PREFIXES = (names.CONFIGURATION_PREFIX, names.SERVERS_PREFIX)
 """Prefixes of the store keys that the fleet reads."""
 
-_ORIGIN = "platform"
+_VERSION_PATTERN = re.compile(r"[0-9a-fA-F]{1,15}")
+"""The digits of a version; one of 16 digits may exceed 63 bits."""
+
+_DEFAULT_CONSEQUENCE = "the default is used"
 
 
 @frozen
@@ -59,6 +45,9 @@
     max_connections: Mapping[ServiceId, int]
     """Value of `Upstream.max_connections` for the servers of each service."""
 
+    tolerated: tuple[SettingsFault, ...] = ()
+    """Faults of single values that leave the rest usable."""
+
 
 class PlatformDocuments:
     """Builds the settings tree from ``op/config`` and the server entries."""
@@ -98,7 +87,12 @@
             name: evolve(service, upstreams=tuple(upstreams[name]))
             for name, service in tree.services.items()
         }
-        return ParsedDocuments(evolve(tree, services=services), self._rejected, ignored)
+        return ParsedDocuments(
+            evolve(tree, services=services),
+            self._rejected,
+            ignored,
+            self._accepted.tolerated,
+        )
 
     def _read_entries(
         self, documents: Mapping[str, Document]
@@ -120,134 +114,107 @@
 
     def _read_configuration(self, document: Document) -> None:
         faults = FaultList()
-        decoded = decode_json(document.text or "", document.name)
-        if decoded.is_err():
-            faults.faults.append(decoded.unwrap_err())
-            self._rejected = RejectedConfiguration(NO_REVISION, tuple(faults.faults))
-            return
-        reader = ObjectReader(decoded.unwrap(), document.name, faults)
-        revision = reader.convert(
-            names.VERSION, NO_REVISION, _parse_version, "write hexadecimal digits"
-        )
-        if revision == NO_REVISION:
-            reader.add_fault(names.VERSION, "missing version", "write one above 0")
-        settings = _parse_configuration(reader, document.revision, revision)
-        if faults.faults:
+        revision, accepted = _parse_configuration(document, faults)
+        if accepted is None:
             self._rejected = RejectedConfiguration(revision, tuple(faults.faults))
             return
         self._rejected = None
         if revision > self._accepted.tree.revision:
-            self._accepted = settings
-
-
-def _parse_version(value: Any) -> Revision:
-    return Revision(int(value, 16))
+            self._accepted = accepted
 
 
 def _parse_configuration(
-    reader: ObjectReader, store_revision: Revision, revision: Revision
-) -> _AcceptedConfiguration:
-    limits = reader.child(names.LIMITS)
-    max_body = limits.integer(
-        names.MAX_BODY_BYTES, Policy().max_body_bytes, 0, MAX_BODY_BYTES
+    document: Document, faults: FaultList
+) -> tuple[Revision, _AcceptedConfiguration | None]:
+    """Parse a configuration; without a version or a usable route it is rejected.
+
+    A fault of a single value leaves the others usable, so that one unknown word does
+    not take the whole fleet out of service.
+    """
+    decoded = decode_json(document.text or "", document.name)
+    if decoded.is_err():
+        faults.faults.append(decoded.unwrap_err())
+        return NO_REVISION, None
+    required = ObjectReader(decoded.unwrap(), document.name, faults)
+    revision = _read_version(required)
+    _check_arrays(required)
+    if faults.faults:
+        return revision, None
+    tolerated = FaultList()
+    reader = required.reporting_to(tolerated)
+    max_connections = _read_clusters(reader)
+    tenants = read_tenants(reader, tolerated)
+    base = Policy(
+        max_body_bytes=_read_max_body_bytes(reader),
+        retry_ratio=RETRY_RATIO,
+        open=not reader.has(names.TENANTS),
     )
-    max_connections = {
-        ServiceId(cluster.string(names.NAME)): cluster.integer(
-            names.MAX_CONNS, DEFAULT_MAX_CONNECTIONS, 1, 1_000_000
-        )
-        for cluster in reader.items(names.CLUSTERS)
-    }
-    has_keys = reader.has(names.TENANTS)
-    workspaces = {w.id: w for w in map(_read_tenant, reader.items(names.TENANTS))}
-    base = Policy(max_body_bytes=max_body, retry_ratio=RETRY_RATIO, open=not has_keys)
-    routes = {route.id: route for route in _read_routes(reader, base, max_connections)}
-    services = {name: Service(name, (), base) for name in max_connections}
+    published = read_routes(reader, base, frozenset(max_connections), tolerated)
+    if not _has_usable_routes(published):
+        faults.faults += tolerated.faults
+        return revision, None
     tree = SettingsTree(
         revision=revision,
         # The platform allows a host without any contact to keep accepting known keys.
         fleet=FleetSettings(isolation=None),
-        services=services,
-        routes=routes,
-        workspaces=workspaces,
+        services={name: Service(name, (), base) for name in max_connections},
+        routes=published.routes,
+        workspaces=tenants.workspaces,
+        unusable_workspaces=tenants.unusable,
+        has_all_routes=published.are_complete,
+        has_all_keys=tenants.are_complete,
+    )
+    return revision, _AcceptedConfiguration(
+        document.revision, tree, max_connections, tuple(tolerated.faults)
     )
-    return _AcceptedConfiguration(store_revision, tree, max_connections)
 
 
-def _read_tenant(reader: ObjectReader) -> Workspace:
-    """Read a tenant as a workspace; only digests of its keys are kept."""
-    keys = tuple(
-        KeyEntry(KeyId(f"key-{index + 1}"), sha256(key.encode()).digest())
-        for index, key in enumerate(reader.strings(names.API_KEYS))
-    )
-    rate = reader.number(names.RATE_PER_S, 0.0, 0.0, MAX_NUMBER)
-    burst = reader.number(names.BURST, 0.0, 0.0, MAX_NUMBER)
-    priority = reader.integer(names.PRIORITY, -1, -1, 1000)
-    return Workspace(
-        id=WorkspaceId(reader.string(names.NAME)),
-        keys=keys,
-        rate=rate,
-        burst=max(1.0, burst),
-        is_limited=rate > 0 or burst > 0,
-        priority=None if priority < 0 else priority,
-    )
+def _read_version(reader: ObjectReader) -> Revision:
+    remedy = "write up to 15 hexadecimal digits"
+    revision = reader.convert(names.VERSION, NO_REVISION, _parse_version, remedy)
+    if revision == NO_REVISION:
+        reader.add_fault(names.VERSION, "missing version", "write one above 0")
+    return revision
 
 
-def _read_routes(
-    reader: ObjectReader, base: Policy, services: Mapping[ServiceId, int]
-) -> Iterator[Route]:
-    for listener in reader.items(names.LISTENERS):
-        host = listener.string(names.HOST).lower()
-        for rule in listener.items(names.RULES):
-            yield _read_rule(host, rule, base, services)
-
-
-def _read_rule(
-    host: str,
-    rule: ObjectReader,
-    base: Policy,
-    services: Mapping[ServiceId, int],
-) -> Route:
-    action = rule.child(names.ACTION)
-    split = _read_split(action)
-    service = split[0].service if split else ServiceId(action.string(names.SERVICE))
-    for name in {service, *(part.service for part in split)} - services.keys():
-        action.add_fault(names.SERVICE, f"unknown cluster {name!r}", "name a cluster")
-    kind = rule.string(names.KIND)
-    if kind not in (names.SAFE, names.UNSAFE):
-        rule.add_fault(names.KIND, f"unknown kind {kind!r:.40}", "write safe or unsafe")
-    timeout = action.duration_ms(names.TIMEOUT_MS, base.deadline)
-    policy = evolve(
-        base,
-        open=base.open or rule.boolean(names.PUBLIC, False),
-        idempotent=kind == names.SAFE,
-        deadline=timeout,
-        attempt_timeout=timeout,
-        max_attempts=action.integer(names.MAX_ATTEMPTS, 1, 1, 1000),
-        target_latency=_read_target_latency(rule),
-        priority=rule.integer(names.PRIORITY, base.priority, 0, 1000),
-    )
-    prefix = rule.child(names.MATCH).string(names.PATH_PREFIX)
-    return Route(
-        id=RouteId(f"{host}/{rule.string(names.NAME)}"),
-        service=service,
-        match=RouteMatch(prefix, host=host),
-        policy=policy,
-        origins=dict.fromkeys(POLICY_FIELDS, _ORIGIN),
-        split=split,
-    )
+def _parse_version(value: object) -> Revision:
+    if not isinstance(value, str) or not _VERSION_PATTERN.fullmatch(value):
+        raise ValueError("not a version")
+    return Revision(int(value, 16))
+
 
+def _check_arrays(reader: ObjectReader) -> None:
+    """Check that the tables without which no route is usable can be read."""
+    for name in (names.LISTENERS, names.CLUSTERS):
+        if not isinstance(reader.raw_value(name), list):
+            reader.add_fault(name, "missing or not an array", "write [...] here")
 
-def _read_target_latency(rule: ObjectReader) -> timedelta | None:
-    if not rule.has(names.TARGET_LATENCY_MS):
-        return None
-    return rule.duration_ms(names.TARGET_LATENCY_MS, timedelta(seconds=1))
 
+def _has_usable_routes(published: PublishedRoutes) -> bool:
+    """Return whether at least one route is usable, or none is published."""
+    if any(not route.fault for route in published.routes.values()):
+        return True
+    return not published.routes and published.are_complete
 
-def _read_split(action: ObjectReader) -> tuple[WeightedService, ...]:
-    return tuple(
-        WeightedService(
-            ServiceId(part.string(names.SERVICE)),
-            part.number(names.WEIGHT, None, 0.0, MAX_NUMBER),
+
+def _read_clusters(reader: ObjectReader) -> Mapping[ServiceId, int]:
+    """Return the services with their limits of connections to a server."""
+    defaults = FaultList(_DEFAULT_CONSEQUENCE)
+    services = {
+        ServiceId(cluster.string(names.NAME)): cluster.reporting_to(defaults).integer(
+            names.MAX_CONNS, DEFAULT_MAX_CONNECTIONS, 1, MAX_CONNECTIONS
         )
-        for part in action.items(names.TRAFFIC_SPLIT)
+        for cluster in reader.items(names.CLUSTERS)
+    }
+    reader.extend_faults(defaults)
+    return {name: limit for name, limit in services.items() if name}
+
+
+def _read_max_body_bytes(reader: ObjectReader) -> int:
+    defaults = FaultList(_DEFAULT_CONSEQUENCE)
+    limits = reader.reporting_to(defaults).child(names.LIMITS)
+    value = limits.integer(
+        names.MAX_BODY_BYTES, Policy().max_body_bytes, 0, MAX_BODY_BYTES
     )
+    reader.extend_faults(defaults)
+    return value
--- a/src/catkinspan/protocol/http/responses.py
+++ b/src/catkinspan/protocol/http/responses.py
@@ -24,6 +24,7 @@
     RefusalKind.KEY_WITHDRAWN: 401,
     RefusalKind.NOT_READY: 503,
     RefusalKind.SETTINGS_OUTDATED: 503,
+    RefusalKind.SETTINGS_UNUSABLE: 503,
     RefusalKind.ISOLATED: 503,
     RefusalKind.OVERLOADED: 503,
     RefusalKind.RATE_EXCEEDED: 429,
--- a/src/catkinspan/protocol/operators/prometheus.py
+++ b/src/catkinspan/protocol/operators/prometheus.py
@@ -206,6 +206,11 @@
         "Revision of the store up to which all changes are known.",
         value=config.store_revision,
     )
+    yield GaugeMetricFamily(
+        "catkinspan_settings_faults",
+        "Unusable values and entries of the store, while the rest is in force.",
+        value=config.settings_faults.count,
+    )
     if config.platform_seconds is not None:
         yield GaugeMetricFamily(
             "catkinspan_platform_contact_age_seconds",
--- a/src/catkinspan/protocol/settings/reader.py
+++ b/src/catkinspan/protocol/settings/reader.py
@@ -34,10 +34,15 @@
 class FaultList:
     """Faults found while reading a document."""
 
+    consequence: str = ""
+    """What a fault leads to, if the rest of the document is used nevertheless."""
+
     faults: list[SettingsFault] = field(factory=list)
 
     def add(self, path: str, message: str, remedy: str) -> None:
         """Record a fault."""
+        if self.consequence:
+            message = f"{message}: {self.consequence}"
         self.faults.append(SettingsFault(path, message, remedy))
 
 
@@ -70,6 +75,12 @@
         """Return the path of the object in its document."""
         return self._path
 
+    def reporting_to(self, faults: FaultList) -> "ObjectReader":
+        """Return a reader of the same object that adds its faults to another list."""
+        reader = ObjectReader(dict(self._members), self._path, faults)
+        reader._unread = self._unread
+        return reader
+
     def has(self, name: str) -> bool:
         """Return whether the object has a member."""
         return name in self._members
@@ -89,6 +100,10 @@
         """Record a fault of a member."""
         self._faults.add(self.member_path(name), message, remedy)
 
+    def extend_faults(self, faults: FaultList) -> None:
+        """Record the faults of another list too."""
+        self._faults.faults += faults.faults
+
     def raw_value(self, name: str) -> object:
         """Return a member without validation, or None."""
         self._unread.discard(name)
--- a/src/catkinspan/state/tree.py
+++ b/src/catkinspan/state/tree.py
@@ -110,6 +110,9 @@
     split: tuple[WeightedService, ...] = ()
     """Services that share the traffic; empty if `service` receives all of it."""
 
+    fault: str = ""
+    """Why requests of the route are refused: its published settings are unusable."""
+
 
 @frozen
 class Service:
@@ -164,3 +167,12 @@
     services: Mapping[ServiceId, Service] = Factory(dict)
     routes: Mapping[RouteId, Route] = Factory(dict)
     workspaces: Mapping[WorkspaceId, Workspace] = Factory(dict)
+    unusable_workspaces: Mapping[WorkspaceId, str] = Factory(dict)
+    """Why the requests of workspaces with unusable settings are refused."""
+
+    has_all_routes: bool = True
+    """Whether host and path of each published route are known; if not, a request
+    without a route may belong to one."""
+
+    has_all_keys: bool = True
+    """Whether each published key is known; if not, an unknown key may be valid."""
--- a/tests/platform/entries.py
+++ b/tests/platform/entries.py
@@ -93,10 +93,11 @@
     seed: int = 1,
     respond: ResponsePolicy = always_ok,
     rate_window: RateWindow | None = None,
+    text: str | None = None,
 ) -> VirtualFleet:
     """Start virtual hosts with platform documents; they are ready after 3 s."""
     documents = {f"servers/i-{n}": server_entry(n) for n in range(servers)}
-    documents["op/config"] = configuration()
+    documents["op/config"] = text or configuration()
     return VirtualFleet(
         host_records(hosts),
         documents,
