Believe only rejections that belong to the request

Reported by operators of similar systems: a faulty server wrote an earlier refusal once more on a kept connection, and callers were told "not run" for requests that the server ran.

Cause: a response head without a request id was taken for the answer to the current request, a rejection (421, X-Not-Executed) included. A retry at the same server could use the connection of its rejected first attempt, where a second copy of the rejection has the id of the retry.

Change: on a connection that carried an earlier request, a response without an id ends the attempt as crossed (the request may have run), on the platform for each status, elsewhere for rejections. A first response on a new connection is believed. A repeated attempt at a server opens a new connection.

--- a/src/catkinspan/coordination/outcomes.py
+++ b/src/catkinspan/coordination/outcomes.py
@@ -53,6 +53,11 @@
 NOT_SENT_OUTCOMES = frozenset({OutcomeKind.CONNECT_ERROR, OutcomeKind.CONNECTION_LIMIT})
 """Outcomes of attempts of which no byte was written."""
 
+NOT_RUN_OUTCOMES = frozenset(
+    {OutcomeKind.SHED, OutcomeKind.DRAINING, OutcomeKind.MISDIRECTED}
+)
+"""Outcomes in which the upstream reported that it did not run the request."""
+
 OWN_OUTCOMES = frozenset({OutcomeKind.CANCELLED, OutcomeKind.CONNECTION_LIMIT})
 """Outcomes that say nothing about the server."""
 
--- a/src/catkinspan/coordination/requests/assignments.py
+++ b/src/catkinspan/coordination/requests/assignments.py
@@ -16,10 +16,12 @@
     choice: ServerChoice,
     expected_latency: float,
     revision: Revision,
+    is_repeated: bool,
 ) -> Assigned:
     """Return the directive for the latest attempt of a request.
 
-    `expected_latency` is in seconds; `revision` is that of the settings in force.
+    `expected_latency` is in seconds; `revision` is that of the settings in force;
+    `is_repeated` tells whether the server has already been sent the request.
     """
     policy = request.route.policy
     upstream = choice.upstream
@@ -44,6 +46,7 @@
         state_age=choice.state_age,
         is_trial=choice.is_trial,
         revision=revision,
+        is_repeated=is_repeated,
     )
 
 
--- a/src/catkinspan/coordination/requests/coordinator.py
+++ b/src/catkinspan/coordination/requests/coordinator.py
@@ -275,6 +275,7 @@
         server = choice.upstream.id
         request.stage = Stage.RUNNING
         request.running_attempts[attempt] = server
+        is_repeated = server in request.tried_servers
         request.tried_servers.add(server)
         started = AttemptStarted(
             request.id, attempt, request.service, server, request.route.id
@@ -284,7 +285,9 @@
             request.hedge_at = now + hedge_delay(choice, expected_latency)
         self._timers.set(request.id, request.due_at)
         self._outbox.add_directive(
-            assignment(request, choice, expected_latency, self._tree.revision)
+            assignment(
+                request, choice, expected_latency, self._tree.revision, is_repeated
+            )
         )
 
     def _recheck(self, request: ActiveRequest, now: float) -> Refusal | None:
--- a/src/catkinspan/coordination/requests/models.py
+++ b/src/catkinspan/coordination/requests/models.py
@@ -128,6 +128,9 @@
     revision: Revision = NO_REVISION
     """Settings revision on which the decision is based."""
 
+    is_repeated: bool = False
+    """Whether the server has already been sent the request."""
+
     def outcome(
         self,
         kind: OutcomeKind,
--- a/src/catkinspan/coordination/requests/records.py
+++ b/src/catkinspan/coordination/requests/records.py
@@ -4,7 +4,11 @@
 
 from attrs import define, field
 
-from catkinspan.coordination.outcomes import AttemptOutcome, OutcomeKind
+from catkinspan.coordination.outcomes import (
+    NOT_RUN_OUTCOMES,
+    AttemptOutcome,
+    OutcomeKind,
+)
 from catkinspan.coordination.quarantine.models import Fingerprint
 from catkinspan.coordination.requests.const import (
     DEADLINE_GRACE_SECONDS,
@@ -21,11 +25,6 @@
 )
 from catkinspan.state.tree import Route
 
-NOT_RUN_OUTCOMES = frozenset(
-    {OutcomeKind.SHED, OutcomeKind.DRAINING, OutcomeKind.MISDIRECTED}
-)
-"""Outcomes in which the upstream reported that it did not run the request."""
-
 
 class Stage(Enum):
     """Lifecycle stage of an admitted request."""
--- a/src/catkinspan/platform/http.py
+++ b/src/catkinspan/platform/http.py
@@ -4,6 +4,7 @@
 
 HTTP_NAMES = HttpNames(
     keeps_request_id=True,
+    echoes_request_id=True,
     expected_server=b"x-expect-instance",
     workspace=b"x-tenant",
     not_run=b"x-not-executed",
--- a/src/catkinspan/protocol/http/names.py
+++ b/src/catkinspan/protocol/http/names.py
@@ -10,6 +10,9 @@
     keeps_request_id: bool = False
     """Whether upstreams get the caller's request id instead of a generated one."""
 
+    echoes_request_id: bool = False
+    """Whether upstreams return the request id in each response."""
+
     attempt: bytes | None = None
     """Request header to upstreams with the attempt number."""
 
--- a/src/catkinspan/standin/upstream.py
+++ b/src/catkinspan/standin/upstream.py
@@ -144,14 +144,21 @@
         if request.path == "/healthz":
             return SimpleResponse(200, b"ok\n")
         if self._faults.draining:
-            headers = {"X-Draining": "1", "X-Request-Ran": "no", "Connection": "close"}
+            headers = {
+                "X-Draining": "1",
+                "X-Request-Ran": "no",
+                "X-Request-Id": request.headers.get("x-request-id", ""),
+                "Connection": "close",
+            }
             return SimpleResponse(503, b"draining\n", headers)
         is_queue_full = (
             self._slots.locked() and self._waiting >= self._options.queue_capacity
         )
         if is_queue_full or self._faults.shed_all:
             self._shed += 1
-            return SimpleResponse(503, b"no free slot\n", {"X-Request-Ran": "no"})
+            request_id = request.headers.get("x-request-id", "")
+            headers = {"X-Request-Ran": "no", "X-Request-Id": request_id}
+            return SimpleResponse(503, b"no free slot\n", headers)
         self._waiting += 1
         try:
             await self._slots.acquire()
--- a/src/catkinspan/transport/upstreams/attempt.py
+++ b/src/catkinspan/transport/upstreams/attempt.py
@@ -9,7 +9,11 @@
 from attrs import frozen
 
 from catkinspan.coordination.clock import Clock
-from catkinspan.coordination.outcomes import AttemptOutcome, OutcomeKind
+from catkinspan.coordination.outcomes import (
+    NOT_RUN_OUTCOMES,
+    AttemptOutcome,
+    OutcomeKind,
+)
 from catkinspan.coordination.requests.models import Assigned
 from catkinspan.protocol.http.names import HttpNames
 from catkinspan.protocol.http.upstream import ResponseInfo, UpstreamRequest
@@ -24,6 +28,7 @@
     CONNECT_TIMEOUT_SECONDS,
     MAX_IDLE_SECONDS,
     MISDIRECTED_STATUS,
+    NEW_CONNECTION_ONLY,
     NON_IDEMPOTENT_MAX_IDLE_SECONDS,
 )
 from catkinspan.transport.upstreams.pool import (
@@ -176,16 +181,11 @@
     async def _async_connect(self) -> UpstreamConnection:
         assigned = self._spec.assigned
         reply: asyncio.Future[PoolReply] = asyncio.get_running_loop().create_future()
-        max_idle_seconds = (
-            MAX_IDLE_SECONDS
-            if self._spec.idempotent
-            else NON_IDEMPOTENT_MAX_IDLE_SECONDS
-        )
         self._pool.post_unbounded(
             AcquireConnection(
                 assigned.server,
                 assigned.connection_limit,
-                max_idle_seconds,
+                self._max_idle_seconds(),
                 self._inbox,
                 reply,
             )
@@ -203,6 +203,15 @@
             case UpstreamConnection():
                 return result
 
+    def _max_idle_seconds(self) -> float:
+        """Return the longest acceptable idle time of a connection."""
+        if self._spec.assigned.is_repeated:
+            # A second copy of the first rejection would have the id of this attempt.
+            return NEW_CONNECTION_ONLY
+        if self._spec.idempotent:
+            return MAX_IDLE_SECONDS
+        return NON_IDEMPOTENT_MAX_IDLE_SECONDS
+
     def _release_unused(self, reply: "asyncio.Future[PoolReply]") -> None:
         if not reply.done() or reply.cancelled():
             return
@@ -339,12 +348,15 @@
                 raise AttemptError(OutcomeKind.CROSSED)
             self._is_stale_response = True
             return
+        kind = _response_failure(response.status_code, info, request.names)
+        if info.echoed_id is None and self._must_echo_id(connection, kind):
+            # It may be a second copy of the response to an earlier request.
+            raise AttemptError(OutcomeKind.CROSSED)
         reader.accept_response()
         self._head_latency = self._clock.monotonic() - self._started_at
         self._server_draining = info.draining
         self._server_closes = self._server_closes or info.closes_connection
         self._announced_idle_seconds = info.idle_seconds
-        kind = _response_failure(response.status_code, info, request.names)
         if kind is OutcomeKind.SHED:
             await self._async_end_rejection(connection, reader)
         if kind is not None:
@@ -353,6 +365,14 @@
         outcome = self._outcome(self._response_kind())
         await self._async_post(AttemptHead(self._attempt, response, outcome))
 
+    def _must_echo_id(
+        self, connection: UpstreamConnection, failure: OutcomeKind | None
+    ) -> bool:
+        """Return whether a response without a request id may be to another request."""
+        if not connection.had_exchange:
+            return False
+        return self._spec.request.names.echoes_request_id or failure in NOT_RUN_OUTCOMES
+
     async def _async_end_rejection(
         self, connection: UpstreamConnection, reader: ResponseReader
     ) -> None:
--- a/src/catkinspan/transport/upstreams/connection.py
+++ b/src/catkinspan/transport/upstreams/connection.py
@@ -24,6 +24,7 @@
         self._server = server
         self._port = port
         self._http = _new_http_client()
+        self._had_exchange = False
         self._idle_since = 0.0
         self._idle_until = float("inf")
 
@@ -42,6 +43,11 @@
         """Return the h11 connection state."""
         return self._http
 
+    @property
+    def had_exchange(self) -> bool:
+        """Return whether the connection carried an earlier request."""
+        return self._had_exchange
+
     @property
     def idle_since(self) -> float:
         """Return the monotonic time in seconds at which the connection became idle."""
@@ -89,6 +95,7 @@
         if trailing or not self.is_clean or states != (h11.DONE, h11.DONE):
             return False
         self._http.start_next_cycle()
+        self._had_exchange = True
         self._idle_since = now
         if idle_seconds is not None:
             self._idle_until = now + idle_seconds - IDLE_MARGIN_SECONDS
--- a/src/catkinspan/transport/upstreams/const.py
+++ b/src/catkinspan/transport/upstreams/const.py
@@ -12,6 +12,9 @@
 """Longest idle time of a connection used for a non-idempotent request. If the server
 closes the connection while such a request is sent, it is unknown whether it ran."""
 
+NEW_CONNECTION_ONLY = -1.0
+"""Idle time that no pooled connection has, so that a new one is opened."""
+
 IDLE_MARGIN_SECONDS = 1.5
 """Time before the announced idle timeout from which a connection is no longer used."""
 
--- a/tests/platform/test_path.py
+++ b/tests/platform/test_path.py
@@ -39,6 +39,7 @@
 
     script: ResponseScript = lambda request_id, head: make_response(request_id)
     heads: list[str] = field(factory=list)
+    connections: int = 0
     address: Address = Address("127.0.0.1", 0)
     server: asyncio.Server | None = None
 
@@ -50,6 +51,7 @@
     async def _serve(
         self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
     ) -> None:
+        self.connections += 1
         try:
             while True:
                 head = (await reader.readuntil(b"\r\n\r\n")).decode()
