Respect servers that leave or ask for a pause

Callers: a server that leaves says so in each of its responses (Server-Leaving), and a full one may ask for a pause (503 with Retry-After). Both were ignored on the platform, and a drain signal of the built-in interface ended after 10 s.

Change: an announced departure holds until another process of the server is published; an entry that lapsed and came back names the same process. The server is not used as a last resort either. Other hosts get it as one failure, so that they use the server less until they have the announcement themselves; a wrong announcement costs one host. A pause excludes the server from choices, trials and hedges of this host, for at most 120 s; values that are not decimal seconds are ignored. Other hosts get it as one request in flight. If all servers pause, requests are refused at once with the earliest end, increased at random by up to a half. The spread applies to all refusals for want of a server. The messages of attempts have a module of their own.

--- a/src/catkinspan/coordination/audit/texts.py
+++ b/src/catkinspan/coordination/audit/texts.py
@@ -22,6 +22,7 @@
     ServerBack,
     ServerDraining,
     ServerMisdirected,
+    ServerPaused,
 )
 from catkinspan.coordination.keys.models import (
     KeyGiven,
@@ -145,6 +146,13 @@
     )
 
 
+def _server_paused(event: ServerPaused) -> str:
+    return (
+        f"server {event.server} of {event.service} asked this host to send it no "
+        f"requests for {event.seconds:.2f} s"
+    )
+
+
 def _server_draining(event: ServerDraining) -> str:
     return f"server {event.server} of {event.service} sent a drain signal"
 
@@ -228,6 +236,7 @@
     ServerAvoided: _server_avoided,
     ServerBack: _server_back,
     ServerDraining: _server_draining,
+    ServerPaused: _server_paused,
     ServerMisdirected: _server_misdirected,
     KeyGiven: _key_given,
     KeyWithdrawn: _key_withdrawn,
--- a/src/catkinspan/coordination/balancing/balancer.py
+++ b/src/catkinspan/coordination/balancing/balancer.py
@@ -4,7 +4,7 @@
 from random import Random
 from typing import Protocol
 
-from attrs import Factory, field, frozen
+from attrs import Factory, evolve, field, frozen
 from result import Err, Ok, Result
 
 from catkinspan.coordination.balancing.const import (
@@ -144,11 +144,7 @@
         if chosen is None or not _is_in_time(chosen, request):
             chosen = self._cheapest(self._fallback(service, request, now), request)
         if chosen is None:
-            return Err(
-                NoServerAvailable(
-                    NoServerReason.NONE_PUBLISHED, request.expected_latency
-                )
-            )
+            return Err(self._none_available(service, request, now))
         if not _is_in_time(chosen, request):
             wait = _expected_wait(chosen, request)
             return Err(NoServerAvailable(NoServerReason.FULL, wait))
@@ -157,14 +153,25 @@
     def _usable(
         self, upstreams: Iterable[Upstream], request: ServerRequest, now: float
     ) -> Iterator[_Candidate]:
-        """Return the servers that are not draining, nor tried by this request."""
+        """Return the servers that take requests, and were not tried by this one."""
         for upstream in upstreams:
             if upstream.id in request.tried_servers:
                 continue
             view = self._views.server_view(upstream.id, now)
-            if not view.is_misdirected and not view.is_draining:
+            if _takes_requests(view) and not view.pause_seconds:
                 yield _Candidate(upstream, view)
 
+    def _none_available(
+        self, service: _Service, request: ServerRequest, now: float
+    ) -> NoServerAvailable:
+        """Return why no server takes requests, and when the first one does again."""
+        views = (self._views.server_view(u.id, now) for u in service.upstreams)
+        pauses = [view.pause_seconds for view in views if _takes_requests(view)]
+        if pauses:
+            return NoServerAvailable(NoServerReason.PAUSED, min(pauses))
+        wait = request.expected_latency
+        return NoServerAvailable(NoServerReason.NONE_PUBLISHED, wait)
+
     def _sample(
         self, service: _Service, request: ServerRequest, now: float
     ) -> list[_Candidate]:
@@ -183,15 +190,12 @@
     def _fallback(
         self, service: _Service, request: ServerRequest, now: float
     ) -> list[_Candidate]:
-        """Return all servers, with draining and tried ones only if no other is left."""
-        candidates = [
-            _Candidate(upstream, view)
-            for upstream in service.upstreams
-            if not (view := self._views.server_view(upstream.id, now)).is_misdirected
-        ]
-        preferred = [c for c in candidates if not c.view.is_draining] or candidates
-        untried = [c for c in preferred if c.upstream.id not in request.tried_servers]
-        return untried or preferred
+        """Return all usable servers, with tried ones only if no other is left."""
+        untried = list(self._usable(service.upstreams, request, now))
+        if untried or not request.tried_servers:
+            return untried
+        first_try = evolve(request, tried_servers=frozenset())
+        return list(self._usable(service.upstreams, first_try, now))
 
     def _scheduled_trial(
         self, request: ServerRequest, service: _Service, now: float
@@ -276,6 +280,10 @@
         )
 
 
+def _takes_requests(view: ServerView) -> bool:
+    return not view.is_misdirected and not view.is_draining
+
+
 def _first_of_low_risk(examined: Iterable[_Candidate]) -> list[_Candidate]:
     """Return the first candidates of low risk, or all if these are too few."""
     candidates, of_low_risk = [], []
--- a/src/catkinspan/coordination/balancing/models.py
+++ b/src/catkinspan/coordination/balancing/models.py
@@ -49,6 +49,9 @@
     NONE_PUBLISHED = "none_published"
     """The service has no published server that accepts new requests."""
 
+    PAUSED = "paused"
+    """Each server that could take the request asked this host for a pause."""
+
     FULL = "full"
     """The queue of every server is longer than the request can wait."""
 
--- a/src/catkinspan/coordination/health/const.py
+++ b/src/catkinspan/coordination/health/const.py
@@ -167,8 +167,12 @@
 RECOVERED_RISK = 0.3
 """Risk at or below which an avoided server counts as back in use."""
 
-DRAIN_SIGNAL_SECONDS = 10.0
-"""Time for which a server's drain signal holds without a change of its entry."""
+MAX_DEPARTURES = 4_096
+"""Servers of which a host remembers that they announced to leave."""
+
+MAX_PAUSE_SECONDS = 120.0
+"""Longest pause that a server can ask for. A faulty value would otherwise keep it out
+of use for good."""
 
 MISDIRECTED_SECONDS = 5.0
 """Time for which a server is not used after its address answered for another server."""
--- a/src/catkinspan/coordination/health/coordinator.py
+++ b/src/catkinspan/coordination/health/coordinator.py
@@ -1,6 +1,6 @@
 """Coordinator of server health, on each host and on the hubs."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping
 from typing import ClassVar
 
 from attrs import define
@@ -10,11 +10,12 @@
 from catkinspan.coordination.health.const import (
     AVOIDED_CHECK_SECONDS,
     AVOIDED_RISK,
-    DRAIN_SIGNAL_SECONDS,
+    MAX_PAUSE_SECONDS,
     MISDIRECTED_SECONDS,
     RECOVERED_RISK,
 )
 from catkinspan.coordination.health.count_reporter import CountReporter
+from catkinspan.coordination.health.departures import Departures
 from catkinspan.coordination.health.latencies import ExpectedLatencies, overdue_after
 from catkinspan.coordination.health.models import (
     HostCounts,
@@ -24,6 +25,7 @@
     ServerCondition,
     ServerDraining,
     ServerMisdirected,
+    ServerPaused,
     ServerReport,
     ServerStates,
     ServerStatus,
@@ -31,6 +33,7 @@
     ServiceConditions,
     ServiceReport,
     ZoneCounts,
+    index_digests,
     server_digest,
 )
 from catkinspan.coordination.health.observer import Observer
@@ -59,7 +62,6 @@
     digest: int
     avoided_since: float | None = None
     is_avoided_logged: bool = False
-    draining_until: float = float("-inf")
     misdirected_until: float = float("-inf")
 
 
@@ -87,6 +89,7 @@
         self._servers: dict[ServerId, _Server] = {}
         self._services: Mapping[ServiceId, tuple[ServerId, ...]] = {}
         self._observer = Observer()
+        self._departures = Departures()
         self._latencies = ExpectedLatencies()
         self._server_by_digest: dict[int, ServerId] = {}
         self._local_slots: dict[ServerId, int] = {}
@@ -108,11 +111,12 @@
             for upstream in service.upstreams:
                 servers[upstream.id] = self._update_server(service.id, upstream, now)
         self._servers = servers
+        self._departures.apply_servers({n: s.upstream for n, s in servers.items()})
         self._services = {
             service.id: tuple(u.id for u in service.upstreams)
             for service in tree.services.values()
         }
-        self._server_by_digest = _index_digests(servers)
+        self._server_by_digest = index_digests(servers)
         self._update_local_slots()
         self._avoided &= servers.keys()
         self._observer.follow(set(servers), now)
@@ -186,15 +190,24 @@
         server = self._servers.get(outcome.server)
         if server is None:
             return
-        if outcome.server_draining and now >= server.draining_until:
+        if outcome.server_draining and self._departures.record(server.upstream):
             self._outbox.emit(ServerDraining(outcome.service, outcome.server))
-        if outcome.server_draining:
-            server.draining_until = now + DRAIN_SIGNAL_SECONDS
+            self._observer.record_departure(outcome.server, now)
+            self._is_urgent = True
+        if outcome.server_pause:
+            self._record_pause(outcome, now)
         if outcome.kind is OutcomeKind.MISDIRECTED:
             server.misdirected_until = now + MISDIRECTED_SECONDS
             self._outbox.emit(ServerMisdirected(outcome.service, outcome.server))
         self._update_avoided(outcome.server, server, now)
 
+    def _record_pause(self, outcome: AttemptOutcome, now: float) -> None:
+        seconds = min(outcome.server_pause, MAX_PAUSE_SECONDS)
+        if not self._observer.record_pause(outcome.server, now + seconds, now):
+            return
+        self._is_urgent = True
+        self._outbox.emit(ServerPaused(outcome.service, outcome.server, seconds))
+
     # State of servers
 
     def server_view(self, server_id: ServerId, now: float) -> ServerView:
@@ -220,11 +233,12 @@
         return ServerView(
             in_flight,
             risk,
-            is_draining=server.upstream.leaving or now < server.draining_until,
+            is_draining=self._departures.has_announced(server.upstream),
             is_cold=now < server.cold_until,
             is_misdirected=now < server.misdirected_until,
             state_age=self._subscriber.age(self._hubs, now),
             load_age=now - load_changed_at,
+            pause_seconds=max(0.0, own.paused_until - now),
         )
 
     @property
@@ -254,7 +268,7 @@
         return ServiceConditions(
             service,
             tuple(
-                ServerCondition(name, _server_status(server, now), server.avoided_since)
+                ServerCondition(name, self._status(server, now), server.avoided_since)
                 for name, server in servers
             ),
         )
@@ -265,7 +279,7 @@
         own = self._observer.attempts_at(server_id, now)
         return ServerReport(
             server_id,
-            _server_status(server, now),
+            self._status(server, now),
             server.avoided_since,
             round(view.risk, 3),
             round(own.estimate.risk, 3),
@@ -274,6 +288,17 @@
             view.state_age,
         )
 
+    def _status(self, server: _Server, now: float) -> ServerStatus:
+        if server.upstream.leaving:
+            return ServerStatus.LEAVING
+        if self._departures.has_announced(server.upstream):
+            return ServerStatus.DRAINING
+        if now < server.misdirected_until:
+            return ServerStatus.MISDIRECTED
+        if server.avoided_since is not None:
+            return ServerStatus.AVOIDED
+        return ServerStatus.COLD if now < server.cold_until else ServerStatus.HEALTHY
+
     # Peers
 
     def handle(self, message: PeerMessage, sender: Sender, now: float) -> None:
@@ -392,6 +417,7 @@
 
     def tick(self, now: float) -> None:
         """Mark overdue attempts, report to the hubs, and send states as a hub."""
+        self._observer.end_pauses(now)
         if self._observer.mark_overdue(now):
             self._is_urgent = True
         self._check_avoided(now)
@@ -421,26 +447,3 @@
     def resume(self, gap: float, now: float) -> None:
         """Drop all states that were received before a pause."""
         self._subscriber.clear()
-
-
-def _index_digests(servers: Iterable[ServerId]) -> dict[int, ServerId]:
-    """Return the servers by digest, without those that share one."""
-    found: dict[int, ServerId] = {}
-    shared = set()
-    for server in servers:
-        digest = server_digest(server)
-        if found.setdefault(digest, server) != server:
-            shared.add(digest)
-    return {digest: server for digest, server in found.items() if digest not in shared}
-
-
-def _server_status(server: _Server, now: float) -> ServerStatus:
-    if server.upstream.leaving:
-        return ServerStatus.LEAVING
-    if now < server.draining_until:
-        return ServerStatus.DRAINING
-    if now < server.misdirected_until:
-        return ServerStatus.MISDIRECTED
-    if server.avoided_since is not None:
-        return ServerStatus.AVOIDED
-    return ServerStatus.COLD if now < server.cold_until else ServerStatus.HEALTHY
--- a/src/catkinspan/coordination/health/models.py
+++ b/src/catkinspan/coordination/health/models.py
@@ -1,5 +1,6 @@
 """Messages, events and snapshots of server health."""
 
+from collections.abc import Iterable
 from enum import StrEnum
 
 import xxhash
@@ -15,6 +16,8 @@
 
     server: ServerId
     in_flight: int
+    """A pause that the server asked a host for counts as a request of that host."""
+
     overdue: int
     """In-flight requests that take longer than expected."""
 
@@ -51,6 +54,17 @@
     return xxhash.xxh32_intdigest(server.encode())
 
 
+def index_digests(servers: Iterable[ServerId]) -> dict[int, ServerId]:
+    """Return the servers by digest, without those that share one."""
+    found: dict[int, ServerId] = {}
+    shared = set()
+    for server in servers:
+        digest = server_digest(server)
+        if found.setdefault(digest, server) != server:
+            shared.add(digest)
+    return {digest: server for digest, server in found.items() if digest not in shared}
+
+
 @frozen
 class ServerState:
     """Fleet-wide state of a server, as computed by a hub."""
@@ -94,6 +108,8 @@
     """Probability that the next request fails."""
 
     is_draining: bool = False
+    """Whether it announced to this host that it leaves."""
+
     is_cold: bool = False
     is_misdirected: bool = False
     """Whether a different server answers at its address."""
@@ -105,6 +121,9 @@
     load_age: float = 0.0
     """Seconds since `in_flight` has changed, as far as this host knows."""
 
+    pause_seconds: float = 0.0
+    """Seconds for which the server wants no requests of this host."""
+
 
 class ServerStatus(StrEnum):
     """Status of a server, as shown to operators."""
@@ -197,6 +216,15 @@
     server: ServerId
 
 
+@frozen
+class ServerPaused(Event):
+    """A server asked this host to send it no requests for a while."""
+
+    service: ServiceId
+    server: ServerId
+    seconds: float
+
+
 @frozen
 class ServerMisdirected(Event):
     """A different server answers at a server's address."""
--- a/src/catkinspan/coordination/health/observer.py
+++ b/src/catkinspan/coordination/health/observer.py
@@ -58,6 +58,14 @@
     started_at: float = float("-inf")
     """Monotonic seconds of the start of the latest attempt."""
 
+    paused_until: float = float("-inf")
+    """Monotonic seconds until which the server wants no requests of this host."""
+
+    @property
+    def is_active(self) -> bool:
+        """Return whether the server has a load of this host in the last report."""
+        return bool(self.running) or self.reported_in_flight > 0
+
     def record_success(self, now: float) -> None:
         """Count a request that succeeded in time."""
         self.succeeded += 1
@@ -71,8 +79,11 @@
         self.estimate.record_failures(1, OWN_FAILURE_FACTOR, now)
 
     def report(self, server: ServerId, now: float) -> ServerCounts:
-        """Return the counts for a report, and store the reported load."""
-        self.reported_in_flight = len(self.running)
+        """Return the counts for a report, and store the reported load.
+
+        A pause counts as one request in flight: the server is full for this host.
+        """
+        self.reported_in_flight = len(self.running) + (now < self.paused_until)
         return ServerCounts(
             server,
             self.reported_in_flight,
@@ -96,6 +107,7 @@
         """Servers whose counts have changed, the latest change last."""
 
         self._overdue_timers: Timers[tuple[ServerId, AttemptKey]] = Timers()
+        self._pause_timers: Timers[ServerId] = Timers()
 
     def attempts_at(self, server: ServerId, now: float) -> ServerAttempts:
         """Return the attempts at a server; an unknown server gets an empty entry."""
@@ -121,7 +133,7 @@
         return tuple(
             attempts.report(server, now)
             for server, attempts in self._servers.items()
-            if attempts.changed_at >= since or attempts.running
+            if attempts.changed_at >= since or attempts.is_active
         )
 
     def follow(self, servers: set[ServerId], now: float) -> None:
@@ -134,6 +146,7 @@
         for name, attempts in list(self._servers.items()):
             if name not in servers and not attempts.running:
                 del self._servers[name]
+                self._pause_timers.remove(name)
                 self._changed.pop(name, None)
 
     def record_start(
@@ -164,6 +177,31 @@
             attempts.record_failure(now)
         return False
 
+    def record_departure(self, server: ServerId, now: float) -> None:
+        """Count the announcement of a server that leaves as a failure for other hosts.
+
+        They use it less until they get the announcement themselves. If it is wrong, the
+        next successes show this.
+        """
+        attempts = self.attempts_at(server, now)
+        attempts.record_failure(now)
+        self._mark_changed(server, attempts, now)
+
+    def record_pause(self, server: ServerId, until: float, now: float) -> bool:
+        """Record a pause that a server asked for; return whether it is longer."""
+        attempts = self.attempts_at(server, now)
+        if until <= attempts.paused_until:
+            return False
+        attempts.paused_until = until
+        self._pause_timers.set(server, until)
+        self._mark_changed(server, attempts, now)
+        return True
+
+    def end_pauses(self, now: float) -> None:
+        """Mark the loads of servers whose pause has ended as changed."""
+        for server in self._pause_timers.take_due(now):
+            self._mark_changed(server, self._servers[server], now)
+
     def next_overdue(self) -> float:
         """Return when the next attempt becomes overdue, in monotonic seconds."""
         return self._overdue_timers.next_due()
--- a/src/catkinspan/coordination/outcomes.py
+++ b/src/catkinspan/coordination/outcomes.py
@@ -84,6 +84,9 @@
     request_class: str = ""
     """Class of requests with similar latency, usually the route id."""
 
+    server_pause: float = 0.0
+    """Seconds for which the server asked this host to send it no requests."""
+
 
 @frozen
 class AttemptStarted:
--- a/src/catkinspan/coordination/requests/coordinator.py
+++ b/src/catkinspan/coordination/requests/coordinator.py
@@ -260,7 +260,7 @@
         self, request: ActiveRequest, refused: NoServerAvailable
     ) -> Refusal:
         if request.last_failure is None:
-            return refusals.server_refusal(refused)
+            return refusals.server_refusal(refused, self._rng.random())
         return refusals.outcome_refusal(request.last_failure, request.ran)
 
     def _assign(
--- a/src/catkinspan/coordination/requests/models.py
+++ b/src/catkinspan/coordination/requests/models.py
@@ -137,8 +137,9 @@
         latency: float,
         bytes_written: bool,
         server_draining: bool = False,
+        server_pause: float = 0.0,
     ) -> AttemptOutcome:
-        """Return the outcome of this attempt; `latency` is in seconds."""
+        """Return the outcome of this attempt; times are in seconds."""
         return AttemptOutcome(
             request_id=self.request_id,
             attempt=self.attempt,
@@ -150,6 +151,7 @@
             bytes_written=bytes_written,
             server_draining=server_draining,
             request_class=self.route,
+            server_pause=server_pause,
         )
 
 
--- a/src/catkinspan/coordination/requests/refusals.py
+++ b/src/catkinspan/coordination/requests/refusals.py
@@ -23,6 +23,9 @@
 _MIN_RETRY_AFTER_SECONDS = 0.1
 """Minimum `Retry-After`: two intervals of the hosts' load reports."""
 
+_RETRY_AFTER_SPREAD = 0.5
+"""Largest part by which `Retry-After` exceeds the expected wait."""
+
 _UNKNOWING_RETRY_AFTER_SECONDS = 0.3
 """`Retry-After` of a host that lacks knowledge which other hosts are likely to have."""
 
@@ -138,6 +141,7 @@
 
 _SERVER_MESSAGES: Mapping[NoServerReason, str] = {
     NoServerReason.NONE_PUBLISHED: "no upstream server takes new work",
+    NoServerReason.PAUSED: "the upstream servers asked for a pause",
     NoServerReason.FULL: "no upstream server would be free in time",
 }
 
@@ -225,13 +229,18 @@
     )
 
 
-def server_refusal(refused: NoServerAvailable) -> Refusal:
-    """Return the refusal of a request that no server can take."""
+def server_refusal(refused: NoServerAvailable, spread: float) -> Refusal:
+    """Return the refusal of a request that no server can take.
+
+    `spread`, from 0 to 1, is a random number by which callers that are refused at the
+    same time return at different times.
+    """
+    wait = max(_MIN_RETRY_AFTER_SECONDS, refused.expected_wait)
     return Refusal(
         RefusalKind.NO_CAPACITY,
         _SERVER_MESSAGES[refused.reason],
         _RESEND,
-        retry_after=max(_MIN_RETRY_AFTER_SECONDS, refused.expected_wait),
+        retry_after=wait * (1.0 + _RETRY_AFTER_SPREAD * spread),
         evidence=f"{refused.reason}, wait {refused.expected_wait:.3f} s",
     )
 
--- a/src/catkinspan/platform/http.py
+++ b/src/catkinspan/platform/http.py
@@ -9,6 +9,7 @@
     workspace=b"x-tenant",
     not_run=b"x-not-executed",
     not_run_value=None,
+    draining=b"server-leaving",
     stamp=b"x-server-stamp",
     fractional_retry_after=True,
 )
--- a/src/catkinspan/protocol/http/upstream.py
+++ b/src/catkinspan/protocol/http/upstream.py
@@ -1,5 +1,7 @@
 """Request heads for upstreams, and parsing of their response headers."""
 
+import re
+
 import h11
 from attrs import field, frozen
 
@@ -14,6 +16,7 @@
 )
 _KEEP_ALIVE_TIMEOUT = b"timeout="
 _RESPONSE_START = b"HTTP/"
+_RETRY_AFTER_PATTERN = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?")
 
 
 @frozen
@@ -106,6 +109,9 @@
     has_content_encoding: bool
     """Whether the body has a content coding, which servers themselves never apply."""
 
+    retry_after: float | None
+    """Seconds from `Retry-After`; None without one in decimal notation."""
+
     idle_seconds: float | None
     """Idle timeout from `Keep-Alive`; None if the header does not contain one."""
 
@@ -125,6 +131,7 @@
             closes_connection=b"close" in options,
             has_stamp=names.stamp is None or names.stamp in values,
             has_content_encoding=b"content-encoding" in values,
+            retry_after=_retry_after_seconds(values.get(b"retry-after", b"")),
             idle_seconds=_idle_seconds(values.get(b"keep-alive", b"")),
         )
 
@@ -135,6 +142,11 @@
     return _RESPONSE_START.startswith(start)
 
 
+def _retry_after_seconds(value: bytes) -> float | None:
+    """Parse seconds; dates are not supported, since the clocks of hosts may jump."""
+    return float(value) if _RETRY_AFTER_PATTERN.fullmatch(value.strip()) else None
+
+
 def _idle_seconds(value: bytes) -> float | None:
     for part in value.split(b","):
         name = part.strip().lower()
--- a/src/catkinspan/testing/hosts.py
+++ b/src/catkinspan/testing/hosts.py
@@ -67,6 +67,14 @@
     return OutcomeKind.OK, SERVICE_LATENCY_SECONDS
 
 
+def _never(attempt: VirtualAttempt) -> bool:
+    return False
+
+
+def _no_pause(attempt: VirtualAttempt) -> float:
+    return 0.0
+
+
 @define
 class VirtualStore:
     """Published documents, and the number of calls that read them."""
@@ -187,7 +195,9 @@
             kind,
             latency,
             bytes_written=kind not in NOT_SENT_OUTCOMES,
+            server_draining=self._fleet.announces_departure(attempt),
             request_class=assigned.route,
+            server_pause=self._fleet.requested_pause(attempt),
         )
         now = attached.local_time(channel.now)
         if kind is OutcomeKind.OK:
@@ -282,6 +292,8 @@
         self.store = VirtualStore()
         self.store.put(documents)
         self.respond = respond
+        self.announces_departure: Callable[[VirtualAttempt], bool] = _never
+        self.requested_pause: Callable[[VirtualAttempt], float] = _no_pause
         self.attempts: list[VirtualAttempt] = []
         self.hosts: dict[HostId, VirtualHost] = {}
         self.seeds = tuple(record.peer_address for record in records[:3])
--- a/src/catkinspan/transport/callers/body.py
+++ b/src/catkinspan/transport/callers/body.py
@@ -10,7 +10,9 @@
 from catkinspan.protocol.http.heads import CallerHead
 from catkinspan.transport.callers.const import MAX_CHUNKS_PER_TURN
 from catkinspan.transport.callers.stream import CallerStream
-from catkinspan.transport.upstreams.attempt import BodyChunk
+from catkinspan.transport.upstreams.messages import (
+    BodyChunk,
+)
 
 
 class BodyStatus(Enum):
--- a/src/catkinspan/transport/callers/exchange.py
+++ b/src/catkinspan/transport/callers/exchange.py
@@ -44,14 +44,14 @@
 from catkinspan.transport.callers.stream import CallerStream
 from catkinspan.transport.mailbox import InboxFullError, Mailbox
 from catkinspan.transport.socket_port import SocketClosed, SocketData
-from catkinspan.transport.upstreams.attempt import (
+from catkinspan.transport.upstreams.attempt import AttemptTask
+from catkinspan.transport.upstreams.messages import (
     AttemptCompleted,
     AttemptData,
     AttemptEvent,
     AttemptFailed,
     AttemptHead,
     AttemptSpec,
-    AttemptTask,
     BodyChunk,
     BodyChunkRequested,
 )
--- a/src/catkinspan/transport/upstreams/attempt.py
+++ b/src/catkinspan/transport/upstreams/attempt.py
@@ -6,7 +6,6 @@
 from typing import Any
 
 import h11
-from attrs import frozen
 
 from catkinspan.coordination.clock import Clock
 from catkinspan.coordination.outcomes import (
@@ -14,9 +13,8 @@
     AttemptOutcome,
     OutcomeKind,
 )
-from catkinspan.coordination.requests.models import Assigned
 from catkinspan.protocol.http.names import HttpNames
-from catkinspan.protocol.http.upstream import ResponseInfo, UpstreamRequest
+from catkinspan.protocol.http.upstream import ResponseInfo
 from catkinspan.transport.mailbox import Mailbox
 from catkinspan.transport.socket_port import SocketClosed, SocketData, SocketDrained
 from catkinspan.transport.upstreams.connection import (
@@ -30,6 +28,17 @@
     MISDIRECTED_STATUS,
     NEW_CONNECTION_ONLY,
     NON_IDEMPOTENT_MAX_IDLE_SECONDS,
+    UNAVAILABLE_STATUS,
+)
+from catkinspan.transport.upstreams.messages import (
+    AttemptCompleted,
+    AttemptData,
+    AttemptEvent,
+    AttemptFailed,
+    AttemptHead,
+    AttemptSpec,
+    BodyChunk,
+    BodyChunkRequested,
 )
 from catkinspan.transport.upstreams.pool import (
     AcquireConnection,
@@ -43,69 +52,6 @@
 from catkinspan.transport.upstreams.reader import ResponseReader
 
 
-@frozen
-class BodyChunk:
-    """The next chunk of a request body."""
-
-    data: bytes
-    is_last: bool
-
-
-@frozen
-class AttemptEvent:
-    """Base class of the messages from an attempt to its exchange."""
-
-    attempt: int
-
-
-@frozen
-class BodyChunkRequested(AttemptEvent):
-    """The attempt has sent the received part of the body and needs the next chunk."""
-
-
-@frozen
-class AttemptHead(AttemptEvent):
-    """The response head arrived."""
-
-    response: h11.Response
-    outcome: AttemptOutcome
-    """OK or SERVER_ERROR, with the time until the head arrived."""
-
-
-@frozen
-class AttemptData(AttemptEvent):
-    """A chunk of the response body arrived."""
-
-    data: bytes
-
-
-@frozen
-class AttemptCompleted(AttemptEvent):
-    """The response is complete."""
-
-    outcome: AttemptOutcome
-
-
-@frozen
-class AttemptFailed(AttemptEvent):
-    """The attempt ended without a complete response."""
-
-    outcome: AttemptOutcome
-
-
-@frozen
-class AttemptSpec:
-    """The assignment of an attempt and the request that it sends."""
-
-    assigned: Assigned
-    request: UpstreamRequest
-    body_prefix: bytes
-    body_complete: bool
-    """Whether the prefix is the whole body."""
-
-    idempotent: bool
-
-
 class AttemptError(Exception):
     """An attempt failed; holds the kind of its outcome."""
 
@@ -141,6 +87,7 @@
         self._bytes_written = False
         self._body_sent = False
         self._server_draining = False
+        self._server_pause = 0.0
         self._server_error = False
         self._server_closes = False
         self._announced_idle_seconds: float | None = None
@@ -355,6 +302,8 @@
         reader.accept_response()
         self._head_latency = self._clock.monotonic() - self._started_at
         self._server_draining = info.draining
+        if response.status_code == UNAVAILABLE_STATUS and info.retry_after is not None:
+            self._server_pause = info.retry_after
         self._server_closes = self._server_closes or info.closes_connection
         self._announced_idle_seconds = info.idle_seconds
         if kind is OutcomeKind.SHED:
@@ -436,7 +385,11 @@
         if latency is None:
             latency = self._clock.monotonic() - self._started_at
         return self._spec.assigned.outcome(
-            kind, latency, self._bytes_written, self._server_draining
+            kind,
+            latency,
+            self._bytes_written,
+            self._server_draining,
+            self._server_pause,
         )
 
     def _close(self) -> None:
--- a/src/catkinspan/transport/upstreams/const.py
+++ b/src/catkinspan/transport/upstreams/const.py
@@ -21,6 +21,9 @@
 MISDIRECTED_STATUS = 421
 """Status of a server that is not the expected one; it did not run the request."""
 
+UNAVAILABLE_STATUS = 503
+"""Status with which a server may ask for a pause by `Retry-After`."""
+
 SLICE_BYTES = 16 * 1024
 """Bytes of a response that are parsed before other tasks run, and the largest chunk of
 a body that is passed on."""
--- a/tests/platform/entries.py
+++ b/tests/platform/entries.py
@@ -94,10 +94,11 @@
     respond: ResponsePolicy = always_ok,
     rate_window: RateWindow | None = None,
     text: str | None = None,
+    rate: float = 58,
 ) -> VirtualFleet:
     """Start virtual hosts with platform documents; they are ready after 3 s."""
     documents = {f"servers/i-{n}": server_entry(n) for n in range(servers)}
-    documents["op/config"] = text or configuration()
+    documents["op/config"] = text or configuration(rate=rate)
     return VirtualFleet(
         host_records(hosts),
         documents,
--- a/tests/transport/upstreams/test_attempt.py
+++ b/tests/transport/upstreams/test_attempt.py
@@ -15,12 +15,12 @@
 from catkinspan.testing.clock import VirtualClock
 from catkinspan.transport.mailbox import Mailbox
 from catkinspan.transport.socket_port import READ_AHEAD_BYTES, SocketPort
-from catkinspan.transport.upstreams.attempt import (
+from catkinspan.transport.upstreams.attempt import AttemptTask
+from catkinspan.transport.upstreams.connection import UpstreamConnection
+from catkinspan.transport.upstreams.messages import (
     AttemptFailed,
     AttemptSpec,
-    AttemptTask,
 )
-from catkinspan.transport.upstreams.connection import UpstreamConnection
 from catkinspan.transport.upstreams.pool import (
     ConnectionClosed,
     ConnectionLimitReached,
