Read the rest of a page of the store with an odd item

Reported by operators of similar systems: an odd entry of another writer made the machines that read the list stop following it.

Cause: one item without a key, value or revision of the expected type failed the whole page or watch, at each call again. A key that is not valid Unicode made the response unreadable.

Change: an item without a printable key of up to 200 characters is skipped with a log line. An unreadable value becomes an empty text, which names no server and replaces what was stored before. An odd revision becomes that of the response, which no item exceeds.

--- a/src/catkinspan/platform/store.py
+++ b/src/catkinspan/platform/store.py
@@ -2,11 +2,13 @@
 
 import base64
 import binascii
-from collections.abc import AsyncIterator, Mapping, Sequence
-from typing import Any
+import json
+from collections.abc import AsyncIterator, Iterable, Mapping, Sequence
+from typing import Any, TypeGuard
 from urllib.parse import urlencode
 
 import orjson
+from loguru import logger
 
 from catkinspan.coordination.configuration.models import (
     Document,
@@ -27,6 +29,7 @@
 WATCH_TIMEOUT_MARGIN_SECONDS = 0.6
 """Time beyond `WATCH_WAIT_MS` after which a watch counts as failed."""
 
+MAX_KEY_CHARS = 200
 MAX_PAGES = 1000
 MAX_DOCUMENTS_CHARS = 32 * 1024 * 1024
 """Limit of one read of all documents; 11,000 servers take about 5 MB."""
@@ -74,13 +77,12 @@
         for _ in range(MAX_PAGES):
             page = await self._async_page(prefix, after)
             items = _require_field(page, names.ITEMS, list)
-            documents = tuple(_parse_document(item) for item in items)
-            yield StoreSnapshot(
-                _require_revision(page, names.STORE_REVISION), documents
-            )
-            if not page.get(names.HAS_MORE) or not documents:
+            revision = _require_revision(page, names.STORE_REVISION)
+            yield StoreSnapshot(revision, _parse_documents(items, revision))
+            last = _last_key(items)
+            if not page.get(names.HAS_MORE) or last is None:
                 return
-            previous, after = after, documents[-1].name
+            previous, after = after, last
             if after == previous:
                 raise StoreError(f"the page after {after} ends there; check the store")
         raise StoreError(f"{prefix} has over {MAX_PAGES} pages; remove old entries")
@@ -94,12 +96,10 @@
         }
         timeout = WATCH_WAIT_MS / 1000 + WATCH_TIMEOUT_MARGIN_SECONDS
         response = await self._async_call(names.KV_WATCH, query, timeout)
-        changed = [
-            _parse_document(event)
-            for event in _require_field(response, names.EVENTS, list)
-        ]
-        documents = tuple(d for d in changed if d.name.startswith(self._prefixes))
+        events = _require_field(response, names.EVENTS, list)
         revision = max(after, _require_revision(response, names.STORE_REVISION))
+        changed = _parse_documents(events, revision)
+        documents = tuple(d for d in changed if d.name.startswith(self._prefixes))
         return StoreChanges(after, revision, documents)
 
     async def _async_page(self, prefix: str, after: str | None) -> Mapping[str, Any]:
@@ -112,7 +112,7 @@
         self, path: str, query: Mapping[str, object], timeout: float
     ) -> Mapping[str, Any]:
         self._calls += 1
-        target = f"{path}?{urlencode(query)}"
+        target = f"{path}?{urlencode(query, errors='surrogatepass')}"
         try:
             response = await async_fetch(self._address, target, timeout)
         except FetchError as error:
@@ -126,37 +126,84 @@
                 f"store returned status {response.status} for {path}; try again later"
             )
         try:
-            decoded = orjson.loads(response.body)
-        except orjson.JSONDecodeError as error:
+            decoded = _decode_json(response.body)
+        except (ValueError, RecursionError) as error:
             raise StoreError(f"invalid JSON from {path}: {error}; try again") from error
         if not isinstance(decoded, dict):
             raise StoreError(f"the response to {path} is not a JSON object; try again")
         return decoded
 
 
-def _parse_document(item: object) -> Document:
-    if not isinstance(item, dict):
-        raise StoreError("an item is not a JSON object; check the store's address")
-    name = _require_field(item, names.KEY, str)
-    revision = _require_revision(item, names.REVISION)
-    if item.get(names.DELETED):
-        return Document(name, revision, None)
-    return Document(
-        name, revision, _decode_value(_require_field(item, names.VALUE, str))
-    )
+def _decode_json(body: bytes) -> Any:
+    """Decode JSON; keys that are not valid Unicode make only the slow parser succeed.
+
+    Raises ValueError or RecursionError.
+    """
+    try:
+        return orjson.loads(body)
+    except orjson.JSONDecodeError:
+        return json.loads(body)
+
 
+def _parse_documents(items: Iterable[object], newest: Revision) -> tuple[Document, ...]:
+    """Return the items that can be named; another writer may have stored odd ones.
 
-def _decode_value(value: str) -> str:
-    """Decode base64; leave an invalid value unchanged for the parser to reject."""
+    `newest` is the revision of the store, which no item exceeds.
+    """
+    documents = [_parse_document(item, newest) for item in items]
+    skipped = documents.count(None)
+    if skipped:
+        logger.warning("skipped {} items of the store without a usable key", skipped)
+    return tuple(document for document in documents if document is not None)
+
+
+def _parse_document(item: object, newest: Revision) -> Document | None:
+    """Return the document; an unreadable value is left for the parser to reject."""
+    key = _key_of(item)
+    if key is None or not isinstance(item, dict):
+        return None
+    revision = item.get(names.REVISION)
+    if not _is_revision(revision) or revision > newest:
+        revision = newest
+    if item.get(names.DELETED) is True:
+        return Document(key, Revision(revision), None)
+    return Document(key, Revision(revision), _decode_value(item.get(names.VALUE)))
+
+
+def _key_of(item: object) -> str | None:
+    """Return the key of an item; None if it has none that can be sent to peers."""
+    key = item.get(names.KEY) if isinstance(item, dict) else None
+    if not isinstance(key, str) or len(key) > MAX_KEY_CHARS:
+        return None
+    return key if key.isprintable() else None
+
+
+def _last_key(items: Sequence[object]) -> str | None:
+    """Return the last key, by which the next page is requested."""
+    for item in reversed(items):
+        key = item.get(names.KEY) if isinstance(item, dict) else None
+        if isinstance(key, str):
+            return key
+    return None
+
+
+def _decode_value(value: object) -> str:
+    """Decode base64; return an empty text, which is no document, if it is invalid."""
+    if not isinstance(value, str):
+        return ""
     try:
         return base64.b64decode(value, validate=True).decode("utf-8", "replace")
     except (binascii.Error, ValueError):
-        return value
+        return ""
+
+
+def _is_revision(value: object) -> TypeGuard[int]:
+    return isinstance(value, int) and not isinstance(value, bool) and value >= 0
 
 
 def _require_revision(fields: Mapping[str, Any], name: str) -> Revision:
     value = _require_field(fields, name, int)
-    if isinstance(value, bool) or value < 0:
+    if not _is_revision(value):
         raise StoreError(f"{name} is not a revision; check the store's address")
     return Revision(value)
 
