Answer requests that are accepted during a drain

Reported by operators of similar systems: during a planned stop under load, requests that had just been accepted were cut off without an answer.

Cause: the stopping host waited for the connections that were open when its notice ended. Those that it accepted meanwhile were not waited for, and ended with the process.

Change: the host waits until no connection is open. It accepts new ones in the first 0.4 of the time after the notice, and leaves the rest to the requests of the last.

Measured: test_request_accepted_during_the_drain_is_answered failed before (the requests were reset), and passes now.

--- a/src/catkinspan/daemon/node.py
+++ b/src/catkinspan/daemon/node.py
@@ -55,6 +55,10 @@
 REQUEST_ID_BYTES = 12
 MAX_INCARNATION = 1 << 48
 
+ACCEPTING_DRAIN_SHARE = 0.4
+"""Share of the drain period after the notice in which connections are accepted. The
+requests of the last ones need the rest."""
+
 STOP_RESERVE_SECONDS = 0.4
 """Part of the drain period that is reserved for stopping the process."""
 
@@ -197,7 +201,8 @@
 
         First the load balancer's health check fails. After the drain notice, idle
         connections are closed and running requests finish, at most until the end of
-        the drain period. New connections are accepted meanwhile.
+        the drain period. New connections are accepted in the first part of that time,
+        since a load balancer without another host keeps sending them.
         """
         self._draining = True
         logger.bind(event="drain").info("draining host {}", self._settings.host_id)
@@ -207,13 +212,16 @@
         done: asyncio.Future[None] = asyncio.get_running_loop().create_future()
         self._host_task.inbox.post_unbounded(BeginDrain(done))
         await done
-        # A load balancer without another host keeps sending requests; accept
-        # them until the running ones have ended.
-        remaining = (
-            self._settings.drain.total_seconds() - notice_seconds - STOP_RESERVE_SECONDS
+        remaining = max(
+            0.0,
+            self._settings.drain.total_seconds()
+            - notice_seconds
+            - STOP_RESERVE_SECONDS,
         )
-        idle = await self._caller_listener.async_wait_idle(max(0.0, remaining))
+        accepting = ACCEPTING_DRAIN_SHARE * remaining
+        await self._caller_listener.async_wait_idle(accepting)
         self._caller_listener.stop_accepting()
+        idle = await self._caller_listener.async_wait_idle(remaining - accepting)
         if not idle:
             logger.warning("requests are still running at the end of the drain period")
         logger.bind(event="stop").info("stopping host {}", self._settings.host_id)
--- a/src/catkinspan/transport/callers/listener.py
+++ b/src/catkinspan/transport/callers/listener.py
@@ -84,14 +84,18 @@
             self._server.close()
 
     async def async_wait_idle(self, timeout: float) -> bool:
-        """Wait until all connections have ended; return False on timeout.
+        """Wait until no connection is open; return False on timeout.
 
-        `timeout` is in seconds.
+        Connections that are accepted meanwhile count too. `timeout` is in seconds.
         """
-        if not self._tasks:
-            return True
-        _, pending = await asyncio.wait(set(self._tasks), timeout=timeout)
-        return not pending
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + timeout
+        while self._tasks:
+            remaining = deadline - loop.time()
+            if remaining <= 0:
+                return False
+            await asyncio.wait(set(self._tasks), timeout=remaining)
+        return True
 
     def abort(self) -> None:
         """Cancel all connection tasks."""
--- a/tests/transport/test_upstream_faults.py
+++ b/tests/transport/test_upstream_faults.py
@@ -5,6 +5,7 @@
 
 import asyncio
 import json
+from datetime import timedelta
 
 import pytest
 from attrs import evolve
@@ -174,6 +175,38 @@
         assert await idle.reader.read() == b""
 
 
+async def test_request_accepted_during_the_drain_is_answered() -> None:
+    """Guards against a process that ends when the connections of the begin of its stop
+    have ended, and cuts those that it accepted since."""
+
+    def short_notice(settings):
+        return evolve(
+            settings,
+            drain=timedelta(seconds=6),
+            drain_notice=timedelta(milliseconds=100),
+        )
+
+    options = UpstreamOptions("", "catalogue", 200, 20, 0.5)
+    async with running_fleet(options=options, edit_settings=short_notice) as fleet:
+        host = fleet.hosts[0]
+        address = host.callers_address
+        replies = [asyncio.create_task(request(address, "/prints/0", "POST", b"x"))]
+        await fleet.wait_until(lambda: fleet.count_runs() >= 1)
+
+        async def stop() -> None:
+            await host.async_drain()
+            await host.async_stop()
+
+        stopping = asyncio.create_task(stop())
+        for number in range(1, 3):
+            await asyncio.sleep(0.2)
+            sent = request(address, f"/prints/{number}", "POST", b"x")
+            replies.append(asyncio.create_task(sent))
+        answered = await asyncio.gather(*replies)
+        await stopping
+    assert [(r.status, r.complete) for r in answered] == [(200, True)] * 3
+
+
 async def test_balancer_check_fails_before_the_drain_refuses_anything() -> None:
     async with running_fleet() as fleet:
         host = fleet.hosts[0]
