Bound the reads of the store by the fleet, not by its data centres or callers

Cause: one host of each data centre watched the store, although hubs forward each change to those of all data centres.

Change: the first hub candidates of two data centres watch, in the order of a hash that all hubs know. If one reports failed calls, that of the next data centre joins; the rule for old contacts is unchanged. First copies are still read by a host of each data centre.

--- a/src/catkinspan/coordination/configuration/const.py
+++ b/src/catkinspan/coordination/configuration/const.py
@@ -15,6 +15,11 @@
 """Age of the last contact from which the second candidate reads the store too: the
 longest wait of a watch and a round trip."""
 
+READING_DATA_CENTRES = 2
+"""Data centres whose first hub candidate reads the store. Each watch that waits is a
+billed call, also in a data centre of a few hosts; the others hear from these two. With
+one reader, the contact would look old whenever a single message is late."""
+
 FAILING_READER_SECONDS = 2.0
 """Time for which a reported failure of a reader counts. A store that loses some answers
 would otherwise make the next candidate start and stop with each call."""
--- a/src/catkinspan/coordination/configuration/contacts.py
+++ b/src/catkinspan/coordination/configuration/contacts.py
@@ -1,5 +1,8 @@
 """Contacts of the fleet with the store, and the choice of the hosts that read it."""
 
+from collections import Counter
+from collections.abc import Mapping
+
 from catkinspan.coordination.configuration.const import (
     FAILING_READER_SECONDS,
     INITIAL_READ_DELAY_SECONDS,
@@ -8,15 +11,17 @@
     READ_TAKEOVER_SECONDS,
     READ_TAKEOVER_STEP_SECONDS,
     READ_WITHOUT_HUB_SECONDS,
+    READING_DATA_CENTRES,
     SUBSTITUTE_PERIOD_SECONDS,
     SUBSTITUTE_READERS,
 )
 from catkinspan.coordination.rendezvous import weight
 from catkinspan.state.hosts import FleetView
-from catkinspan.state.ids import HostId
+from catkinspan.state.ids import DataCentre, HostId
 
 _NEVER = float("-inf")
 _MAX_WEIGHT = 2.0**64
+_READING_KEY = "reading data centre"
 
 
 class StoreContacts:
@@ -88,12 +93,16 @@
         self._confirmed_at -= gap
         self._peer_contact_at -= gap
 
-    def should_read(self, view: FleetView | None, now: float) -> bool:
+    def should_read(self, view: FleetView | None, has_copy: bool, now: float) -> bool:
         """Return whether this host reads the store.
 
-        The first hub candidate of each data centre does. If it reports that its calls
-        fail, or if no other host reaches the store, the next candidates read it too,
-        one by one, then a few further hosts. A host that hears no hub reads it as well.
+        The first hub candidate of each data centre reads its first copy from the store,
+        since a copy from another data centre would be billed traffic. Then those of
+        `READING_DATA_CENTRES` data centres go on. If one reports that its calls fail,
+        that of the next data centre reads too, and so do the next candidates of its
+        own. If no other host reaches the store, the candidates of all data centres read
+        it one by one, then a few further hosts. A host that hears no hub reads it as
+        well.
         """
         if view is None:
             return False
@@ -101,13 +110,15 @@
         delay = LONE_READ_DELAY_SECONDS if is_alone else INITIAL_READ_DELAY_SECONDS
         if now - self._started_at < delay:
             return False
-        if view.rank == 0:
+        failing = self._failing_by_data_centre(view, now)
+        is_reading = not has_copy or _is_reading_data_centre(view, failing)
+        if view.rank == 0 and is_reading:
             return True
         age = now - max(self._peer_contact_at, self._started_at)
         if view.rank < MAX_READING_CANDIDATES:
-            if self._count_failing(view, now) >= view.rank:
+            if 0 < view.rank <= failing[view.self_data_centre]:
                 return True
-            steps = READ_TAKEOVER_STEP_SECONDS * (view.rank - 1)
+            steps = READ_TAKEOVER_STEP_SECONDS * max(0, view.rank - 1)
             return age > READ_TAKEOVER_SECONDS + steps
         if age <= READ_WITHOUT_HUB_SECONDS:
             return False
@@ -115,20 +126,35 @@
             return True
         return self._is_substitute(view.known_count, age)
 
-    def _count_failing(self, view: FleetView, now: float) -> int:
-        """Return the number of readers of the own data centre whose calls fail."""
+    def _failing_by_data_centre(
+        self, view: FleetView, now: float
+    ) -> Counter[DataCentre]:
+        """Return the number of readers whose calls fail, by data centre."""
         self._failures = {
             host: at
             for host, at in self._failures.items()
             if now - at < FAILING_READER_SECONDS
         }
         records = (view.hosts.get(host) for host in self._failures)
-        return sum(
-            record is not None and record.data_centre == view.self_data_centre
-            for record in records
-        )
+        return Counter(record.data_centre for record in records if record is not None)
 
     def _is_substitute(self, known_count: int, age: float) -> bool:
         period = int(age / SUBSTITUTE_PERIOD_SECONDS)
         position = weight(f"reader {period}", self._self_id) / _MAX_WEIGHT
         return position * known_count < SUBSTITUTE_READERS
+
+
+def _is_reading_data_centre(view: FleetView, failing: Mapping[DataCentre, int]) -> bool:
+    """Return whether fewer than the intended data centres before this one read.
+
+    All hubs order the data centres by the same hash. A hub that does not hear another
+    data centre does not count it.
+    """
+    remote = {view.hosts[hub].data_centre for hub in view.remote_hubs}
+    own_weight = weight(_READING_KEY, view.self_data_centre)
+    before = [
+        name
+        for name in remote
+        if weight(_READING_KEY, name) > own_weight and not failing.get(name)
+    ]
+    return len(before) < READING_DATA_CENTRES
