Keep a process alive after an address that it cannot send to

Cause: uvloop raises ValueError for a datagram to an address of another IP version. A peer that announces such an address, or a message that names one, ended the task of the datagram socket, and with it the process. An unexpected error in a call to the store, in the text of an event or in sending to one peer did the same.

Change: a datagram that cannot be sent is dropped, as a lost one is. Unexpected errors in these steps are logged with their trace; the reader of the store backs off.

--- a/src/catkinspan/daemon/host_task.py
+++ b/src/catkinspan/daemon/host_task.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable, Mapping
+from functools import partial
 from typing import Any
 
 from loguru import logger
@@ -287,12 +288,19 @@
         for directive in outbox.take_directives():
             self._execute_directive(directive)
         for event in outbox.take_events():
-            self._record_event(event)
+            self._run_safely(partial(self._record_event, event))
         by_peer: dict[Peer, list[PeerMessage]] = {}
         for envelope in outbox.take_envelopes():
             by_peer.setdefault(envelope.to, []).append(envelope.message)
         for peer, messages in by_peer.items():
-            self._send(peer, messages)
+            self._run_safely(partial(self._send, peer, messages))
+
+    def _run_safely(self, step: "partial[None]") -> None:
+        """Run a step whose input may come from other hosts or writers."""
+        try:
+            step()
+        except Exception:
+            logger.exception("unexpected error in {}", step.func.__name__)
 
     def _execute_directive(self, directive: object) -> None:
         match directive:
--- a/src/catkinspan/transport/peers/datagrams.py
+++ b/src/catkinspan/transport/peers/datagrams.py
@@ -79,7 +79,12 @@
     def _send(self, datagram: Datagram) -> None:
         if self._transport is None:
             return
+        destination = datagram.destination
+        try:
+            self._transport.sendto(datagram.frame, (destination.ip, destination.port))
+        except (OSError, ValueError, OverflowError) as error:
+            # A peer may announce an address to which this socket cannot send, such as
+            # one of another IP version.
+            logger.debug("datagram to {} dropped: {!r}", destination, error)
+            return
         self._sent_bytes += len(datagram.frame)
-        self._transport.sendto(
-            datagram.frame, (datagram.destination.ip, datagram.destination.port)
-        )
--- a/src/catkinspan/transport/store/reader.py
+++ b/src/catkinspan/transport/store/reader.py
@@ -112,6 +112,11 @@
         except StoreError as error:
             await self._async_back_off(error)
             return
+        except Exception as error:
+            # Whatever the store holds, it must not end the process.
+            logger.exception("unexpected error in a call to the store")
+            await self._async_back_off(error)
+            return
         if self._failures:
             logger.info(
                 "store is reachable again after {} failed calls", self._failures
@@ -132,7 +137,7 @@
         self._host.post_unbounded(changes if changes.documents else StoreUnchanged())
         return bool(changes.documents)
 
-    async def _async_back_off(self, error: StoreError) -> None:
+    async def _async_back_off(self, error: Exception) -> None:
         self._failures += 1
         self._host.post_unbounded(StoreCallFailed())
         logger.warning("store call failed ({} in a row): {}", self._failures, error)
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -99,3 +99,31 @@
     assert {d.name for d in copies[0].documents} == {"servers/a", "servers/b"}
     task.cancel()
     await platform.async_stop()
+
+
+async def test_unexpected_error_of_a_call_does_not_end_the_reader() -> None:
+    """Guards against a process that ends because of what the store holds."""
+
+    class FailingOnce:
+        def __init__(self) -> None:
+            self.calls = 0
+
+        async def async_read_all(self) -> StoreSnapshot:
+            self.calls += 1
+            if self.calls == 1:
+                raise RecursionError("too deep")
+            return StoreSnapshot(Revision(1), ())
+
+        async def async_watch(self, after: Revision) -> StoreChanges:
+            await asyncio.sleep(TEST_TIMEOUT_SECONDS)
+            return StoreChanges(after, after, ())
+
+    host: Mailbox[Any] = Mailbox(1000)
+    inbox: Mailbox[Any] = Mailbox(10)
+    reader = StoreReader(FailingOnce(), host, inbox, Random(1))
+    task = asyncio.create_task(reader.async_run())
+    inbox.post_unbounded(StartReading())
+    async with asyncio.timeout(TEST_TIMEOUT_SECONDS):
+        while not isinstance(await host.async_get(), StoreSnapshot):
+            assert not task.done()
+    task.cancel()
