Send trials to the servers that were unused for longest

Cause, in a model: a hedged trial goes to a random high-risk server. As many trials as servers reach 0.64 of them, since some get several; the rest stay unused, although there is a trial for each.

Change: of three random high-risk servers the trial goes to the one whose load has not changed for longest, as far as the host knows. Their number is the same.

--- a/src/catkinspan/coordination/balancing/balancer.py
+++ b/src/catkinspan/coordination/balancing/balancer.py
@@ -1,6 +1,7 @@
 """Selection of servers by load, risk and location."""
 
 from collections.abc import Iterable, Iterator, Sequence
+from itertools import islice
 from random import Random
 from typing import Protocol
 
@@ -16,6 +17,7 @@
     IDEMPOTENT_TRIAL_RISK_EXPONENT,
     MAX_AFFINITY_COST,
     MAX_COMPARED_SERVERS,
+    MAX_COMPARED_TRIALS,
     MAX_EXAMINED_SERVERS,
     MAX_RANDOM_COST,
     MIN_CONNECTIONS_PER_HOST,
@@ -230,17 +232,24 @@
     def _hedged_trial(
         self, request: ServerRequest, service: _Service, now: float
     ) -> _Candidate | None:
-        """Return a random high-risk server for some requests that can be hedged."""
+        """Return a high-risk server for some requests that can be hedged.
+
+        Of a few random ones it is the one that was unused for longest, so that trials
+        reach most servers before any gets a second one.
+        """
         if not (request.idempotent and request.allows_trial):
             return None
         if self._rng.random() >= TRIAL_SHARE:
             return None
         upstreams = service.upstreams
         in_random_order = self._rng.sample(upstreams, len(upstreams))
-        for candidate in self._usable(in_random_order, request, now):
-            if candidate.is_open_to_trial:
-                return candidate
-        return None
+        usable = self._usable(in_random_order, request, now)
+        open_to_trial = (c for c in usable if c.is_open_to_trial)
+        return max(
+            islice(open_to_trial, MAX_COMPARED_TRIALS),
+            key=lambda candidate: candidate.view.load_age,
+            default=None,
+        )
 
     def _cheapest(
         self, candidates: Sequence[_Candidate], request: ServerRequest
--- a/src/catkinspan/coordination/balancing/const.py
+++ b/src/catkinspan/coordination/balancing/const.py
@@ -52,6 +52,10 @@
 """Share of the eligible idempotent requests sent to a high-risk server, to find out
 whether it has recovered. A second server answers the request if it has not."""
 
+MAX_COMPARED_TRIALS = 3
+"""High-risk servers among which a trial goes to the one that was unused for longest.
+All hosts together would choose the same one of many."""
+
 MIN_TRIAL_RISK = BASELINE_RISK
 """Risk from which a server is high-risk and gets trials."""
 
--- a/tests/coordination/balancing/test_balancer.py
+++ b/tests/coordination/balancing/test_balancer.py
@@ -40,8 +40,10 @@
     return Upstream(ServerId(name), address, data_centre, 2, leaving=leaving)
 
 
-def make_balancer(views: FakeServerViews, *upstreams: Upstream) -> Balancer:
-    balancer = Balancer(HostId("a"), LOCAL, views, Random(1))
+def make_balancer(
+    views: FakeServerViews, *upstreams: Upstream, seed: int = 1
+) -> Balancer:
+    balancer = Balancer(HostId("a"), LOCAL, views, Random(seed))
     service = Service(SERVICE, upstreams, Policy())
     balancer.apply_tree(SettingsTree(Revision(1), services={SERVICE: service}), 0.0)
     return balancer
@@ -90,6 +92,29 @@
     assert count_choices(balancer, IDEMPOTENT)["bad"] >= 50
 
 
+FLOOR_SHARE = 0.7
+"""Share of the sound servers of a service that is to be in use."""
+
+
+@pytest.mark.parametrize("seed", range(5))
+def test_as_many_trials_as_servers_reach_most_of_them(seed: int) -> None:
+    """Guards against recovered servers that stay unused while others get several trials
+    (FLOOR, issue 18)."""
+    names = [f"s{number}" for number in range(20)]
+    views = FakeServerViews({name: ServerView(0, 0.9, load_age=9.0) for name in names})
+    balancer = make_balancer(views, *(make_upstream(name) for name in names), seed=seed)
+    reached, trials = set(), 0
+    while trials < len(names):
+        choice = balancer.choose(IDEMPOTENT, 0.0).unwrap()
+        for name, view in views.views.items():
+            views.views[name] = evolve(view, load_age=view.load_age + 0.1)
+        if choice.is_trial:
+            trials += 1
+            reached.add(choice.upstream.id)
+            views.views[choice.upstream.id] = ServerView(0, 0.9)
+    assert len(reached) >= FLOOR_SHARE * len(names)
+
+
 def count_scheduled(
     balancer: Balancer, request: ServerRequest, per_second: int, seconds: float
 ) -> Counter[str]:
