Close unused connections when a draining host stops accepting

Cause: a connection that a caller opens during the drain and does not use was not closed, since idle connections are closed at the end of the notice only. The process waited for it until the end of the drain period.

Change: idle connections are closed once more when the host stops accepting.

Measured: test_unused_connection_does_not_hold_a_drain_until_its_end failed before (the drain ended with an open connection), and passes now.

--- a/src/catkinspan/daemon/node.py
+++ b/src/catkinspan/daemon/node.py
@@ -209,9 +209,7 @@
         self._host_task.inbox.post_unbounded(AnnounceDrain())
         notice_seconds = self._settings.drain_notice.total_seconds()
         await asyncio.sleep(notice_seconds)
-        done: asyncio.Future[None] = asyncio.get_running_loop().create_future()
-        self._host_task.inbox.post_unbounded(BeginDrain(done))
-        await done
+        await self._async_close_idle_connections()
         remaining = max(
             0.0,
             self._settings.drain.total_seconds()
@@ -221,12 +219,19 @@
         accepting = ACCEPTING_DRAIN_SHARE * remaining
         await self._caller_listener.async_wait_idle(accepting)
         self._caller_listener.stop_accepting()
+        # Some of the connections accepted meanwhile may never carry a request.
+        await self._async_close_idle_connections()
         idle = await self._caller_listener.async_wait_idle(remaining - accepting)
         if not idle:
             logger.warning("requests are still running at the end of the drain period")
         logger.bind(event="stop").info("stopping host {}", self._settings.host_id)
         return idle
 
+    async def _async_close_idle_connections(self) -> None:
+        done: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        self._host_task.inbox.post_unbounded(BeginDrain(done))
+        await done
+
     async def async_stop(self) -> None:
         """Cancel all tasks and close all sockets; running requests are cut off."""
         self._caller_listener.stop_accepting()
--- a/tests/transport/test_upstream_faults.py
+++ b/tests/transport/test_upstream_faults.py
@@ -207,6 +207,32 @@
     assert [(r.status, r.complete) for r in answered] == [(200, True)] * 3
 
 
+async def test_unused_connection_does_not_hold_a_drain_until_its_end() -> None:
+    """Guards against a process that is killed since a caller opened a connection during
+    the drain and sends nothing on it."""
+
+    def long_drain(settings):
+        return evolve(
+            settings,
+            drain=timedelta(seconds=10),
+            drain_notice=timedelta(milliseconds=100),
+        )
+
+    options = UpstreamOptions("", "catalogue", 200, 20, 0.5)
+    async with running_fleet(options=options, edit_settings=long_drain) as fleet:
+        host = fleet.hosts[0]
+        running = asyncio.create_task(
+            request(host.callers_address, "/prints/0", "POST", b"x")
+        )
+        await fleet.wait_until(lambda: fleet.count_runs() >= 1)
+        draining = asyncio.create_task(host.async_drain())
+        await asyncio.sleep(0.2)
+        unused = await Caller.connect(host.callers_address)
+        assert await draining
+        assert (await running).status == 200
+        assert await unused.reader.read() == b""
+
+
 async def test_balancer_check_fails_before_the_drain_refuses_anything() -> None:
     async with running_fleet() as fleet:
         host = fleet.hosts[0]
