Look for failing readers of the store only where there are any

The rule for the readers ran its whole search at each tick of each host; in a profile of 12 hosts at rest it was a tenth of the time of the ticks. It does the same with less work.

--- a/src/catkinspan/coordination/configuration/contacts.py
+++ b/src/catkinspan/coordination/configuration/contacts.py
@@ -111,8 +111,7 @@
         if now - self._started_at < delay:
             return False
         failing = self._failing_by_data_centre(view, now)
-        is_reading = not has_copy or _is_reading_data_centre(view, failing)
-        if view.rank == 0 and is_reading:
+        if view.rank == 0 and (not has_copy or _is_reading_data_centre(view, failing)):
             return True
         age = now - max(self._peer_contact_at, self._started_at)
         if view.rank < MAX_READING_CANDIDATES:
@@ -130,6 +129,8 @@
         self, view: FleetView, now: float
     ) -> Counter[DataCentre]:
         """Return the number of readers whose calls fail, by data centre."""
+        if not self._failures:
+            return Counter()
         self._failures = {
             host: at
             for host, at in self._failures.items()
