Pass what connections of callers share as one object

CallerContext holds the inboxes, limits and names that connections and exchanges use; the refusals that the host task does not decide on have a module of their own. Behaviour and texts are unchanged.

--- a/src/catkinspan/daemon/node.py
+++ b/src/catkinspan/daemon/node.py
@@ -32,6 +32,7 @@
 from catkinspan.state.node import NodeSettings
 from catkinspan.state.tree import Address
 from catkinspan.transport.callers.connection import CallerConnection
+from catkinspan.transport.callers.context import CallerContext
 from catkinspan.transport.callers.listener import CallerListener
 from catkinspan.transport.callers.messages import HealthQuery, HealthStatus
 from catkinspan.transport.callers.ready import ReadyListener
@@ -354,17 +355,15 @@
     def _new_connection(
         self, port: SocketPort, mailbox: Mailbox[Any]
     ) -> CallerConnection:
-        return CallerConnection(
-            port,
-            mailbox,
+        context = CallerContext(
             self._host_task.inbox,
             self._upstream_pool.inbox,
             self._settings.http,
             self._clock,
-            self._new_request_id,
             self._interface.http,
             self._tls.upstreams,
         )
+        return CallerConnection(port, mailbox, context, self._new_request_id)
 
     def _new_link(
         self,
--- a/src/catkinspan/transport/callers/connection.py
+++ b/src/catkinspan/transport/callers/connection.py
@@ -1,7 +1,6 @@
 """The task that owns one caller's connection."""
 
 import asyncio
-import ssl
 from collections.abc import Callable
 from typing import Any
 
@@ -9,15 +8,13 @@
 from loguru import logger
 from result import Err
 
-from catkinspan.coordination.clock import Clock
 from catkinspan.coordination.requests.errors import Refusal, RefusalKind
 from catkinspan.coordination.requests.models import KeysWithdrawn
 from catkinspan.protocol.http.heads import CallerHead, bad_request, parse_head
-from catkinspan.protocol.http.names import HttpNames
 from catkinspan.protocol.http.responses import refusal_response
 from catkinspan.state.ids import RequestId
-from catkinspan.state.node import HttpLimits
 from catkinspan.transport.callers.const import HEALTH_PATH, REQUEST_ID_SEPARATOR
+from catkinspan.transport.callers.context import CallerContext
 from catkinspan.transport.callers.exchange import Exchange
 from catkinspan.transport.callers.messages import (
     Drain,
@@ -28,7 +25,6 @@
 from catkinspan.transport.callers.stream import CallerStream
 from catkinspan.transport.mailbox import Mailbox
 from catkinspan.transport.socket_port import SocketClosed, SocketData, SocketPort
-from catkinspan.transport.upstreams.pool import PoolMessage
 
 
 class ConnectionClosedError(Exception):
@@ -42,24 +38,18 @@
         self,
         port: SocketPort,
         mailbox: Mailbox[Any],
-        host: Mailbox[Any],
-        pool: Mailbox[PoolMessage],
-        limits: HttpLimits,
-        clock: Clock,
+        context: CallerContext,
         new_request_id: Callable[[], RequestId],
-        names: HttpNames,
-        tls: ssl.SSLContext | None = None,
     ) -> None:
         self._port = port
         self._mailbox = mailbox
-        self._host = host
-        self._pool = pool
-        self._limits = limits
-        self._clock = clock
+        self._context = context
+        self._host = context.host
+        self._limits = context.limits
+        self._clock = context.clock
+        self._names = context.names
         self._new_request_id = new_request_id
-        self._names = names
-        self._tls = tls
-        self._stream = CallerStream(port, limits.header_bytes)
+        self._stream = CallerStream(port, self._limits.header_bytes)
         self._draining = False
         self._closing = False
         """Whether to close instead of waiting for another request."""
@@ -156,12 +146,7 @@
             head=head,
             stream=self._stream,
             mailbox=self._mailbox,
-            host=self._host,
-            pool=self._pool,
-            limits=self._limits,
-            clock=self._clock,
-            names=self._names,
-            tls=self._tls,
+            context=self._context,
             draining=self._draining,
         )
         with logger.contextualize(request_id=request_id):
--- a/src/catkinspan/transport/callers/exchange.py
+++ b/src/catkinspan/transport/callers/exchange.py
@@ -1,16 +1,14 @@
 """Handling of one caller request, from its head to the end of its response."""
 
 import asyncio
-import ssl
 from typing import Any
 
 import h11
 from loguru import logger
 
-from catkinspan.coordination.clock import Clock
 from catkinspan.coordination.keys.coordinator import digest_of
 from catkinspan.coordination.outcomes import AttemptOutcome, OutcomeKind
-from catkinspan.coordination.requests.errors import Refusal, RefusalKind
+from catkinspan.coordination.requests.errors import Refusal
 from catkinspan.coordination.requests.models import (
     Assigned,
     AttemptFinished,
@@ -21,24 +19,24 @@
     KeysWithdrawn,
     Refused,
     RequestAbandoned,
-    RequestArrived,
 )
-from catkinspan.protocol.http.heads import CallerHead, bad_request
+from catkinspan.protocol.http.heads import CallerHead
 from catkinspan.protocol.http.keys import path_contains_key
-from catkinspan.protocol.http.names import HttpNames
 from catkinspan.protocol.http.responses import forwarded_response, refusal_response
 from catkinspan.protocol.http.upstream import upstream_request
 from catkinspan.state.ids import RequestId
-from catkinspan.state.node import HttpLimits
+from catkinspan.transport.callers import refusals
 from catkinspan.transport.callers.attempts import RunningAttempts
 from catkinspan.transport.callers.body import BodyStatus, RequestBody
 from catkinspan.transport.callers.const import MAX_BUFFERING_SECONDS
+from catkinspan.transport.callers.context import CallerContext
 from catkinspan.transport.callers.messages import (
     ContinueBody,
     Drain,
     RequestRecord,
     RequestSubmitted,
     RequestUpdate,
+    arrived_request,
 )
 from catkinspan.transport.callers.response import RunningAttempt
 from catkinspan.transport.callers.stream import CallerStream
@@ -55,7 +53,6 @@
     BodyChunk,
     BodyChunkRequested,
 )
-from catkinspan.transport.upstreams.pool import PoolMessage
 
 
 class Exchange:
@@ -67,33 +64,26 @@
         head: CallerHead,
         stream: CallerStream,
         mailbox: Mailbox[Any],
-        host: Mailbox[Any],
-        pool: Mailbox[PoolMessage],
-        limits: HttpLimits,
-        clock: Clock,
-        names: HttpNames,
-        tls: ssl.SSLContext | None,
+        context: CallerContext,
         draining: bool,
     ) -> None:
         self._request_id = request_id
-        self._external_request_id = (
-            head.request_id or "" if names.keeps_request_id else ""
-        )
-        self._external_request_id = self._external_request_id or request_id
-        self._names = names
+        self._names = context.names
+        callers_id = head.request_id if self._names.keeps_request_id else None
+        self._external_request_id = callers_id or request_id
         self._head = head
         self._stream = stream
         self._mailbox = mailbox
-        self._host = host
-        self._pool = pool
-        self._limits = limits
-        self._clock = clock
-        self._tls = tls
+        self._host = context.host
+        self._pool = context.pool
+        self._limits = context.limits
+        self._clock = context.clock
+        self._tls = context.upstreams_tls
         self._draining = draining
         self._key = head.presented_key
         self._attempts = RunningAttempts()
-        timeout = limits.body_timeout.total_seconds()
-        self._body = RequestBody(stream, head, timeout, clock)
+        timeout = self._limits.body_timeout.total_seconds()
+        self._body = RequestBody(stream, head, timeout, self._clock)
         self._reading_prefix = False
         self._is_body_paused = False
         self._chunk_requester: int | None = None
@@ -143,17 +133,13 @@
 
     def _submit(self) -> bool:
         if path_contains_key(self._head.path, self._key):
-            remedy = "send the key in a header only, and withdraw this one"
-            self._respond_refusal(bad_request("the path contains the key", remedy))
+            self._respond_refusal(refusals.KEY_IN_PATH)
             return False
-        arrived = _arrived(self._request_id, self._head)
+        arrived = arrived_request(self._request_id, self._head)
         try:
             self._host.post(RequestSubmitted(arrived, self._mailbox))
         except InboxFullError:
-            message = "the host has too many requests waiting"
-            remedy = "try again after the given time"
-            refusal = Refusal(RefusalKind.OVERLOADED, message, remedy, retry_after=1.0)
-            self._respond_refusal(refusal)
+            self._respond_refusal(refusals.HOST_BUSY)
             return False
         self._submitted = True
         return True
@@ -211,10 +197,8 @@
         times = list(self._attempts.buffer_deadlines())
         if self._body.read_deadline is not None:
             times.append(self._body.read_deadline)
-        idle_deadline = (
-            self._clock.monotonic() + self._limits.idle_timeout.total_seconds()
-        )
-        return min(times, default=idle_deadline)
+        idle_seconds = self._limits.idle_timeout.total_seconds()
+        return min(times, default=self._clock.monotonic() + idle_seconds)
 
     async def _async_on_timer(self) -> None:
         now = self._clock.monotonic()
@@ -230,9 +214,7 @@
             self._reset_connection()
             return
         self._host.post_unbounded(RequestUpdate(RequestAbandoned(self._request_id)))
-        message = "the request body did not arrive in time"
-        refusal = Refusal(RefusalKind.REQUEST_TIMEOUT, message, "send it faster")
-        self._respond_refusal(refusal)
+        self._respond_refusal(refusals.BODY_TIMEOUT)
 
     # Request body
 
@@ -268,9 +250,7 @@
             self._host.post_unbounded(RequestUpdate(received))
             return
         self._host.post_unbounded(RequestUpdate(RequestAbandoned(self._request_id)))
-        message = "the body is larger than the route allows"
-        remedy = "send a smaller body"
-        self._respond_refusal(Refusal(RefusalKind.BODY_TOO_LARGE, message, remedy))
+        self._respond_refusal(refusals.BODY_TOO_LARGE)
 
     def _forward_chunk(self, attempt: int) -> None:
         running = self._attempts.get(attempt)
@@ -455,10 +435,7 @@
             self._stream.next_event()
 
     def _abandon(self) -> None:
-        """End the request without a complete response and tell the host task.
-
-        `async_run` then cancels the attempts, since nobody waits for a response.
-        """
+        """End the request without a response; `async_run` cancels the attempts."""
         self._is_done = True
         self._record_kind = self._record_kind or "abandoned"
         if self._submitted:
@@ -469,16 +446,3 @@
         self._record_kind = "cut"
         self._abandon()
         self._stream.port.reset()
-
-
-def _arrived(request_id: RequestId, head: CallerHead) -> RequestArrived:
-    return RequestArrived(
-        request_id=request_id,
-        method=head.method,
-        host=head.host,
-        path=head.path,
-        query=head.query,
-        presented_key=head.presented_key,
-        deadline=head.deadline,
-        content_length=head.content_length,
-    )
--- a/src/catkinspan/transport/callers/messages.py
+++ b/src/catkinspan/transport/callers/messages.py
@@ -10,6 +10,8 @@
     RequestAbandoned,
     RequestArrived,
 )
+from catkinspan.protocol.http.heads import CallerHead
+from catkinspan.state.ids import RequestId
 from catkinspan.transport.mailbox import Mailbox
 
 
@@ -69,3 +71,17 @@
 
     seconds: float
     attempts: int
+
+
+def arrived_request(request_id: RequestId, head: CallerHead) -> RequestArrived:
+    """Return the message to the host task about a request head."""
+    return RequestArrived(
+        request_id=request_id,
+        method=head.method,
+        host=head.host,
+        path=head.path,
+        query=head.query,
+        presented_key=head.presented_key,
+        deadline=head.deadline,
+        content_length=head.content_length,
+    )
