--- a/src/catkinspan/coordination/configuration/coordinator.py
+++ b/src/catkinspan/coordination/configuration/coordinator.py
@@ -141,9 +141,8 @@
 
     def is_up_to_date(self, now: float) -> bool:
         """Return whether no newer change is known and the last contact is recent."""
-        return not self.is_catching_up(now) and (
-            self.copy_age(now) <= OUTAGE_THRESHOLD_SECONDS
-        )
+        is_recent = self.copy_age(now) <= OUTAGE_THRESHOLD_SECONDS
+        return is_recent and not self.is_catching_up(now)
 
     def is_catching_up(self, now: float) -> bool:
         """Return whether peers tell of changes that the replica lacks."""
@@ -435,9 +434,8 @@
 
     def _should_read(self, now: float) -> bool:
         has_copy = self._replica.revision > NO_REVISION
-        if self._has_waiting_requests and not has_copy:
-            return True
-        return self._contacts.should_read(self._view, has_copy, now)
+        is_waited_for = self._has_waiting_requests and not has_copy
+        return is_waited_for or self._contacts.should_read(self._view, has_copy, now)
 
     def _check_outage_end(
         self, at: float, previous_at: float, source: str, now: float
