--- a/src/catkinspan/coordination/configuration/contacts.py
+++ b/src/catkinspan/coordination/configuration/contacts.py
@@ -151,7 +151,8 @@
     All hubs order the data centres by the same hash. A hub that does not hear another
     data centre does not count it.
     """
-    remote = {view.hosts[hub].data_centre for hub in view.remote_hubs}
+    records = (view.hosts.get(hub) for hub in view.remote_hubs)
+    remote = {record.data_centre for record in records if record is not None}
     own_weight = weight(_READING_KEY, view.self_data_centre)
     before = [
         name
