Wait until the last response is sent before a connection counts as ended

Cause: the task of a connection ended when the last bytes of its response were in the transport's buffer. The drain took the host for idle, and the process ended before they were sent.

Change: the task waits until the socket has sent them, at most for the time-out of bodies. Drains and the limit of connections count it until then.

--- a/src/catkinspan/transport/callers/connection.py
+++ b/src/catkinspan/transport/callers/connection.py
@@ -68,6 +68,15 @@
             raise
         finally:
             self._port.close()
+        await self._async_flush()
+
+    async def _async_flush(self) -> None:
+        """Wait until the last response is sent, which an ending process would cut."""
+        try:
+            async with asyncio.timeout(self._limits.body_timeout.total_seconds()):
+                await self._port.async_wait_ended()
+        except TimeoutError:
+            logger.info("caller does not read the last response; giving it up")
 
     async def _async_serve_request(self) -> bool:
         """Serve one request; return whether the connection can serve another."""
--- a/src/catkinspan/transport/socket_port.py
+++ b/src/catkinspan/transport/socket_port.py
@@ -64,6 +64,8 @@
         self._unacknowledged_reads = 0
         self._reading = True
         self._closed = False
+        self._has_ended = False
+        self._end_waiter: asyncio.Future[None] | None = None
         self._drain_waiter: asyncio.Future[None] | None = None
         self._notifies_when_drained = False
 
@@ -123,6 +125,9 @@
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Post the end of the connection."""
+        self._has_ended = True
+        if self._end_waiter is not None and not self._end_waiter.done():
+            self._end_waiter.set_result(None)
         if self._closed:
             return
         self._closed = True
@@ -175,6 +180,13 @@
             self._wake_writer()
             self._transport.close()
 
+    async def async_wait_ended(self) -> None:
+        """Wait until the bytes that `close` leaves are sent, or the socket failed."""
+        if self._transport is None or self._has_ended:
+            return
+        self._end_waiter = asyncio.get_running_loop().create_future()
+        await self._end_waiter
+
     def abort(self) -> None:
         """Close the socket at once and discard its buffered bytes."""
         if self._transport is not None and not self._closed:
