Start no hedge beside a response that is being forwarded

Found while testing a slow caller of a response larger than every buffer: the caller got 4.5 MB of 64 MB, and the connection was closed.

Cause: the host task learns of a streamed response when it is complete. Until then it may send a hedge. The hedge's response head was committed beside the first one, which raised in the exchange and ended the caller's connection in the middle of its answer.

Change: an exchange that forwards a response reports a later attempt as cancelled and does not start it.

Measured: test_slow_caller_stops_the_reading_from_the_server failed before (4,486,248 bytes of 67,108,864 arrived), and passes now. It also shows that a host stops reading from the server while the caller does not read.

--- a/src/catkinspan/transport/callers/exchange.py
+++ b/src/catkinspan/transport/callers/exchange.py
@@ -84,11 +84,9 @@
         self._attempts = RunningAttempts()
         timeout = self._limits.body_timeout.total_seconds()
         self._body = RequestBody(stream, head, timeout, self._clock)
-        self._reading_prefix = False
-        self._is_body_paused = False
+        self._reading_prefix = self._is_body_paused = False
         self._chunk_requester: int | None = None
-        self._submitted = False
-        self._is_done = False
+        self._submitted = self._is_done = False
         self._last_assigned: Assigned | None = None
         self._refused: Refused | None = None
         self._status = 0
@@ -197,8 +195,8 @@
         times = list(self._attempts.buffer_deadlines())
         if self._body.read_deadline is not None:
             times.append(self._body.read_deadline)
-        idle_seconds = self._limits.idle_timeout.total_seconds()
-        return min(times, default=self._clock.monotonic() + idle_seconds)
+        idle = self._limits.idle_timeout.total_seconds()
+        return min(times, default=self._clock.monotonic() + idle)
 
     async def _async_on_timer(self) -> None:
         now = self._clock.monotonic()
@@ -270,6 +268,10 @@
     # Attempts
 
     def _start_attempt(self, assigned: Assigned) -> None:
+        if self._attempts.is_committed:
+            # A hedge that was decided before the host task knew of the response.
+            self._report(assigned.outcome(OutcomeKind.CANCELLED, 0.0, False))
+            return
         if assigned.key_query_parameter and self._key is None:
             self._key = self._head.query.get(assigned.key_query_parameter)
         request = upstream_request(
