--- a/src/catkinspan/coordination/host/coordinator.py
+++ b/src/catkinspan/coordination/host/coordinator.py
@@ -253,10 +253,15 @@
             coordinator.resume(gap, now)
         self.requests.resume(gap)
 
-    def drain(self, now: float) -> None:
-        """Announce to the peers that the host leaves; running requests continue."""
+    def drain(self, now: float, stops_at: float) -> None:
+        """Announce to the peers that the host leaves; running requests continue.
+
+        `stops_at` is the monotonic time in seconds at which the host ends; a request
+        that may last longer is refused.
+        """
         for coordinator in self._coordinators:
             coordinator.drain(now)
+        self.requests.drain(stops_at)
 
     def _detect_pause(self, now: float) -> None:
         """Detect a pause before anything else acts on outdated state."""
--- a/src/catkinspan/coordination/metrics/endings.py
+++ b/src/catkinspan/coordination/metrics/endings.py
@@ -41,6 +41,7 @@
             RefusalKind.SETTINGS_OUTDATED,
             RefusalKind.SETTINGS_UNUSABLE,
             RefusalKind.ISOLATED,
+            RefusalKind.STOPPING,
             RefusalKind.RATE_UNKNOWN,
         }
     ),
--- a/src/catkinspan/coordination/requests/coordinator.py
+++ b/src/catkinspan/coordination/requests/coordinator.py
@@ -22,7 +22,10 @@
 from catkinspan.coordination.requests.admission import Admission
 from catkinspan.coordination.requests.arrivals import Arrivals
 from catkinspan.coordination.requests.assignments import assignment, hedge_delay
-from catkinspan.coordination.requests.const import MIN_TRIAL_BUDGET
+from catkinspan.coordination.requests.const import (
+    DEADLINE_GRACE_SECONDS,
+    MIN_TRIAL_BUDGET,
+)
 from catkinspan.coordination.requests.dependencies import RequestDependencies
 from catkinspan.coordination.requests.errors import Ran, Refusal
 from catkinspan.coordination.requests.models import (
@@ -59,6 +62,9 @@
     A non-idempotent request is resent only if no byte of it was written or the
     upstream reported that it did not run. A refusal says "not run" only if this holds
     for all attempts of the request.
+
+    A stopping host sends no request to a server whose time limit may end after the
+    host does.
     """
 
     def __init__(
@@ -79,6 +85,8 @@
         """Each request has a due time until it has ended."""
 
         self._arrivals = Arrivals(dependencies, self._admission, outbox)
+        self._stops_at = float("inf")
+        """Monotonic time at which the host cuts what still runs."""
 
     @property
     def running(self) -> int:
@@ -99,6 +107,17 @@
         self._tree = tree
         self._admission.apply_tree(tree)
 
+    def drain(self, stops_at: float) -> None:
+        """Refuse, from now on, requests that may last longer than the host.
+
+        `stops_at` is the monotonic time in seconds at which the host ends.
+        """
+        self._stops_at = stops_at
+        for request in list(self._requests.values()):
+            is_waiting = request.stage in (Stage.BODY, Stage.BACKOFF)
+            if is_waiting and not self._may_send(request):
+                self._refuse(request, refusals.STOPPING)
+
     # Messages from the front end
 
     def start_request(self, arrived: RequestArrived, now: float) -> None:
@@ -112,6 +131,9 @@
 
     def _start(self, request: ActiveRequest, now: float) -> None:
         self._requests[request.id] = request
+        if not self._may_send(request):
+            self._refuse(request, refusals.STOPPING)
+            return
         if request.arrived.content_length == 0:
             self._check_quarantine(request, now)
             return
@@ -178,6 +200,7 @@
 
     def resume(self, gap: float) -> None:
         """Bring deadlines forward by a pause of this host; callers waited meanwhile."""
+        self._stops_at -= gap
         for request in self._requests.values():
             request.deadline -= gap
             if request.stage is not Stage.ENDED:
@@ -185,6 +208,15 @@
 
     # Admission
 
+    def _may_send(self, request: ActiveRequest) -> bool:
+        """Return whether a request may be sent to a server although the host may stop.
+
+        A request that may have run already can no longer be refused as not run, so its
+        retries go on.
+        """
+        ends_by = request.deadline + DEADLINE_GRACE_SECONDS
+        return ends_by <= self._stops_at or request.ran is not Ran.NO
+
     def _check_quarantine(self, request: ActiveRequest, now: float) -> None:
         arrived = request.arrived
         request.fingerprint = fingerprint(
@@ -387,7 +419,7 @@
             return False
         if not request.is_idempotent and request.ran is not Ran.NO:
             return False
-        if self._is_quarantined(request, now):
+        if not self._may_send(request) or self._is_quarantined(request, now):
             return False
         policy = request.route.policy
         if finished.outcome.kind in NOT_SENT_OUTCOMES:
--- a/src/catkinspan/coordination/requests/errors.py
+++ b/src/catkinspan/coordination/requests/errors.py
@@ -28,6 +28,7 @@
     SETTINGS_OUTDATED = "settings_outdated"
     SETTINGS_UNUSABLE = "settings_unusable"
     ISOLATED = "isolated"
+    STOPPING = "stopping"
     OVERLOADED = "overloaded"
     RATE_EXCEEDED = "rate_exceeded"
     RATE_UNKNOWN = "rate_unknown"
--- a/src/catkinspan/coordination/requests/refusals.py
+++ b/src/catkinspan/coordination/requests/refusals.py
@@ -54,6 +54,12 @@
     "try again, through another host if possible",
     retry_after=_UNKNOWING_RETRY_AFTER_SECONDS,
 )
+STOPPING = Refusal(
+    RefusalKind.STOPPING,
+    "the host stops before the time limit of the request",
+    "try again, through another host",
+    retry_after=_MIN_RETRY_AFTER_SECONDS,
+)
 OVERLOADED = Refusal(
     RefusalKind.OVERLOADED,
     "the host runs as many requests as it may",
--- a/src/catkinspan/daemon/host_task.py
+++ b/src/catkinspan/daemon/host_task.py
@@ -237,8 +237,8 @@
                 self._reply_to_query(read, reply, now)
             case HealthQuery(reply_to):
                 reply_to.post_unbounded(self._health_status(now))
-            case AnnounceDrain():
-                self._announce_drain(now)
+            case AnnounceDrain(stops_at):
+                self._announce_drain(stops_at, now)
             case BeginDrain(done):
                 self._begin_drain()
                 done.set_result(None)
@@ -270,9 +270,9 @@
         except Exception as error:  # noqa: BLE001 - the querying task reports it
             reply.set_exception(error)
 
-    def _announce_drain(self, now: float) -> None:
+    def _announce_drain(self, stops_at: float, now: float) -> None:
         self._drain_announced = True
-        self._coordinator.drain(now)
+        self._coordinator.drain(now, stops_at)
         for mailbox in self._connections:
             mailbox.post_unbounded(Drain(close_idle=False))
 
--- a/src/catkinspan/daemon/messages.py
+++ b/src/catkinspan/daemon/messages.py
@@ -54,7 +54,10 @@
 @frozen
 class AnnounceDrain:
     """Fail the load balancer's health check, notify the peers and respond with
-    `Connection: close`, while requests are still served."""
+    `Connection: close`, while requests that end before the host does are served."""
+
+    stops_at: float
+    """Monotonic time in seconds at which the host ends."""
 
 
 @frozen
--- a/src/catkinspan/daemon/node.py
+++ b/src/catkinspan/daemon/node.py
@@ -57,8 +57,8 @@
 MAX_INCARNATION = 1 << 48
 
 ACCEPTING_DRAIN_SHARE = 0.4
-"""Share of the drain period after the notice in which connections are accepted. The
-requests of the last ones need the rest."""
+"""Share of the drain period after the notice in which connections are accepted. Most
+requests that arrive later may outlast the host and would be refused."""
 
 STOP_RESERVE_SECONDS = 0.4
 """Part of the drain period that is reserved for stopping the process."""
@@ -203,20 +203,18 @@
         First the load balancer's health check fails. After the drain notice, idle
         connections are closed and running requests finish, at most until the end of
         the drain period. New connections are accepted in the first part of that time,
-        since a load balancer without another host keeps sending them.
+        since a load balancer without another host keeps sending them. A request that
+        may last beyond the drain period is refused.
         """
         self._draining = True
         logger.bind(event="drain").info("draining host {}", self._settings.host_id)
-        self._host_task.inbox.post_unbounded(AnnounceDrain())
         notice_seconds = self._settings.drain_notice.total_seconds()
+        serving_seconds = self._settings.drain.total_seconds() - STOP_RESERVE_SECONDS
+        remaining = max(0.0, serving_seconds - notice_seconds)
+        stops_at = self._clock.monotonic() + notice_seconds + remaining
+        self._host_task.inbox.post_unbounded(AnnounceDrain(stops_at))
         await asyncio.sleep(notice_seconds)
         await self._async_close_idle_connections()
-        remaining = max(
-            0.0,
-            self._settings.drain.total_seconds()
-            - notice_seconds
-            - STOP_RESERVE_SECONDS,
-        )
         accepting = ACCEPTING_DRAIN_SHARE * remaining
         await self._caller_listener.async_wait_idle(accepting)
         self._caller_listener.stop_accepting()
--- a/src/catkinspan/protocol/http/responses.py
+++ b/src/catkinspan/protocol/http/responses.py
@@ -26,6 +26,7 @@
     RefusalKind.SETTINGS_OUTDATED: 503,
     RefusalKind.SETTINGS_UNUSABLE: 503,
     RefusalKind.ISOLATED: 503,
+    RefusalKind.STOPPING: 503,
     RefusalKind.OVERLOADED: 503,
     RefusalKind.RATE_EXCEEDED: 429,
     RefusalKind.RATE_UNKNOWN: 503,
