--- a/src/catkinspan/coordination/routing/index.py
+++ b/src/catkinspan/coordination/routing/index.py
@@ -23,7 +23,11 @@
 
 @define
 class _PrefixTable:
-    """The routes of one host, keyed by path prefix without a trailing slash."""
+    """The routes of one host, keyed by path prefix without a trailing slash.
+
+    Two prefixes that differ in that slash share an entry, so that a path needs one
+    lookup for both.
+    """
 
     entries: dict[str, _Entry] = field(factory=dict)
     max_depth: int = 0
@@ -46,9 +50,10 @@
 
     A route for the request's host takes precedence over a route for any host; then the
     longest prefix wins. A prefix ends at a segment boundary: ``/suites`` matches
-    ``/suites`` and ``/suites/7``, not ``/suites-old``. Among the routes of that prefix,
-    one that names the method takes precedence over one for all methods; shorter
-    prefixes are not tried.
+    ``/suites`` and ``/suites/7``, not ``/suites-old``. A slash at its end counts:
+    ``/suites/`` matches ``/suites/`` and ``/suites/7``, not ``/suites``. Among the
+    routes of that prefix, one that names the method takes precedence over one for all
+    methods; shorter prefixes are not tried.
 
     Example::
 
@@ -71,14 +76,14 @@
         if isinstance(canonical, Err):
             return canonical
         name = canonical_host(host)
-        entry = self._lookup(name, canonical.ok_value)
-        if entry is None:
-            entry = self._lookup(None, canonical.ok_value)
-        if entry is None:
+        routes = self._lookup(name, canonical.ok_value)
+        if routes is None:
+            routes = self._lookup(None, canonical.ok_value)
+        if routes is None:
             return Err(RouteNotFound(name, canonical.ok_value))
-        return _select_by_method(method, entry)
+        return _select_by_method(method, routes)
 
-    def _lookup(self, host: str | None, path: str) -> _Entry | None:
+    def _lookup(self, host: str | None, path: str) -> tuple[Route, ...] | None:
         self.lookup_count += 1
         prefixes = self._hosts.get(host)
         if prefixes is None:
@@ -86,8 +91,11 @@
         for prefix in _prefixes_of(path, prefixes.max_depth):
             self.lookup_count += 1
             entry = prefixes.entries.get(prefix)
-            if entry is not None:
-                return entry
+            if entry is None:
+                continue
+            longest = _longest_prefix_routes(entry, is_whole_path=path == prefix)
+            if longest:
+                return longest
         return None
 
 
@@ -98,8 +106,22 @@
         yield "/".join(segments[:count])
 
 
-def _select_by_method(method: str, entry: _Entry) -> Result[Route, RouteRefusal]:
+def _longest_prefix_routes(entry: _Entry, is_whole_path: bool) -> tuple[Route, ...]:
+    """Return the routes of the longer of two prefixes that differ in a final slash.
+
+    `is_whole_path` tells that the path has no slash there, so that only the shorter
+    prefix begins it.
+    """
     routes = entry if isinstance(entry, tuple) else (entry,)
+    below = tuple(r for r in routes if r.match.path_prefix.endswith("/"))
+    if below and not is_whole_path:
+        return below
+    return tuple(r for r in routes if not r.match.path_prefix.endswith("/"))
+
+
+def _select_by_method(
+    method: str, routes: tuple[Route, ...]
+) -> Result[Route, RouteRefusal]:
     for route in routes:
         if not route.match.methods or method in route.match.methods:
             return Ok(route)
--- a/src/catkinspan/state/tree.py
+++ b/src/catkinspan/state/tree.py
@@ -82,7 +82,12 @@
 class RouteMatch:
     """Conditions that a request must meet to match a route."""
 
-    path_prefix: str = setting(NOTHING, "", "Beginning of the path, in whole segments.")
+    path_prefix: str = setting(
+        NOTHING,
+        "",
+        "Beginning of the path, in whole segments; with a slash at its end, only paths "
+        "with that slash match.",
+    )
     methods: frozenset[str] = setting(
         frozenset(), "", "Methods that match; empty for all."
     )
