--- a/src/catkinspan/coordination/configuration/replica.py
+++ b/src/catkinspan/coordination/configuration/replica.py
@@ -70,9 +70,12 @@
     def _apply_newer(
         self, documents: Iterable[Document], revision: Revision
     ) -> tuple[Document, ...]:
-        changed = [document for document in documents if self._is_newer(document)]
-        for document in changed:
-            self._apply(document)
+        """Apply changes one by one, since one batch may add and remove a document."""
+        changed = []
+        for document in sorted(documents, key=_revision):
+            if self._is_newer(document):
+                self._apply(document)
+                changed.append(document)
         self._revision = max(self._revision, revision)
         return tuple(changed)
 
@@ -103,3 +106,7 @@
             self._history_starts_after = max(
                 self._history_starts_after, oldest.revision
             )
+
+
+def _revision(document: Document) -> Revision:
+    return document.revision
