Give full reads one state of the store, and mark what lies between copies

Callers would see: requests to a server that has left, or an unknown server or configuration, on hosts that follow one which read the whole store.

Cause: a copy had the revision of its first page, but the documents of all. A removal in between got too low a revision for hosts that had passed it, and its event was dropped as that of an unknown document. The difference of two copies was forwarded as if it were every change between them, and with the revision before its first change.

Change: the reader adds the changes made between the pages. Changes are forwarded with the revision that the host had before.

--- a/src/catkinspan/coordination/configuration/const.py
+++ b/src/catkinspan/coordination/configuration/const.py
@@ -56,6 +56,9 @@
 MAX_HISTORY_CHANGES = 2_000
 """Latest changes that a hub can send without a full copy."""
 
+MAX_REVISION_GAPS = 32
+"""Full copies in a history that are kept apart; older ones count as one."""
+
 MAX_CHANGES_CHARS = 64 * 1024
 """Size up to which several changes are sent in one message. A link of 10 Mbit/s carries
 it, compressed, within 30 ms, so that other messages do not wait for long."""
--- a/src/catkinspan/coordination/configuration/coordinator.py
+++ b/src/catkinspan/coordination/configuration/coordinator.py
@@ -175,18 +175,20 @@
     def apply_store_changes(self, changes: StoreChanges, now: float) -> None:
         """Apply changes received by this host's watch of the store."""
         self._record_own_contact(now)
-        if changes.after_revision > self._replica.revision:
+        previous = self._replica.revision
+        if changes.after_revision > previous:
             return
         changed = self._replica.merge(changes.documents, changes.revision)
         self._completeness.record_store_contact(now)
-        self._apply_and_forward(changed, None, now)
+        self._apply_and_forward(changed, previous, None, now)
 
     def apply_store_snapshot(self, snapshot: StoreSnapshot, now: float) -> None:
         """Apply a complete read of the store."""
         self._record_own_contact(now)
+        previous = self._replica.revision
         changed = self._replica.replace(snapshot.documents, snapshot.revision)
         self._completeness.record_store_contact(now)
-        self._apply_and_forward(changed, None, now)
+        self._apply_and_forward(changed, previous, None, now)
 
     def record_store_contact(self, now: float) -> None:
         """Record that the store answered this host without changes."""
@@ -227,7 +229,8 @@
 
     def _on_changes(self, message: Changes, source: HostId, now: float) -> None:
         self._record_news(source, message.revision, _UNKNOWN_TIME, now)
-        if message.after_revision > self._replica.revision:
+        previous = self._replica.revision
+        if message.after_revision > previous or message.gap.contains(previous):
             self._pulls.record_offer(source, message.revision, now)
             self._request_changes(now, grace=0.0)
             return
@@ -235,11 +238,11 @@
         # contact is recorded before the removal is applied.
         contact_at = now - message.store_contact_age_ms / 1000
         self._record_peer_contact(contact_at, message.reader or source, source, now)
-        changed = self._replica.merge(message.documents, message.revision)
+        changed = self._replica.merge(message.documents, message.revision, message.gap)
         if not is_small(message.documents):
             self._pulls.record_part(source, now)
             self._outbox.send(source, ChangesReceived(message.revision))
-        self._apply_and_forward(changed, source, now)
+        self._apply_and_forward(changed, previous, source, now)
 
     def _on_copy_part(self, part: CopyPart, source: HostId, now: float) -> None:
         self._record_news(source, part.revision, _UNKNOWN_TIME, now)
@@ -253,8 +256,9 @@
         self._outbox.send(source, CopyRequest(part.revision, partial.received_count))
         if partial.is_complete:
             del self._partial_copies[source]
+            previous = self._replica.revision
             changed = self._replica.replace(partial.documents(), part.revision)
-            self._apply_and_forward(changed, source, now)
+            self._apply_and_forward(changed, previous, source, now)
             self._pulls.record_copy()
             self._request_changes(now, self._push_grace())
 
@@ -324,12 +328,17 @@
         now: float,
     ) -> Changes:
         age_ms = self._age_ms(now)
-        return Changes(after, revision, changes, age_ms, self._contacts.reader)
+        gap = self._replica.gap_after(after)
+        return Changes(after, revision, changes, age_ms, self._contacts.reader, gap)
 
     def _apply_and_forward(
-        self, changed: tuple[Document, ...], source: HostId | None, now: float
+        self,
+        changed: tuple[Document, ...],
+        after: Revision,
+        source: HostId | None,
+        now: float,
     ) -> None:
-        """Apply changes and forward them to hosts that may not have them."""
+        """Apply all changes after a revision; forward them to hosts without them."""
         self._completeness.record_progress(self._replica.revision, now)
         self._pulls.update(self._replica.revision)
         if not changed:
@@ -342,7 +351,6 @@
         if source is not None and not view.is_hub:
             receivers = set(view.followers)
         receivers -= {self._self_id, source}
-        after = Revision(min(document.revision for document in changed) - 1)
         if is_small(changed):
             message = self._changes_message(after, self._replica.revision, changed, now)
             for host in receivers:
--- a/src/catkinspan/coordination/configuration/models.py
+++ b/src/catkinspan/coordination/configuration/models.py
@@ -9,8 +9,9 @@
     RejectedConfiguration,
     SettingsFault,
 )
+from catkinspan.coordination.configuration.gaps import NO_GAP, RevisionGap
 from catkinspan.coordination.models import Event, Millis, PeerMessage
-from catkinspan.state.ids import NO_HOST, HostId, Revision, ServerId
+from catkinspan.state.ids import NO_HOST, NO_REVISION, HostId, Revision, ServerId
 from catkinspan.state.tree import SettingsTree
 
 
@@ -72,6 +73,23 @@
 
     revision: Revision
     documents: tuple[Document, ...]
+    last_page_revision: Revision = NO_REVISION
+    """Revision of the last page, if the documents were read in several pages."""
+
+    @property
+    def is_consistent(self) -> bool:
+        """Return whether all pages show the same state of the store."""
+        return self.last_page_revision <= self.revision
+
+    def with_changes(self, changes: StoreChanges) -> "StoreSnapshot":
+        """Return the snapshot after changes that begin at its revision or before."""
+        by_name = {document.name: document for document in self.documents}
+        for change in changes.documents:
+            known = by_name.get(change.name)
+            if known is None or known.revision < change.revision:
+                by_name[change.name] = change
+        existing = tuple(d for d in by_name.values() if d.text is not None)
+        return StoreSnapshot(changes.revision, existing)
 
 
 @frozen
@@ -87,6 +105,10 @@
     reader: HostId = NO_HOST
     """Host that reached the store, as in `Freshness`."""
 
+    gap: RevisionGap = NO_GAP
+    """Revisions of which the changes are only the difference between two copies. A host
+    whose revision is among them needs a full copy."""
+
 
 @frozen
 class ChangesReceived(PeerMessage):
--- a/src/catkinspan/coordination/configuration/outgoing_changes.py
+++ b/src/catkinspan/coordination/configuration/outgoing_changes.py
@@ -18,7 +18,7 @@
 from catkinspan.coordination.configuration.replica import Replica
 from catkinspan.coordination.outbox import Outbox
 from catkinspan.state.hosts import FleetView
-from catkinspan.state.ids import HostId, Revision
+from catkinspan.state.ids import NO_REVISION, HostId, Revision
 
 MessageFactory = Callable[[Revision, Revision, tuple[Document, ...], float], Changes]
 """Returns the message with the changes after a revision up to another one."""
@@ -156,18 +156,16 @@
         self, changes: Iterable[Document]
     ) -> tuple[Revision, tuple[Document, ...]]:
         """Return the changes of one message, and the revision that they lead to."""
-        ordered = sorted(changes, key=_revision)
         chosen: list[Document] = []
+        revision = NO_REVISION
         chars = 0
-        # Changes of one revision belong together.
-        for _, group in groupby(ordered, key=_revision):
+        # Changes of one revision, or of one copy, belong together.
+        ordered = sorted(changes, key=self._replica.revision_after)
+        for next_revision, group in groupby(ordered, self._replica.revision_after):
             documents = list(group)
             chars += text_chars(documents)
             if chosen and chars > MAX_CHANGES_CHARS:
-                return chosen[-1].revision, tuple(chosen)
+                return revision, tuple(chosen)
             chosen += documents
+            revision = next_revision
         return self._replica.revision, tuple(chosen)
-
-
-def _revision(document: Document) -> Revision:
-    return document.revision
--- a/src/catkinspan/platform/store.py
+++ b/src/catkinspan/platform/store.py
@@ -67,9 +67,7 @@
                         f"documents are over {MAX_DOCUMENTS_CHARS} characters; "
                         "remove entries that are not in use"
                     )
-        # The pages may show different revisions. A watch from the revision of the first
-        # page misses no change.
-        return StoreSnapshot(revisions[0], tuple(documents))
+        return StoreSnapshot(revisions[0], tuple(documents), revisions[-1])
 
     async def _async_pages(self, prefix: str) -> AsyncIterator[StoreSnapshot]:
         """Yield the pages under a prefix; raises StoreError if they do not end."""
--- a/src/catkinspan/transport/store/reader.py
+++ b/src/catkinspan/transport/store/reader.py
@@ -7,7 +7,10 @@
 from attrs import frozen
 from loguru import logger
 
-from catkinspan.coordination.configuration.models import StoreChanges, StoreSnapshot
+from catkinspan.coordination.configuration.models import (
+    StoreChanges,
+    StoreSnapshot,
+)
 from catkinspan.state.ids import NO_REVISION, Revision
 from catkinspan.transport.mailbox import Mailbox
 
@@ -33,7 +36,7 @@
     """Calls to the store; each raises StoreError without a usable response."""
 
     async def async_read_all(self) -> StoreSnapshot:
-        """Read all documents."""
+        """Read all documents, in pages between which the store may change."""
 
     async def async_watch(self, after: Revision) -> StoreChanges:
         """Wait for changes after a revision; empty if none arrive in time.
@@ -128,7 +131,7 @@
     async def _async_call_store(self) -> bool:
         """Make one call to the store; return whether a watch returned changes."""
         if self._revision is None:
-            snapshot = await self._client.async_read_all()
+            snapshot = await self._async_read_snapshot()
             self._revision = snapshot.revision
             self._host.post_unbounded(snapshot)
             return False
@@ -137,6 +140,17 @@
         self._host.post_unbounded(changes if changes.documents else StoreUnchanged())
         return bool(changes.documents)
 
+    async def _async_read_snapshot(self) -> StoreSnapshot:
+        """Read all documents, and the changes made while they were read.
+
+        A document that was removed in between would otherwise be missing in a copy of
+        an earlier revision, so that hosts which follow would not hear of its removal.
+        """
+        snapshot = await self._client.async_read_all()
+        if snapshot.is_consistent:
+            return snapshot
+        return snapshot.with_changes(await self._client.async_watch(snapshot.revision))
+
     async def _async_back_off(self, error: Exception) -> None:
         self._failures += 1
         self._host.post_unbounded(StoreCallFailed())
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -6,7 +6,11 @@
 
 import pytest
 
-from catkinspan.coordination.configuration.models import StoreChanges, StoreSnapshot
+from catkinspan.coordination.configuration.models import (
+    Document,
+    StoreChanges,
+    StoreSnapshot,
+)
 from catkinspan.platform import store as platform_store
 from catkinspan.platform.store import PlatformStore
 from catkinspan.standin.platform import StandinPlatform, StoreMode
@@ -127,3 +131,36 @@
         while not isinstance(await host.async_get(), StoreSnapshot):
             assert not task.done()
     task.cancel()
+
+
+async def test_copy_has_the_changes_made_while_its_pages_were_read() -> None:
+    """Guards against the removal of a server that the copy already lacks, so that it
+    never reaches hosts which know the server."""
+
+    class ChangingStore:
+        async def async_read_all(self) -> StoreSnapshot:
+            kept = Document("servers/a", Revision(3), "1")
+            added = Document("servers/c", Revision(12), "3")
+            return StoreSnapshot(Revision(10), (kept, added), Revision(12))
+
+        async def async_watch(self, after: Revision) -> StoreChanges:
+            if after >= Revision(13):
+                await asyncio.sleep(TEST_TIMEOUT_SECONDS)
+            removed = Document("servers/b", Revision(11), None)
+            added = Document("servers/c", Revision(12), "3")
+            changed = Document("servers/a", Revision(13), "2")
+            return StoreChanges(after, Revision(13), (removed, added, changed))
+
+    host: Mailbox[Any] = Mailbox(1000)
+    inbox: Mailbox[Any] = Mailbox(10)
+    reader = StoreReader(ChangingStore(), host, inbox, Random(1))
+    task = asyncio.create_task(reader.async_run())
+    inbox.post_unbounded(StartReading())
+    async with asyncio.timeout(TEST_TIMEOUT_SECONDS):
+        copy = await host.async_get()
+    assert copy.revision == Revision(13)
+    assert {(d.name, d.text) for d in copy.documents} == {
+        ("servers/a", "2"),
+        ("servers/c", "3"),
+    }
+    task.cancel()
