--- a/src/catkinspan/coordination/requests/coordinator.py
+++ b/src/catkinspan/coordination/requests/coordinator.py
@@ -22,11 +22,9 @@
 from catkinspan.coordination.requests.admission import Admission
 from catkinspan.coordination.requests.arrivals import Arrivals
 from catkinspan.coordination.requests.assignments import assignment, hedge_delay
-from catkinspan.coordination.requests.const import (
-    DEADLINE_GRACE_SECONDS,
-    MIN_TRIAL_BUDGET,
-)
+from catkinspan.coordination.requests.const import MIN_TRIAL_BUDGET
 from catkinspan.coordination.requests.dependencies import RequestDependencies
+from catkinspan.coordination.requests.drain import HostStop
 from catkinspan.coordination.requests.errors import Ran, Refusal
 from catkinspan.coordination.requests.models import (
     AttemptFinished,
@@ -44,6 +42,7 @@
     may_have_run,
     unreported_outcome,
 )
+from catkinspan.coordination.requests.retry_permits import RetryPermits
 from catkinspan.coordination.retries.coordinator import backoff
 from catkinspan.coordination.timers import Timers
 from catkinspan.state.ids import (
@@ -85,8 +84,8 @@
         """Each request has a due time until it has ended."""
 
         self._arrivals = Arrivals(dependencies, self._admission, outbox)
-        self._stops_at = float("inf")
-        """Monotonic time at which the host cuts what still runs."""
+        self._stop = HostStop()
+        self._retry_permits = RetryPermits(dependencies, self._stop)
 
     @property
     def running(self) -> int:
@@ -112,10 +111,10 @@
 
         `stops_at` is the monotonic time in seconds at which the host ends.
         """
-        self._stops_at = stops_at
+        self._stop.announce(stops_at)
         for request in list(self._requests.values()):
             is_waiting = request.stage in (Stage.BODY, Stage.BACKOFF)
-            if is_waiting and not self._may_send(request):
+            if is_waiting and not self._stop.may_send(request):
                 self._refuse(request, refusals.STOPPING)
 
     # Messages from the front end
@@ -131,7 +130,7 @@
 
     def _start(self, request: ActiveRequest, now: float) -> None:
         self._requests[request.id] = request
-        if not self._may_send(request):
+        if not self._stop.may_send(request):
             self._refuse(request, refusals.STOPPING)
             return
         if request.arrived.content_length == 0:
@@ -200,7 +199,7 @@
 
     def resume(self, gap: float) -> None:
         """Bring deadlines forward by a pause of this host; callers waited meanwhile."""
-        self._stops_at -= gap
+        self._stop.add_pause(gap)
         for request in self._requests.values():
             request.deadline -= gap
             if request.stage is not Stage.ENDED:
@@ -208,15 +207,6 @@
 
     # Admission
 
-    def _may_send(self, request: ActiveRequest) -> bool:
-        """Return whether a request may be sent to a server although the host may stop.
-
-        A request that may have run already can no longer be refused as not run, so its
-        retries go on.
-        """
-        ends_by = request.deadline + DEADLINE_GRACE_SECONDS
-        return ends_by <= self._stops_at or request.ran is not Ran.NO
-
     def _check_quarantine(self, request: ActiveRequest, now: float) -> None:
         arrived = request.arrived
         request.fingerprint = fingerprint(
@@ -401,7 +391,7 @@
             if outcome.kind is OutcomeKind.SERVER_ERROR:
                 self._outbox.add_directive(Discard(request.id, outcome.attempt))
             return
-        if self._acquire_retry(request, finished, now):
+        if self._retry_permits.acquire(request, finished, now):
             if outcome.kind is OutcomeKind.SERVER_ERROR:
                 self._outbox.add_directive(Discard(request.id, outcome.attempt))
             self._back_off(request, now)
@@ -412,33 +402,6 @@
             refusal = refusals.outcome_refusal(outcome.kind, request.ran)
             self._refuse(request, refusal)
 
-    def _acquire_retry(
-        self, request: ActiveRequest, finished: AttemptFinished, now: float
-    ) -> bool:
-        if not finished.replayable:
-            return False
-        if not request.is_idempotent and request.ran is not Ran.NO:
-            return False
-        if not self._may_send(request) or self._is_quarantined(request, now):
-            return False
-        policy = request.route.policy
-        if finished.outcome.kind in NOT_SENT_OUTCOMES:
-            # A failed connection puts no load on a server and uses no retry budget.
-            in_time = now < request.deadline
-            return in_time and request.counted_attempts < policy.max_attempts
-        return self._dependencies.retries.acquire_retry(
-            request.service,
-            request.counted_attempts,
-            policy.max_attempts,
-            request.deadline,
-            now,
-        )
-
-    def _is_quarantined(self, request: ActiveRequest, now: float) -> bool:
-        if request.fingerprint is None:
-            return False
-        return self._dependencies.quarantine.check(request.fingerprint, now).is_err()
-
     def _back_off(self, request: ActiveRequest, now: float) -> None:
         if request.last_failure in NOT_SENT_OUTCOMES:
             # Backoff lets load fall; after a connect error another server is tried
