--- a/src/catkinspan/coordination/audit/texts.py
+++ b/src/catkinspan/coordination/audit/texts.py
@@ -109,9 +109,9 @@
 
 
 def _store_contact_regained(event: StoreContactRegained) -> str:
-    return (
-        f"store contact regained by {event.source} after {event.outage_seconds:.1f} s"
-    )
+    cause = "calls failed" if event.calls_failed else "its readers were silent"
+    seconds = f"{event.outage_seconds:.1f} s"
+    return f"store contact regained by {event.source} after {seconds}; {cause}"
 
 
 def _reading_changed(event: ReadingChanged) -> str:
--- a/src/catkinspan/coordination/configuration/contacts.py
+++ b/src/catkinspan/coordination/configuration/contacts.py
@@ -38,6 +38,8 @@
         self._failures: dict[HostId, float] = {}
         """Time of the latest reported failure of each reader."""
 
+        self._latest_failure_at = _NEVER
+
     @property
     def confirmed_at(self) -> float:
         """Return the latest contact, with the delay of its report subtracted."""
@@ -83,15 +85,24 @@
         """Record a message from a hub."""
         self._hub_heard_at = now
 
+    def record_own_failure(self, now: float) -> None:
+        """Record that the store did not answer this host."""
+        self._latest_failure_at = now
+
     def record_failure(self, reader: HostId, now: float) -> None:
         """Record that the store did not answer another host."""
-        self._failures[reader] = now
+        self._failures[reader] = self._latest_failure_at = now
+
+    def has_failed_since(self, at: float) -> bool:
+        """Return whether a call to the store is known to have failed since a time."""
+        return self._latest_failure_at > at
 
     def add_pause(self, gap: float) -> None:
         """Add a pause, which the clock did not count, to the age of the contacts."""
         self._own_contact_at -= gap
         self._confirmed_at -= gap
         self._peer_contact_at -= gap
+        self._latest_failure_at -= gap
 
     def should_read(self, view: FleetView | None, has_copy: bool, now: float) -> bool:
         """Return whether this host reads the store.
--- a/src/catkinspan/coordination/configuration/coordinator.py
+++ b/src/catkinspan/coordination/configuration/coordinator.py
@@ -34,10 +34,9 @@
     Pull,
     ReadingChanged,
     StoreChanges,
-    StoreContactLost,
-    StoreContactRegained,
     StoreSnapshot,
 )
+from catkinspan.coordination.configuration.outages import StoreOutages
 from catkinspan.coordination.configuration.parts import is_small
 from catkinspan.coordination.configuration.pulls import PullSchedule
 from catkinspan.coordination.configuration.replica import Replica
@@ -84,9 +83,7 @@
         self._contacts = StoreContacts(self_id, now)
         self._completeness = CopyCompleteness()
         self._echoes = ClockEchoes(now)
-        self._outage_started_at: float | None = None
-        """Time of the last contact before an outage; None while the store answers."""
-
+        self._outages = StoreOutages(self._contacts, outbox)
         self._is_reader = False
         self._reader_fails = False
         """Whether this host reads the store and its latest call failed."""
@@ -196,13 +193,14 @@
         self._completeness.record_store_contact(now)
 
     def _record_own_contact(self, now: float) -> None:
-        self._check_outage_end(now, self._contacts.latest_at, STORE_SOURCE, now)
+        self._end_outage(now, self._contacts.latest_at, STORE_SOURCE, now)
         self._reader_fails = False
         self._contacts.record_own(now)
         self._contacts.record_confirmed(now)
 
     def record_store_failure(self, now: float) -> None:
         """Record that a call to the store failed, and tell the next candidates."""
+        self._contacts.record_own_failure(now)
         if self._is_reader and not self._reader_fails:
             self._reader_fails = True
             self._send_freshness(now)
@@ -293,7 +291,7 @@
     ) -> None:
         latest_at = self._contacts.latest_at
         if self._contacts.record_peer(at, reader):
-            self._check_outage_end(at, latest_at, source, now)
+            self._end_outage(at, latest_at, source, now)
 
     def _push_grace(self) -> float:
         """Return the time in which announced changes may arrive without a request."""
@@ -380,11 +378,7 @@
         if now - self._last_freshness_at >= FRESHNESS_INTERVAL_SECONDS:
             self._last_freshness_at = now
             self._send_freshness(now)
-        age = self.contact_age(now)
-        is_lost = age > OUTAGE_THRESHOLD_SECONDS and self._contacts.was_reached
-        if is_lost and self._outage_started_at is None:
-            self._outage_started_at = now - age
-            self._outbox.emit(StoreContactLost(round(age, 3)))
+        self._outages.tick(now)
         self._settings.tick(now)
 
     def resume(self, gap: float, now: float) -> None:
@@ -445,14 +439,8 @@
         is_waited_for = self._has_waiting_requests and not has_copy
         return is_waited_for or self._contacts.should_read(self._view, has_copy, now)
 
-    def _check_outage_end(
+    def _end_outage(
         self, at: float, previous_at: float, source: str, now: float
     ) -> None:
-        outage = at - previous_at
-        if OUTAGE_THRESHOLD_SECONDS < outage < float("inf"):
+        if self._outages.end_by_contact(at, previous_at, source, now):
             self._settings.keep_lapsed_servers(now)
-        # A contact that is already old does not end an outage.
-        if self._outage_started_at is not None and now - at < OUTAGE_THRESHOLD_SECONDS:
-            seconds = round(at - self._outage_started_at, 3)
-            self._outage_started_at = None
-            self._outbox.emit(StoreContactRegained(seconds, source))
--- a/src/catkinspan/coordination/configuration/models.py
+++ b/src/catkinspan/coordination/configuration/models.py
@@ -298,6 +298,9 @@
 
     outage_seconds: float
     source: str
+    calls_failed: bool = False
+    """Whether a call to the store is known to have failed meanwhile; otherwise the
+    hosts that read it were silent."""
 
 
 @frozen
--- a/src/catkinspan/testing/hosts.py
+++ b/src/catkinspan/testing/hosts.py
@@ -226,15 +226,12 @@
             self._schedule_read(PAUSED_RETRY_SECONDS)
             return
         store.call_count += 1
-        if self._host in store.refused:
+        if self._host in store.refused or not store.is_reachable_from(self._host):
             self.coordinator.record_store_failure(attached.local_time(channel.now))
             self._process_outbox(channel.now)
             channel.flush(self._host)
             self._schedule_read(READ_RETRY_SECONDS)
             return
-        if not store.is_reachable_from(self._host):
-            self._schedule_read(READ_RETRY_SECONDS)
-            return
         now = attached.local_time(channel.now)
         if self._read_revision is None:
             store.full_read_count += 1
--- a/tests/platform/entries.py
+++ b/tests/platform/entries.py
@@ -95,12 +95,13 @@
     rate_window: RateWindow | None = None,
     text: str | None = None,
     rate: float = 58,
+    data_centres: tuple[str, ...] = DATA_CENTRES,
 ) -> VirtualFleet:
     """Start virtual hosts with platform documents; they are ready after 3 s."""
     documents = {f"servers/i-{n}": server_entry(n) for n in range(servers)}
     documents["op/config"] = text or configuration(rate=rate)
     return VirtualFleet(
-        host_records(hosts),
+        host_records(hosts, data_centres),
         documents,
         PlatformDocuments,
         Random(seed),
