--- a/src/catkinspan/coordination/configuration/const.py
+++ b/src/catkinspan/coordination/configuration/const.py
@@ -31,9 +31,14 @@
 """Candidates of a data centre that may read the store because the last contact is old.
 """
 
-READ_WITHOUT_HUB_SECONDS = 2.5
-"""Age of the last contact, and time without a message from a hub, from which any host
-reads the store itself."""
+HUB_SILENCE_SECONDS = 1.4
+"""Time without a message from any hub after which a host reads the store itself once
+the last contact is old: the time in which a silent hub is replaced, and the first
+`Freshness` of the next one. With a call to the store, a host that loses all its hubs
+hears of a removed server within the 2 s in which the server still serves."""
+
+SUBSTITUTE_AGE_SECONDS = 2.5
+"""Age of the last contact from which further hosts read the store."""
 
 SUBSTITUTE_READERS = 8
 """Expected number of further hosts in the fleet that read the store if the candidates
--- a/src/catkinspan/coordination/configuration/contacts.py
+++ b/src/catkinspan/coordination/configuration/contacts.py
@@ -5,13 +5,14 @@
 
 from catkinspan.coordination.configuration.const import (
     FAILING_READER_SECONDS,
+    HUB_SILENCE_SECONDS,
     INITIAL_READ_DELAY_SECONDS,
     LONE_READ_DELAY_SECONDS,
     MAX_READING_CANDIDATES,
     READ_TAKEOVER_SECONDS,
     READ_TAKEOVER_STEP_SECONDS,
-    READ_WITHOUT_HUB_SECONDS,
     READING_DATA_CENTRES,
+    SUBSTITUTE_AGE_SECONDS,
     SUBSTITUTE_PERIOD_SECONDS,
     SUBSTITUTE_READERS,
 )
@@ -125,16 +126,18 @@
         if view.rank == 0 and (not has_copy or _is_reading_data_centre(view, failing)):
             return True
         age = now - max(self._peer_contact_at, self._started_at)
+        if age > READ_TAKEOVER_SECONDS and self._lacks_hub(now):
+            return True
         if view.rank < MAX_READING_CANDIDATES:
             if 0 < view.rank <= failing[view.self_data_centre]:
                 return True
             steps = READ_TAKEOVER_STEP_SECONDS * max(0, view.rank - 1)
             return age > READ_TAKEOVER_SECONDS + steps
-        if age <= READ_WITHOUT_HUB_SECONDS:
-            return False
-        if now - self._hub_heard_at > READ_WITHOUT_HUB_SECONDS:
-            return True
-        return self._is_substitute(view.known_count, age)
+        is_old = age > SUBSTITUTE_AGE_SECONDS
+        return is_old and self._is_substitute(view.known_count, age)
+
+    def _lacks_hub(self, now: float) -> bool:
+        return now - self._hub_heard_at > HUB_SILENCE_SECONDS
 
     def _failing_by_data_centre(
         self, view: FleetView, now: float
