--- a/src/catkinspan/transport/callers/connection.py
+++ b/src/catkinspan/transport/callers/connection.py
@@ -93,7 +93,7 @@
             return False
         head = parsed.ok_value
         if head.path == HEALTH_PATH and not self._names.keeps_request_id:
-            await self._async_respond_health(head.method)
+            await self._async_respond_health()
             return False
         return await self._async_run_exchange(self._fleet_request_id(head), head)
 
@@ -165,7 +165,7 @@
         self._last_key_digest = exchange.key_digest
         return exchange.can_keep_alive
 
-    async def _async_respond_health(self, method: str) -> None:
+    async def _async_respond_health(self) -> None:
         """Respond to the load balancer's health check and close the connection."""
         self._host.post_unbounded(HealthQuery(self._mailbox))
         while not isinstance(status := await self._mailbox.async_get(), HealthStatus):
@@ -179,10 +179,7 @@
                 (b"connection", b"close"),
             ],
         )
-        self._stream.send(response)
-        if method != "HEAD":
-            self._stream.send(h11.Data(data=body))
-        self._stream.send(h11.EndOfMessage())
+        self._stream.send_response(response, body)
 
     def _refuse_malformed(self, error: h11.RemoteProtocolError) -> None:
         refusal = bad_request(f"malformed request: {error}", "send valid HTTP/1.1")
@@ -209,7 +206,7 @@
         response, body = refusal_response(
             refusal, request_id, close=True, names=self._names
         )
-        self._stream.send(response, h11.Data(data=body), h11.EndOfMessage())
+        self._stream.send_response(response, body)
         record = RequestRecord(
             request_id, "", "", response.status_code, refusal.kind, 0.0, 0
         )
--- a/src/catkinspan/transport/callers/exchange.py
+++ b/src/catkinspan/transport/callers/exchange.py
@@ -425,7 +425,7 @@
         response, body = refusal_response(
             refusal, self._external_request_id, close, self._names
         )
-        self._stream.send(response, h11.Data(data=body), h11.EndOfMessage())
+        self._stream.send_response(response, body)
         logger.info("refused: {}", refusal)
         self._finish(response.status_code, refusal.kind)
 
--- a/src/catkinspan/transport/callers/stream.py
+++ b/src/catkinspan/transport/callers/stream.py
@@ -23,6 +23,8 @@
         )
         self._received: deque[SocketData] = deque()
         self._request_started = False
+        self._method = b""
+        """Method of the current request; empty before its head is complete."""
 
     @property
     def port(self) -> SocketPort:
@@ -56,6 +58,8 @@
         """
         while True:
             event = self._http.next_event()
+            if isinstance(event, h11.Request):
+                self._method = event.method
             if event is not h11.NEED_DATA or not self._received:
                 return event
             message = self._received.popleft()
@@ -68,7 +72,13 @@
         parts = [self._http.send(event) or b"" for event in events]
         self._port.write(b"".join(parts))
 
+    def send_response(self, response: h11.Response, body: bytes) -> None:
+        """Write a complete response, whose body a HEAD request does not get."""
+        parts = [] if self._method == b"HEAD" else [h11.Data(data=body)]
+        self.send(response, *parts, h11.EndOfMessage())
+
     def start_next_cycle(self) -> None:
         """Prepare for the next request."""
+        self._method = b""
         self._request_started = bool(self._http.trailing_data[0])
         self._http.start_next_cycle()
