--- a/src/catkinspan/coordination/configuration/contacts.py
+++ b/src/catkinspan/coordination/configuration/contacts.py
@@ -113,8 +113,8 @@
         `READING_DATA_CENTRES` data centres go on. If one reports that its calls fail,
         that of the next data centre reads too, and so do the next candidates of its
         own. If no other host reaches the store, the candidates of all data centres read
-        it one by one, then a few further hosts. A host that hears no hub reads it as
-        well.
+        it one by one, then a few further hosts. A host of any rank that hears no hub
+        reads it as well.
         """
         if view is None:
             return False
--- a/src/catkinspan/coordination/requests/coordinator.py
+++ b/src/catkinspan/coordination/requests/coordinator.py
@@ -24,8 +24,8 @@
 from catkinspan.coordination.requests.assignments import assignment, hedge_delay
 from catkinspan.coordination.requests.const import MIN_TRIAL_BUDGET
 from catkinspan.coordination.requests.dependencies import RequestDependencies
-from catkinspan.coordination.requests.drain import HostStop
 from catkinspan.coordination.requests.errors import Ran, Refusal
+from catkinspan.coordination.requests.host_stop import HostStop
 from catkinspan.coordination.requests.models import (
     AttemptFinished,
     BodyReceived,
--- a/src/catkinspan/coordination/requests/retry_permits.py
+++ b/src/catkinspan/coordination/requests/retry_permits.py
@@ -2,8 +2,8 @@
 
 from catkinspan.coordination.outcomes import NOT_SENT_OUTCOMES
 from catkinspan.coordination.requests.dependencies import RequestDependencies
-from catkinspan.coordination.requests.drain import HostStop
 from catkinspan.coordination.requests.errors import Ran
+from catkinspan.coordination.requests.host_stop import HostStop
 from catkinspan.coordination.requests.models import AttemptFinished
 from catkinspan.coordination.requests.records import ActiveRequest
 
--- a/tests/transport/test_late_requests.py
+++ b/tests/transport/test_late_requests.py
@@ -25,6 +25,7 @@
 PART = b"x" * 1000
 PART_COUNT = 4
 UPLOAD_SECONDS = 0.15
+OPTIONS = UpstreamOptions("", "catalogue", 200, 50, WORK_SECONDS)
 
 Send = Callable[[Address, str], Awaitable[Reply]]
 
@@ -120,9 +121,6 @@
     assert ran & set(replies)
 
 
-OPTIONS = UpstreamOptions("", "catalogue", 200, 50, WORK_SECONDS)
-
-
 async def test_late_requests_on_new_connections_are_served_or_refused() -> None:
     async with running_fleet(
         options=OPTIONS, edit_tree=_limit, edit_settings=_short_drain
