--- a/review/harness2.py
+++ b/review/harness2.py
@@ -10,6 +10,7 @@
 import contextlib
 import json
 import os
+import random
 import shutil
 import signal
 import socket
@@ -37,8 +38,13 @@
 class Record:
     """Writes `record.txt` of a case."""
 
-    def __init__(self, folder: Path) -> None:
-        self._file = (folder / "record.txt").open("w")
+    def __init__(self, path: Path) -> None:
+        self._file = path.open("w")
+
+    @classmethod
+    def quiet(cls) -> "Record":
+        """Return a record that keeps nothing."""
+        return cls(Path(os.devnull))
 
     def __call__(self, text: str) -> None:
         """Add a line with the seconds since the start of the script."""
@@ -46,15 +52,21 @@
         self._file.flush()
 
 
+_ports = iter(random.sample(range(12_000, 30_000), 18_000))
+"""Ports below those that systems usually give to outgoing connections."""
+
+
 def free_port() -> int:
-    """Return a port that is free for TCP and UDP."""
-    for _ in range(100):
-        with socket.socket() as tcp, socket.socket(type=socket.SOCK_DGRAM) as udp:
-            tcp.bind(("127.0.0.1", 0))
-            port = int(tcp.getsockname()[1])
-            with contextlib.suppress(OSError):
-                udp.bind(("127.0.0.1", port))
-                return port
+    """Return a port that is free for TCP and UDP, another one at each call."""
+    for port in _ports:
+        with (
+            contextlib.suppress(OSError),
+            socket.socket() as tcp,
+            socket.socket(type=socket.SOCK_DGRAM) as udp,
+        ):
+            tcp.bind(("127.0.0.1", port))
+            udp.bind(("127.0.0.1", port))
+            return port
     raise CannotRunError("no free port")
 
 
@@ -289,6 +301,51 @@
             writer.close()
 
 
+class Relay:
+    """A path of one host to the store, which can be cut without a reset."""
+
+    def __init__(self, target: str) -> None:
+        self._target = target.split(":")
+        self._open = asyncio.Event()
+        self._open.set()
+        self.address = ""
+
+    async def start(self) -> None:
+        """Listen on a free port."""
+        port = free_port()
+        await asyncio.start_server(self._serve, "127.0.0.1", port)
+        self.address = f"127.0.0.1:{port}"
+
+    def cut(self) -> None:
+        """Hold all bytes back from now on, in both directions."""
+        self._open.clear()
+
+    def heal(self) -> None:
+        """Let the bytes pass again."""
+        self._open.set()
+
+    async def _serve(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        with contextlib.suppress(OSError):
+            await self._open.wait()
+            host, port = self._target
+            behind_reader, behind_writer = await asyncio.open_connection(host, port)
+            await asyncio.gather(
+                self._pump(reader, behind_writer), self._pump(behind_reader, writer)
+            )
+
+    async def _pump(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        with contextlib.suppress(OSError):
+            while data := await reader.read(65536):
+                await self._open.wait()
+                writer.write(data)
+                await writer.drain()
+        writer.close()
+
+
 @dataclass
 class HostProcess:
     """One entry host."""
@@ -373,9 +430,15 @@
         self.folder = Path(tempfile.mkdtemp())
         self.store = Store()
         self.hosts: list[HostProcess] = []
+        self.relays: dict[str, Relay] = {}
+        """Paths of the hosts to the store, by the names of the hosts."""
 
     async def start(
-        self, servers: list[Server], config: dict[str, Any], hosts: int = 1
+        self,
+        servers: list[Server],
+        config: dict[str, Any],
+        hosts: int = 1,
+        links: tuple[float, ...] = (1000.0,),
     ) -> None:
         """Start everything and wait until all hosts are ready."""
         await self.store.start()
@@ -385,8 +448,12 @@
         await self.store.put("op/config", config)
         self.hosts = [self._new_host(index) for index in range(hosts)]
         seeds = [host.settings["peers"] for host in self.hosts[:3]]
-        for host in self.hosts:
+        for index, host in enumerate(self.hosts):
+            relay = self.relays[host.name] = Relay(self.store.address)
+            await relay.start()
+            host.settings["platform"] = relay.address
             host.settings["seeds"] = seeds
+            host.settings["link_mbps"] = links[index % len(links)]
             await host.start()
         async with asyncio.timeout(20):
             for host in self.hosts:
@@ -496,7 +563,7 @@
     """Run a case, which returns whether the rule held, and exit as agreed."""
 
     async def run() -> int:
-        record = Record(folder)
+        record = Record(folder / "record.txt")
         record(f"TROUBLE={int(TROUBLE)}")
         fleet = Fleet(record)
         try:
