--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,4 +1,4 @@
-"""A third of the machines loses its path to the store as servers are removed."""
+"""Two of twelve machines lose their path to the store as servers are removed."""
 
 import asyncio
 import sys
@@ -9,9 +9,11 @@
 
 import harness2 as h  # noqa: E402
 
-HOSTS = 18
-LINKS = (100.0,) * 6 + (10.0,) * 12
-"""Bandwidths in Mbit/s: of the machines of each of three zones, the first two's."""
+HOSTS = 12
+CUT_HOSTS = 2
+LINKS = (100.0,) * CUT_HOSTS + (10.0,) * (HOSTS - CUT_HOSTS)
+"""Bandwidths of the hosts in Mbit/s; those with wide links are cut."""
+ZONE = "tirano"
 SERVERS = 9
 REMOVED = 3
 CUT_TO_REMOVAL_SECONDS = 0.4
@@ -63,18 +65,16 @@
     """Return whether no request reached a removed server too late."""
     loop = asyncio.get_running_loop()
     quiet = h.Record.quiet()
-    zones = ("tirano", "lecco", "chiavenna")
     servers = [
-        h.Server(f"i-{n}", "orders", handle, quiet, zone=zones[n % 3])
-        for n in range(SERVERS)
+        h.Server(f"i-{n}", "orders", handle, quiet, zone=ZONE) for n in range(SERVERS)
     ]
     rules = [h.route("order", "unsafe", "orders")]
     configuration = h.configuration(7, rules, ["orders"])
-    await fleet.start(servers, configuration, HOSTS, LINKS)
+    await fleet.start(servers, configuration, HOSTS, LINKS, (ZONE,))
     await asyncio.sleep(5)
     clients = [asyncio.create_task(client(host, record)) for host in fleet.hosts]
     await asyncio.sleep(3)
-    cut = [host.name for host in fleet.hosts[:6]] if h.TROUBLE else []
+    cut = [host.name for host in fleet.hosts[:CUT_HOSTS]] if h.TROUBLE else []
     for name in cut:
         fleet.relays[name].cut()
     record(f"cut from the store: {cut}")
--- a/review/harness2.py
+++ b/review/harness2.py
@@ -439,6 +439,7 @@
         config: dict[str, Any],
         hosts: int = 1,
         links: tuple[float, ...] = (1000.0,),
+        zones: tuple[str, ...] = ("tirano", "lecco", "chiavenna"),
     ) -> None:
         """Start everything and wait until all hosts are ready."""
         await self.store.start()
@@ -454,6 +455,7 @@
             host.settings["platform"] = relay.address
             host.settings["seeds"] = seeds
             host.settings["link_mbps"] = links[index % len(links)]
+            host.settings["data_centre"] = zones[index % len(zones)]
             await host.start()
         async with asyncio.timeout(20):
             for host in self.hosts:
@@ -461,10 +463,8 @@
         self.record("all hosts are ready")
 
     def _new_host(self, index: int) -> HostProcess:
-        zones = ("tirano", "lecco", "chiavenna")
         settings = {
             "host_id": f"front-{index + 1}",
-            "data_centre": zones[index % 3],
             "interface": "operator",
             "callers": f"127.0.0.1:{free_port()}",
             "ready": f"127.0.0.1:{free_port()}",
