Add review case 9: a request runs for a tenant that has lost its key (UNASKED)

A version gives a key to another tenant while bodies of requests with it arrive. They are sent on for the old tenant 3.5 s after the acknowledgement, when the version is in force for other requests.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -7,4 +7,4 @@
   exit 2
 }
 python3 -c 'import sys; sys.exit(sys.version_info < (3, 11))'
-python3 -m py_compile review/harness2.py review/[6-8]/case.py
+python3 -m py_compile review/harness2.py review/[6-9]/case.py
